--- /dev/null
+++ b/crates/burdockslip_types/src/error.rs
@@ -0,0 +1,187 @@
+//! Defines the closed set of error kinds and the answer each one gives.
+
+use std::fmt;
+
+use crate::domain;
+
+/// Carries an [`ErrorKind`] with the context in which it occurred.
+pub type Result<T> = std::result::Result<T, error_stack::Report<ErrorKind>>;
+
+domain! {
+    /// Lists every kind of error; the answers are in `docs/operators.md`.
+    #[derive(Copy)]
+    pub enum ErrorKind {
+        /// The key is unknown or does not belong to the organisation.
+        BadKey,
+        /// The key was revoked.
+        KeyRevoked,
+        /// The organisation may not use the route.
+        RouteDenied,
+        /// The catalogue has no such class on this route.
+        UnknownClass,
+        /// The organisation's rate leaves no token within the deadline.
+        RateExceeded,
+        /// The queue of the database is full.
+        QueueFull,
+        /// The deadline passed before the request was sent to an upstream.
+        DeadlineExceeded,
+        /// No member is fresh enough for the class and the session.
+        NoFreshData,
+        /// The group has no confirmed primary.
+        NoPrimary,
+        /// The write was sent and its outcome could not be confirmed.
+        OutcomeUnknown,
+        /// A request with the same request id has run before.
+        AlreadyRun,
+        /// The host is shutting down.
+        Draining,
+        /// A connection broke before the request was sent to an upstream.
+        ConnectionLost,
+        /// A peer or caller broke the protocol.
+        Protocol,
+        /// A message exceeds its size limit.
+        TooLarge,
+        /// The statement is outside of what the proxy supports.
+        NotSupported,
+        /// The caller cancelled the request.
+        Cancelled,
+        /// The host has no configuration or knows it only too long ago.
+        ConfigMissing,
+        /// The store cannot be reached or refused the call.
+        StoreUnavailable,
+        /// A compare-and-swap lost against another change.
+        Conflict,
+        /// A settings file or catalogue is invalid.
+        InvalidInput,
+        /// A fault of the program itself.
+        Internal,
+    }
+}
+
+/// Holds what a caller is told for an [`ErrorKind`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// The SQLSTATE code.
+    pub sqlstate: &'static str,
+    /// The message, stable between releases.
+    pub message: &'static str,
+    /// What the caller should do.
+    pub hint: &'static str,
+    /// Whether the error proves that the request did not run.
+    pub is_not_run: bool,
+}
+
+const fn not_run(sqlstate: &'static str, message: &'static str, hint: &'static str) -> Answer {
+    Answer {
+        sqlstate,
+        message,
+        hint,
+        is_not_run: true,
+    }
+}
+
+const fn unsure(sqlstate: &'static str, message: &'static str, hint: &'static str) -> Answer {
+    Answer {
+        sqlstate,
+        message,
+        hint,
+        is_not_run: false,
+    }
+}
+
+impl ErrorKind {
+    /// Looks up the answer for this kind in the one table that defines them.
+    pub const fn answer(self) -> Answer {
+        match self {
+            Self::BadKey => not_run(
+                "28P01",
+                "key refused",
+                "Check the organisation and its key.",
+            ),
+            Self::KeyRevoked => not_run("28000", "key revoked", "Ask the operator for a new key."),
+            Self::RouteDenied => not_run(
+                "42501",
+                "route not allowed for this organisation",
+                "Check the database name of the connection.",
+            ),
+            Self::UnknownClass => not_run(
+                "22023",
+                "unknown class",
+                "Use a class that the catalogue lists for this route.",
+            ),
+            Self::RateExceeded => not_run(
+                "53400",
+                "rate exceeded, not run",
+                "Retry after the time given in the detail.",
+            ),
+            Self::QueueFull => not_run("53300", "queue full, not run", "Retry with backoff."),
+            Self::DeadlineExceeded => not_run(
+                "57014",
+                "deadline exceeded before start, not run",
+                "Retry, or use a class with a longer deadline.",
+            ),
+            Self::NoFreshData => not_run(
+                "72000",
+                "no data fresh enough for the class, not run",
+                "Retry, or use a class that allows older data.",
+            ),
+            Self::NoPrimary => not_run(
+                "57P03",
+                "no confirmed primary, not run",
+                "Retry with backoff.",
+            ),
+            Self::OutcomeUnknown => unsure(
+                "40003",
+                "outcome unknown",
+                "Repeat with the same request id, or read back before repeating.",
+            ),
+            Self::AlreadyRun => unsure(
+                "23505",
+                "request id has run before",
+                "Read the result of the first run.",
+            ),
+            Self::Draining => not_run("57P01", "host is shutting down, not run", "Connect again."),
+            Self::ConnectionLost => {
+                not_run("08006", "connection lost before start, not run", "Retry.")
+            }
+            Self::Protocol => not_run("08P01", "protocol violation", "Check the client library."),
+            Self::TooLarge => not_run("54000", "message too large, not run", "Split the request."),
+            Self::NotSupported => not_run(
+                "0A000",
+                "statement not supported through the proxy, not run",
+                "See the list of supported statements.",
+            ),
+            Self::Cancelled => unsure(
+                "57014",
+                "request cancelled",
+                "Read back before repeating a write.",
+            ),
+            Self::ConfigMissing => not_run(
+                "57P03",
+                "host has no current configuration, not run",
+                "Connect to another host.",
+            ),
+            Self::StoreUnavailable => unsure("58000", "store unavailable", "Retry with backoff."),
+            Self::Conflict => not_run(
+                "40001",
+                "changed by another operator",
+                "Look at the difference and apply again.",
+            ),
+            Self::InvalidInput => not_run("22023", "invalid input", "Correct the reported faults."),
+            Self::Internal => unsure("XX000", "internal error", "Report it with the host's log."),
+        }
+    }
+
+    /// Returns whether the error proves that the request did not run.
+    pub const fn is_not_run(self) -> bool {
+        self.answer().is_not_run
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.answer().message)
+    }
+}
+
+impl std::error::Error for ErrorKind {}
