Add the PostgreSQL message layer

Cause: the thin path needs both ends of the wire protocol on monoio. Frames stay raw and only those the proxy acts on are decoded by pgwire; decoding every message was ruled out because answers are only passed on. Named statements are parsed again in each unit, so pooled connections keep no session state. Nothing measured yet.

--- /dev/null
+++ b/crates/burdockslip_wire/src/name.rs
@@ -0,0 +1,159 @@
+//! Keeps a session's prepared statements, so that pooled connections need not.
+//!
+//! Each unit that goes upstream parses the statements it refers to, and the
+//! holder closes them afterwards (`docs/design.md`, section 4.1).
+
+use std::collections::{BTreeSet, HashMap};
+
+use burdockslip_types::{ErrorKind, Result};
+use bytes::{Bytes, BytesMut};
+use error_stack::{ResultExt, bail};
+use pgwire::messages::extendedquery::{Bind, Close, Describe, Parse};
+use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
+
+use crate::frame::Frame;
+use crate::statement::{Comment, Statement, Verb, classify, combine};
+
+/// Bounds the statements that one session may keep, because they live in the host's memory.
+const MAX_STATEMENTS: usize = 1_000;
+
+/// Holds a unit of extended queries as it goes upstream.
+#[derive(Debug, Clone)]
+pub struct Rewritten {
+    /// The messages, with the missing `Parse` messages in front.
+    pub frames: Bytes,
+    /// How many `ParseComplete` messages to drop from the answer.
+    pub injected: usize,
+    /// The statements that the unit leaves on the connection.
+    pub names: Vec<String>,
+    /// What the executed statements do together.
+    pub statement: Statement,
+}
+
+/// Holds the prepared statements of one session by name.
+#[derive(Debug, Default)]
+pub struct StatementNames {
+    statements: HashMap<String, Prepared>,
+}
+
+#[derive(Debug, Clone)]
+struct Prepared {
+    parse: Bytes,
+    statement: Statement,
+}
+
+/// Collects what one unit parses and executes.
+#[derive(Default)]
+struct Pass {
+    parsed: BTreeSet<String>,
+    missing: Vec<Bytes>,
+    verbs: Vec<Verb>,
+    comment: Comment,
+}
+
+impl StatementNames {
+    /// Rewrites the frames of a unit so that it runs on any connection.
+    ///
+    /// `present` names statements that are on the connection already, which is
+    /// the case inside a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Protocol` for a message that cannot be decoded or an unknown
+    /// statement, and `TooLarge` if the session keeps too many statements.
+    pub fn rewrite(&mut self, frames: &[Frame], present: &BTreeSet<String>) -> Result<Rewritten> {
+        let mut pass = Pass::default();
+        for frame in frames {
+            match frame.tag() {
+                b'P' => self.parse(frame, &mut pass)?,
+                b'B' => {
+                    let bind: Bind = decode(frame)?;
+                    let name = bind.statement_name.unwrap_or_default();
+                    let statement = self.refer(&name, present, &mut pass)?;
+                    pass.verbs.push(statement.verb);
+                    pass.comment = statement.comment;
+                }
+                b'D' => {
+                    let describe: Describe = decode(frame)?;
+                    if describe.target_type == b'S' {
+                        let name = describe.name.unwrap_or_default();
+                        self.refer(&name, present, &mut pass)?;
+                    }
+                }
+                b'C' => {
+                    let close: Close = decode(frame)?;
+                    if close.target_type == b'S' {
+                        self.statements.remove(&close.name.unwrap_or_default());
+                    }
+                }
+                _ => {}
+            }
+        }
+        Ok(pass.finish(frames))
+    }
+
+    fn parse(&mut self, frame: &Frame, pass: &mut Pass) -> Result<()> {
+        let parse: Parse = decode(frame)?;
+        let name = parse.name.unwrap_or_default();
+        if self.statements.len() >= MAX_STATEMENTS && !self.statements.contains_key(&name) {
+            bail!(ErrorKind::TooLarge);
+        }
+        pass.parsed.insert(name.clone());
+        self.statements.insert(
+            name,
+            Prepared {
+                parse: frame.bytes().clone(),
+                statement: classify(&parse.query),
+            },
+        );
+        Ok(())
+    }
+
+    fn refer(&self, name: &str, present: &BTreeSet<String>, pass: &mut Pass) -> Result<Statement> {
+        let Some(prepared) = self.statements.get(name) else {
+            bail!(ErrorKind::Protocol);
+        };
+        // The unnamed statement never counts as present: the holder may have
+        // replaced it with one of its own.
+        let is_present = !name.is_empty() && present.contains(name);
+        if !is_present && pass.parsed.insert(name.to_owned()) {
+            pass.missing.push(prepared.parse.clone());
+        }
+        Ok(prepared.statement.clone())
+    }
+}
+
+impl Pass {
+    fn finish(self, frames: &[Frame]) -> Rewritten {
+        let injected = self.missing.len();
+        let mut bytes = BytesMut::new();
+        for parse in &self.missing {
+            bytes.extend_from_slice(parse);
+        }
+        for frame in frames {
+            bytes.extend_from_slice(frame.bytes());
+        }
+        let is_only_described = self.verbs.is_empty();
+        Rewritten {
+            frames: bytes.freeze(),
+            injected,
+            names: self.parsed.into_iter().filter(|n| !n.is_empty()).collect(),
+            statement: Statement {
+                verb: if is_only_described {
+                    Verb::Read
+                } else {
+                    combine(&self.verbs)
+                },
+                count: self.verbs.len(),
+                comment: self.comment,
+            },
+        }
+    }
+}
+
+fn decode<M: Message>(frame: &Frame) -> Result<M> {
+    let mut body = BytesMut::from(frame.bytes().as_ref());
+    M::decode(&mut body, &DecodeContext::new(ProtocolVersion::PROTOCOL3_0))
+        .change_context(ErrorKind::Protocol)?
+        .ok_or_else(|| error_stack::Report::new(ErrorKind::Protocol))
+}
--- /dev/null
+++ b/crates/burdockslip_wire/src/statement.rs
@@ -0,0 +1,294 @@
+//! Classifies statements by their first words and reads the tags in their comments.
+//!
+//! The class in the catalogue decides how a statement is treated. The text is
+//! looked at only to refuse what contradicts the class or would leave state on
+//! a pooled connection.
+
+/// Says whether a statement may change data.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Access {
+    /// The statement only reads.
+    Read,
+    /// The statement may write.
+    Write,
+}
+
+/// Names what a statement does, as far as the proxy cares.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verb {
+    /// Contains no statement.
+    Empty,
+    /// Reads data.
+    Read,
+    /// May write data.
+    Write,
+    /// Opens a transaction.
+    Begin,
+    /// Ends a transaction and keeps its changes.
+    Commit,
+    /// Ends a transaction and drops its changes.
+    Rollback,
+    /// Marks or returns to a point inside a transaction.
+    Savepoint,
+    /// Sets a session parameter to a value.
+    Set(String, String),
+    /// Shows a session parameter.
+    Show(String),
+    /// Would leave state on the connection or needs a protocol that is not proxied.
+    Unsupported,
+}
+
+/// Holds the tags of a sqlcommenter comment that the proxy uses.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Comment {
+    /// The class for this statement.
+    pub class: Option<String>,
+    /// The identifier by which a repeated request is recognised.
+    pub request: Option<String>,
+}
+
+/// Describes one query text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Statement {
+    /// What the text does; of several statements, the one that needs most.
+    pub verb: Verb,
+    /// How many statements the text holds.
+    pub count: usize,
+    /// The tags of its comments.
+    pub comment: Comment,
+}
+
+impl Statement {
+    /// Returns whether the statement may write.
+    pub fn access(&self) -> Access {
+        match self.verb {
+            Verb::Empty | Verb::Read | Verb::Show(_) => Access::Read,
+            _ => Access::Write,
+        }
+    }
+}
+
+/// Classifies a query text.
+pub fn classify(sql: &str) -> Statement {
+    let (parts, comment) = scan(sql);
+    let verbs: Vec<Verb> = parts.iter().map(|part| verb_of(part)).collect();
+    let count = verbs.len();
+    Statement {
+        verb: combine(&verbs),
+        count,
+        comment,
+    }
+}
+
+/// Combines the verbs of several statements that run as one unit.
+///
+/// Session parameters are answered by the proxy itself, so they cannot be
+/// mixed with statements that an upstream runs.
+pub(crate) fn combine(verbs: &[Verb]) -> Verb {
+    match verbs {
+        [] => return Verb::Empty,
+        [verb] => return verb.clone(),
+        _ => {}
+    }
+    let is_excluded =
+        |verb: &Verb| matches!(verb, Verb::Set(..) | Verb::Show(_) | Verb::Unsupported);
+    if verbs.iter().any(is_excluded) {
+        Verb::Unsupported
+    } else if verbs
+        .iter()
+        .all(|verb| matches!(verb, Verb::Read | Verb::Empty))
+    {
+        Verb::Read
+    } else {
+        Verb::Write
+    }
+}
+
+fn verb_of(text: &str) -> Verb {
+    let mut words = text
+        .split(|c: char| c.is_whitespace() || c == '(')
+        .filter(|w| !w.is_empty());
+    let first = words.next().unwrap_or_default().to_ascii_uppercase();
+    match first.as_str() {
+        "SELECT" | "VALUES" | "TABLE" => read_verb(text),
+        "WITH" => with_verb(text),
+        "EXPLAIN" if !contains_word(text, "ANALYZE") => Verb::Read,
+        "BEGIN" | "START" => Verb::Begin,
+        "COMMIT" | "END" => Verb::Commit,
+        "ROLLBACK" if contains_word(text, "TO") => Verb::Savepoint,
+        "ROLLBACK" | "ABORT" => Verb::Rollback,
+        "SAVEPOINT" | "RELEASE" => Verb::Savepoint,
+        "SHOW" => Verb::Show(words.next().unwrap_or_default().to_owned()),
+        "SET" => set_verb(text),
+        "INSERT" | "UPDATE" | "DELETE" | "MERGE" | "ALTER" | "DROP" | "TRUNCATE" | "GRANT"
+        | "REVOKE" | "COMMENT" | "CALL" => Verb::Write,
+        "CREATE" if !contains_word(text, "TEMP") && !contains_word(text, "TEMPORARY") => {
+            Verb::Write
+        }
+        _ => Verb::Unsupported,
+    }
+}
+
+/// Treats locking and advisory-lock reads apart from plain reads.
+fn read_verb(text: &str) -> Verb {
+    let lower = text.to_ascii_lowercase();
+    if lower.contains("pg_advisory") || lower.contains("set_config") {
+        Verb::Unsupported
+    } else if contains_word(text, "INTO")
+        || (contains_word(text, "FOR")
+            && (contains_word(text, "UPDATE") || contains_word(text, "SHARE")))
+    {
+        Verb::Write
+    } else {
+        Verb::Read
+    }
+}
+
+fn with_verb(text: &str) -> Verb {
+    let writes = ["INSERT", "UPDATE", "DELETE", "MERGE"];
+    if writes.iter().any(|word| contains_word(text, word)) {
+        Verb::Write
+    } else {
+        read_verb(text)
+    }
+}
+
+fn set_verb(text: &str) -> Verb {
+    let rest = text[3..].trim();
+    let rest = strip_word(rest, "SESSION").unwrap_or(rest);
+    if let Some(local) = strip_word(rest, "LOCAL") {
+        // Ends with the transaction, so it leaves nothing on the connection.
+        let _ = local;
+        return Verb::Write;
+    }
+    let Some(at) = rest.find(|c: char| c == '=' || c.is_whitespace()) else {
+        return Verb::Unsupported;
+    };
+    let name = rest[..at].trim().to_ascii_lowercase();
+    let value = rest[at..].trim_start();
+    let value = value
+        .strip_prefix('=')
+        .or_else(|| strip_word(value, "TO"))
+        .unwrap_or(value)
+        .trim();
+    let value = value.trim_matches('\'').replace("''", "'");
+    Verb::Set(name, value)
+}
+
+fn strip_word<'a>(text: &'a str, word: &str) -> Option<&'a str> {
+    let head = text.get(..word.len())?;
+    let tail = &text[word.len()..];
+    (head.eq_ignore_ascii_case(word) && tail.starts_with(char::is_whitespace))
+        .then(|| tail.trim_start())
+}
+
+fn contains_word(text: &str, word: &str) -> bool {
+    text.split(|c: char| !c.is_ascii_alphanumeric() && c != '_')
+        .any(|part| part.eq_ignore_ascii_case(word))
+}
+
+/// Splits a text at its semicolons, drops literals and comments, and reads the tags.
+///
+/// Literals of `SET` are kept, since their value is needed.
+fn scan(sql: &str) -> (Vec<String>, Comment) {
+    let mut parts = vec![String::new()];
+    let mut comment = Comment::default();
+    let mut rest = sql;
+    while let Some(c) = rest.chars().next() {
+        let part = parts.last_mut().expect("there is always a part");
+        let len = if rest.starts_with("--") {
+            rest.find('\n').unwrap_or(rest.len())
+        } else if rest.starts_with("/*") {
+            let len = rest.find("*/").map_or(rest.len(), |at| at + 2);
+            read_tags(&rest[..len], &mut comment);
+            part.push(' ');
+            len
+        } else if c == '\'' || c == '"' {
+            let len = quoted_len(rest, c, is_escape_prefix(part));
+            if is_set(part) {
+                part.push_str(&rest[..len]);
+            } else {
+                part.push_str(" ? ");
+            }
+            len
+        } else if let Some(len) = dollar_len(rest) {
+            part.push_str(" ? ");
+            len
+        } else if c == ';' {
+            parts.push(String::new());
+            1
+        } else {
+            part.push(c);
+            c.len_utf8()
+        };
+        rest = &rest[len..];
+    }
+    let parts = parts
+        .into_iter()
+        .map(|part| part.trim().to_owned())
+        .filter(|part| !part.is_empty())
+        .collect();
+    (parts, comment)
+}
+
+fn is_set(part: &str) -> bool {
+    part.trim_start()
+        .get(..4)
+        .is_some_and(|head| head.eq_ignore_ascii_case("SET "))
+}
+
+/// Returns whether the text before a quote marks an escape string, `E'...'`.
+///
+/// Inside one a backslash hides the next quote; overlooking that would let a
+/// write pass as part of a literal.
+fn is_escape_prefix(part: &str) -> bool {
+    part.ends_with(['e', 'E'])
+}
+
+/// Returns the length of the literal or quoted name at the start of `text`.
+fn quoted_len(text: &str, quote: char, has_escapes: bool) -> usize {
+    let mut chars = text.char_indices().skip(1).peekable();
+    while let Some((at, c)) = chars.next() {
+        if c == '\\' && has_escapes {
+            chars.next();
+        } else if c == quote {
+            if chars.peek().is_some_and(|&(_, next)| next == quote) {
+                chars.next();
+            } else {
+                return at + 1;
+            }
+        }
+    }
+    text.len()
+}
+
+/// Returns the length of the dollar-quoted literal at the start of `text`, if there is one.
+fn dollar_len(text: &str) -> Option<usize> {
+    let inner = text.strip_prefix('$')?;
+    let end = inner.find('$')?;
+    let tag = &inner[..end];
+    let is_tag = !tag.starts_with(|c: char| c.is_ascii_digit())
+        && tag.chars().all(|c| c.is_alphanumeric() || c == '_');
+    if !is_tag {
+        return None;
+    }
+    let open = &text[..end + 2];
+    let close = text[open.len()..].find(open);
+    Some(close.map_or(text.len(), |at| open.len() + at + open.len()))
+}
+
+/// Reads `key='value'` pairs from a comment.
+fn read_tags(text: &str, comment: &mut Comment) {
+    let inner = text.trim_start_matches("/*").trim_end_matches("*/");
+    for pair in inner.split(',') {
+        let Some((key, value)) = pair.split_once('=') else {
+            continue;
+        };
+        let value = value.trim().trim_matches('\'').to_owned();
+        match key.trim() {
+            "class" => comment.class = Some(value),
+            "request_id" => comment.request = Some(value),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_wire/src/upstream.rs
@@ -0,0 +1,272 @@
+//! Speaks with a database.
+
+use std::net::SocketAddr;
+
+use burdockslip_types::{ErrorKind, Result};
+use bytes::{Bytes, BytesMut};
+use error_stack::{Report, ResultExt, bail};
+use pgwire::messages::PgWireFrontendMessage as Frontend;
+use pgwire::messages::data::DataRow;
+use pgwire::messages::extendedquery::Close;
+use pgwire::messages::response::{CommandComplete, ErrorResponse};
+use pgwire::messages::startup::{Password, PasswordMessageFamily, Startup};
+use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
+
+use crate::connection::Connection;
+use crate::frame::Frame;
+use crate::message;
+
+/// Reports the transaction state of a connection between two units.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum TransactionState {
+    /// No transaction is open.
+    Idle,
+    /// A transaction is open.
+    Open,
+    /// A transaction is open and has failed.
+    Failed,
+}
+
+/// Holds the answer to a query whose rows are text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// The rows, column by column.
+    pub rows: Vec<Vec<Option<String>>>,
+    /// The command tag.
+    pub tag: String,
+    /// The SQLSTATE and message, if the query failed.
+    pub error: Option<(String, String)>,
+    /// The transaction state after the query.
+    pub state: TransactionState,
+}
+
+/// Holds one connection to a database.
+#[derive(Debug)]
+pub struct UpstreamStream {
+    connection: Connection,
+}
+
+impl UpstreamStream {
+    /// Connects and signs in; messages may have `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` if the database refuses, and `NotSupported` if
+    /// it asks for another method than a clear-text password.
+    pub async fn connect(
+        address: SocketAddr,
+        user: &str,
+        database: &str,
+        password: &str,
+        limit: usize,
+    ) -> Result<Self> {
+        let mut connection = Connection::connect(address, limit).await?;
+        let mut startup = Startup::new();
+        startup.parameters.insert("user".into(), user.into());
+        startup
+            .parameters
+            .insert("database".into(), database.into());
+        startup
+            .parameters
+            .insert("application_name".into(), "burdockslip".into());
+        let mut buf = BytesMut::new();
+        startup
+            .encode(&mut buf)
+            .change_context(ErrorKind::Internal)?;
+        connection.write(buf.freeze()).await?;
+        let mut stream = Self { connection };
+        stream.authenticate(password).await?;
+        Ok(stream)
+    }
+
+    async fn authenticate(&mut self, password: &str) -> Result<()> {
+        loop {
+            let frame = self.read_frame().await?;
+            match frame.tag() {
+                b'R' => match frame.body() {
+                    [0, 0, 0, 0] => {}
+                    [0, 0, 0, 3] => self.send_password(password).await?,
+                    _ => bail!(ErrorKind::NotSupported),
+                },
+                b'E' => {
+                    let (code, text) = decode_error(&frame)?;
+                    return Err(Report::new(ErrorKind::ConnectionLost)
+                        .attach(format!("database refused the connection: {code} {text}")));
+                }
+                b'Z' => return Ok(()),
+                _ => {}
+            }
+        }
+    }
+
+    async fn send_password(&mut self, password: &str) -> Result<()> {
+        let message = Frontend::PasswordMessageFamily(PasswordMessageFamily::Password(
+            Password::new(password.to_owned()),
+        ));
+        let mut buf = BytesMut::new();
+        message
+            .encode(&mut buf)
+            .change_context(ErrorKind::Internal)?;
+        self.write(buf.freeze()).await
+    }
+
+    /// Writes messages.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost`.
+    pub async fn write(&mut self, bytes: Bytes) -> Result<()> {
+        self.connection.write(bytes).await
+    }
+
+    /// Reads the next message; a closed connection is an error here.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` or `Protocol`.
+    pub async fn read_frame(&mut self) -> Result<Frame> {
+        self.connection
+            .read_frame()
+            .await?
+            .ok_or_else(|| Report::new(ErrorKind::ConnectionLost))
+    }
+
+    /// Takes a message that has been received already.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Protocol` or `TooLarge`.
+    pub fn take_frame(&mut self) -> Result<Option<Frame>> {
+        self.connection.take_frame()
+    }
+
+    /// Returns whether bytes were received that nobody asked for.
+    pub fn has_unread(&self) -> bool {
+        self.connection.has_unread()
+    }
+
+    /// Runs a simple query and gathers its rows.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` or `Protocol`; an error of the database is
+    /// part of the outcome.
+    pub async fn query(&mut self, sql: &str) -> Result<Outcome> {
+        self.write(message::query(sql)).await?;
+        self.read_outcome().await
+    }
+
+    /// Gathers the answer to a simple query that has been written.
+    ///
+    /// # Errors
+    ///
+    /// As [`UpstreamStream::query`].
+    pub async fn read_outcome(&mut self) -> Result<Outcome> {
+        let mut outcome = Outcome {
+            rows: Vec::new(),
+            tag: String::new(),
+            error: None,
+            state: TransactionState::Idle,
+        };
+        loop {
+            let frame = self.read_frame().await?;
+            match frame.tag() {
+                b'D' => outcome.rows.push(decode_row(&frame)?),
+                b'C' => outcome.tag = decode::<CommandComplete>(&frame)?.tag,
+                b'E' => outcome.error = Some(decode_error(&frame)?),
+                b'Z' => {
+                    outcome.state = decode_state(&frame)?;
+                    return Ok(outcome);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Closes the connection in good order.
+    pub async fn close(mut self) {
+        // The database closes on `Terminate`; a broken connection is closed anyway.
+        let _ = self.write(Bytes::from_static(b"X\0\0\0\x04")).await;
+        self.connection.shutdown().await;
+    }
+}
+
+/// Reads the transaction state from `ReadyForQuery`.
+///
+/// # Errors
+///
+/// Returns `Protocol` for any other message.
+pub fn decode_state(frame: &Frame) -> Result<TransactionState> {
+    match (frame.tag(), frame.body()) {
+        (b'Z', b"I") => Ok(TransactionState::Idle),
+        (b'Z', b"T") => Ok(TransactionState::Open),
+        (b'Z', b"E") => Ok(TransactionState::Failed),
+        _ => Err(Report::new(ErrorKind::Protocol)),
+    }
+}
+
+/// Reads SQLSTATE and message of an error.
+///
+/// # Errors
+///
+/// Returns `Protocol` for a message that cannot be decoded.
+pub fn decode_error(frame: &Frame) -> Result<(String, String)> {
+    let error: ErrorResponse = decode(frame)?;
+    let field = |code| {
+        error
+            .fields
+            .iter()
+            .find(|(c, _)| *c == code)
+            .map(|(_, text)| text.clone())
+            .unwrap_or_default()
+    };
+    Ok((field(b'C'), field(b'M')))
+}
+
+/// Builds the messages that close prepared statements, with a `Sync` of their own.
+///
+/// They are a unit of their own because an error in a unit skips all that
+/// follows in it.
+pub fn close_statements<'a>(names: impl IntoIterator<Item = &'a str>) -> Bytes {
+    let mut buf = BytesMut::new();
+    for name in names {
+        Close::new(b'S', Some(name.to_owned()))
+            .encode(&mut buf)
+            .expect("encoding into memory cannot fail");
+    }
+    buf.extend_from_slice(&message::sync());
+    buf.freeze()
+}
+
+fn decode_row(frame: &Frame) -> Result<Vec<Option<String>>> {
+    let row: DataRow = decode(frame)?;
+    let mut data = row.data.freeze();
+    let mut values = Vec::new();
+    while data.len() >= 4 {
+        let field: [u8; 4] = data
+            .split_to(4)
+            .as_ref()
+            .try_into()
+            .change_context(ErrorKind::Protocol)?;
+        let Ok(len) = usize::try_from(i32::from_be_bytes(field)) else {
+            values.push(None);
+            continue;
+        };
+        if data.len() < len {
+            bail!(ErrorKind::Protocol);
+        }
+        let text = String::from_utf8(data.split_to(len).to_vec());
+        values.push(Some(text.change_context(ErrorKind::Protocol)?));
+    }
+    Ok(values)
+}
+
+fn decode<M: Message>(frame: &Frame) -> Result<M> {
+    let mut bytes = BytesMut::from(frame.bytes().as_ref());
+    M::decode(
+        &mut bytes,
+        &DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
+    )
+    .change_context(ErrorKind::Protocol)?
+    .ok_or_else(|| Report::new(ErrorKind::Protocol))
+}
