--- /dev/null
+++ b/crates/burdockslip_testkit/src/database/server.rs
@@ -0,0 +1,35 @@
+//! Accepts the connections of one member.
+
+use std::rc::Rc;
+
+use burdockslip_runtime::{Task, spawn};
+use burdockslip_types::{ErrorKind, Result};
+use error_stack::ResultExt;
+use monoio::net::TcpListener;
+
+use super::group::Member;
+use super::session;
+
+/// Starts to accept connections for `member`.
+pub(super) fn bind(member: Rc<Member>) -> Result<Task<()>> {
+    let listener =
+        TcpListener::bind(member.options.address).change_context(ErrorKind::InvalidInput)?;
+    Ok(spawn(accept(listener, member)))
+}
+
+async fn accept(listener: TcpListener, member: Rc<Member>) {
+    while let Ok((io, _)) = listener.accept().await {
+        if member.is_killed.get() {
+            continue;
+        }
+        let inner = Rc::clone(&member);
+        let session = spawn(async move {
+            inner.open.set(inner.open.get() + 1);
+            // An error ends the connection; the client sees it closed.
+            let _ = session::serve(io, &inner).await;
+            inner.open.set(inner.open.get().saturating_sub(1));
+        });
+        let mut sessions = member.sessions.borrow_mut();
+        sessions.push(session);
+    }
+}
--- a/crates/burdockslip_types/src/error.rs
+++ b/crates/burdockslip_types/src/error.rs
@@ -5,7 +5,7 @@
 use crate::domain;
 
 /// Carries an [`ErrorKind`] with the context in which it occurred.
-pub type Result<T> = std::result::Result<T, error_stack::Report<ErrorKind>>;
+pub type Result<T, E = error_stack::Report<ErrorKind>> = std::result::Result<T, E>;
 
 domain! {
     /// Lists every kind of error; the answers are in `docs/operators.md`.
