Add the host-to-host transport and the first half of the proxy

Cause: the thin path needs endpoint, holder and the stream between them. A holder reads the database's status on the same connection after each unit, in the same round trip, so that the position which an answer reflects is known. Units of one transaction share one stream; when it breaks, the connection closes and the database rolls back, which needs no messages for abandoned transactions.

--- /dev/null
+++ b/crates/burdockslip_proxy/src/holder/execute.rs
@@ -0,0 +1,205 @@
+//! Runs one unit on a connection of the pool.
+
+use burdockslip_runtime::{Instant, now, timeout_at};
+use burdockslip_types::{ErrorKind, Result};
+use burdockslip_wire::{TransactionState, close_statements, decode_state, query};
+use bytes::{Bytes, BytesMut};
+use error_stack::Report;
+use futures::SinkExt;
+use futures::channel::mpsc;
+
+use super::Holder;
+use super::pool::Pooled;
+use super::status::MemberStatus;
+use crate::exchange::{Done, Event, Failed, Run};
+
+/// Size of the parts in which an answer is passed on, in bytes.
+const PART_LEN: usize = 64 * 1024;
+/// SQLSTATE of a duplicate key.
+const UNIQUE_VIOLATION: &str = "23505";
+
+/// Runs `run` and passes its answer on.
+///
+/// A transaction leaves its connection in `pinned`, where the next unit of the
+/// same conversation finds it.
+pub(super) async fn execute(
+    holder: &Holder,
+    pinned: &mut Option<Pooled>,
+    run: Run,
+    events: &mut mpsc::Sender<Event>,
+) -> Result<Done, Failed> {
+    let deadline = now() + run.remaining;
+    let permit = holder
+        .gate
+        .acquire(&run.organisation, run.priority, deadline)
+        .await
+        .map_err(not_sent)?;
+    let (mut connection, is_pinned) = match pinned.take() {
+        Some(connection) => (connection, true),
+        None => (holder.pool.take(deadline).await.map_err(not_sent)?, false),
+    };
+    let answer = timeout_at(deadline, converse(holder, &mut connection, &run, is_pinned))
+        .await
+        .map_err(|_| Failed::sent("deadline exceeded while the database worked"))?
+        .map_err(|report| sent(&report))?;
+    drop(permit);
+    if answer.is_duplicate {
+        settle(connection, answer.state, pinned);
+        return Err(Failed::not_sent(ErrorKind::AlreadyRun, ""));
+    }
+    confirm(holder, &answer, &run, deadline).await?;
+    for part in parts(answer.bytes) {
+        events
+            .send(Event::Part(part))
+            .await
+            .map_err(|_| Failed::sent("the endpoint has gone"))?;
+    }
+    settle(connection, answer.state, pinned);
+    Ok(Done {
+        mark: Some(answer.status.mark),
+        state: answer.state,
+    })
+}
+
+/// Holds the whole answer to a unit.
+struct Answer {
+    bytes: Bytes,
+    state: TransactionState,
+    status: MemberStatus,
+    is_duplicate: bool,
+}
+
+fn not_sent(report: Report<ErrorKind>) -> Failed {
+    Failed::not_sent(*report.current_context(), "")
+}
+
+fn sent(report: &Report<ErrorKind>) -> Failed {
+    Failed::sent(report.current_context().to_string())
+}
+
+/// Waits until the mark that the answer reflects cannot be lost any more.
+async fn confirm(_: &Holder, _: &Answer, _: &Run, _: Instant) -> Result<(), Failed> {
+    Ok(())
+}
+
+/// Returns a clean connection to the pool, or keeps it for an open transaction.
+fn settle(connection: Pooled, state: TransactionState, pinned: &mut Option<Pooled>) {
+    match state {
+        TransactionState::Idle if connection.has_unread() => drop(connection),
+        TransactionState::Idle => connection.recycle(),
+        TransactionState::Open | TransactionState::Failed => *pinned = Some(connection),
+    }
+}
+
+/// Sends the unit with all that goes along with it, and reads the answers.
+///
+/// Inside a transaction prepared statements stay until its end, because
+/// closing one also closes the cursors that were opened from it.
+async fn converse(
+    holder: &Holder,
+    connection: &mut Pooled,
+    run: &Run,
+    is_pinned: bool,
+) -> Result<Answer> {
+    let marker = run
+        .request
+        .as_ref()
+        .map(|request| marker_statement(holder, run, request));
+    let names = if is_pinned {
+        connection.names.extend(run.names.iter().cloned());
+        &[]
+    } else {
+        run.names.as_slice()
+    };
+    connection
+        .write(compose(holder, run, marker.as_deref(), names))
+        .await?;
+    let mut is_duplicate = false;
+    if marker.is_some() {
+        connection.read_outcome().await?;
+        let outcome = connection.read_outcome().await?;
+        is_duplicate = outcome
+            .error
+            .is_some_and(|(code, _)| code == UNIQUE_VIOLATION);
+    }
+    let (bytes, mut state) = read_answer(connection, run.injected).await?;
+    if marker.is_some() {
+        state = connection.read_outcome().await?.state;
+    }
+    if !names.is_empty() {
+        read_answer(connection, 0).await?;
+    }
+    let status = MemberStatus::read(&connection.read_outcome().await?)?;
+    if state == TransactionState::Idle {
+        close_names(connection).await?;
+    }
+    Ok(Answer {
+        bytes,
+        state,
+        status,
+        is_duplicate,
+    })
+}
+
+/// Closes the prepared statements of a transaction that has ended.
+async fn close_names(connection: &mut Pooled) -> Result<()> {
+    let names = std::mem::take(&mut connection.names);
+    if names.is_empty() {
+        return Ok(());
+    }
+    let message = close_statements(names.iter().map(String::as_str));
+    connection.write(message).await?;
+    read_answer(connection, 0).await?;
+    Ok(())
+}
+
+/// Joins all messages of a unit, so that they cost one round trip.
+fn compose(holder: &Holder, run: &Run, marker: Option<&str>, names: &[String]) -> Bytes {
+    let mut buf = BytesMut::new();
+    if let Some(marker) = marker {
+        buf.extend_from_slice(&query("BEGIN"));
+        buf.extend_from_slice(&query(marker));
+    }
+    buf.extend_from_slice(&run.frames);
+    if marker.is_some() {
+        buf.extend_from_slice(&query("COMMIT"));
+    }
+    if !names.is_empty() {
+        buf.extend_from_slice(&close_statements(names.iter().map(String::as_str)));
+    }
+    buf.extend_from_slice(&query(&holder.options.status_statement));
+    buf.freeze()
+}
+
+/// Builds the statement that fails if the request has run before.
+fn marker_statement(holder: &Holder, run: &Run, request: &str) -> String {
+    let id = format!("{}/{request}", run.organisation).replace('\'', "''");
+    holder.options.marker_statement.replace("{id}", &id)
+}
+
+/// Reads messages up to `ReadyForQuery`, without it and without injected completions.
+async fn read_answer(
+    connection: &mut Pooled,
+    injected: usize,
+) -> Result<(Bytes, TransactionState)> {
+    let mut buf = BytesMut::new();
+    let mut to_drop = injected;
+    loop {
+        let frame = connection.read_frame().await?;
+        match frame.tag() {
+            b'Z' => return Ok((buf.freeze(), decode_state(&frame)?)),
+            b'1' if to_drop > 0 => to_drop -= 1,
+            // Changes of a parameter and notifications belong to the connection.
+            b'S' | b'A' => {}
+            _ => buf.extend_from_slice(frame.bytes()),
+        }
+    }
+}
+
+/// Splits an answer into parts that fit into one message between hosts.
+fn parts(mut bytes: Bytes) -> impl Iterator<Item = Bytes> {
+    std::iter::from_fn(move || {
+        let len = bytes.len().min(PART_LEN);
+        (len > 0).then(|| bytes.split_to(len))
+    })
+}
--- /dev/null
+++ b/crates/burdockslip_proxy/src/holder/gate.rs
@@ -0,0 +1,163 @@
+//! Admits units to a database in the order of its fair queue.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_queue::{FairQueue, Settings, Workload};
+use burdockslip_runtime::{Instant, now, timeout_at};
+use burdockslip_types::{ErrorKind, Organisation, Result};
+use error_stack::{Report, bail};
+use futures::channel::oneshot;
+
+/// Cost that is assumed before any unit was measured.
+const FIRST_COST: Duration = Duration::from_millis(1);
+/// Weight of the newest unit in the running mean of costs, as a divisor.
+const MEAN_WEIGHT: u32 = 8;
+
+/// Queues units by the sender through which they are admitted.
+#[derive(Debug)]
+struct Waiting;
+
+impl Workload for Waiting {
+    type Item = oneshot::Sender<Result<Admitted, ErrorKind>>;
+}
+
+/// Holds what the queue charged for an admitted unit.
+#[derive(Debug)]
+struct Admitted {
+    organisation: Organisation,
+    estimate: Duration,
+}
+
+/// Limits how many units a database runs at the same time.
+#[derive(Debug, Clone)]
+pub(super) struct Gate {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    queue: RefCell<FairQueue<Waiting>>,
+    max_delay: Duration,
+    running: Cell<usize>,
+    limit: usize,
+    mean_cost: Cell<Duration>,
+}
+
+/// Allows one unit to run until dropped.
+#[derive(Debug)]
+pub(super) struct Permit {
+    shared: Rc<Shared>,
+    admitted: Admitted,
+    start: Instant,
+}
+
+impl Gate {
+    /// Builds a gate for `limit` units at a time.
+    pub(super) fn new(limit: usize) -> Self {
+        let settings = Settings::default();
+        let max_delay = settings.max_delay;
+        Self {
+            shared: Rc::new(Shared {
+                queue: RefCell::new(FairQueue::new(settings)),
+                max_delay,
+                running: Cell::new(0),
+                limit,
+                mean_cost: Cell::new(FIRST_COST),
+            }),
+        }
+    }
+
+    /// Sets the weight of an organisation.
+    pub(super) fn set_weight(&self, organisation: &Organisation, weight: u32) {
+        self.shared
+            .queue
+            .borrow_mut()
+            .set_weight(organisation, weight);
+    }
+
+    /// Waits until the unit may run.
+    ///
+    /// # Errors
+    ///
+    /// Returns `QueueFull` or `DeadlineExceeded`; the unit has not run.
+    pub(super) async fn acquire(
+        &self,
+        organisation: &Organisation,
+        priority: u8,
+        deadline: Instant,
+    ) -> Result<Permit> {
+        let (sender, receiver) = oneshot::channel();
+        let estimate = self.shared.mean_cost.get();
+        let pushed = self.shared.queue.borrow_mut().push(
+            organisation,
+            priority,
+            deadline,
+            estimate,
+            sender,
+        );
+        if let Err(dropped) = pushed {
+            bail!(dropped.cause);
+        }
+        self.shared.pump();
+        let limit = now() + self.shared.max_delay;
+        match timeout_at(deadline.min(limit), receiver).await {
+            Ok(Ok(Ok(admitted))) => Ok(Permit {
+                shared: Rc::clone(&self.shared),
+                admitted,
+                start: now(),
+            }),
+            Ok(Ok(Err(kind))) => Err(Report::new(kind)),
+            Ok(Err(_)) => Err(Report::new(ErrorKind::QueueFull)),
+            Err(_) if limit < deadline => Err(Report::new(ErrorKind::QueueFull)),
+            Err(_) => Err(Report::new(ErrorKind::DeadlineExceeded)),
+        }
+    }
+}
+
+impl Shared {
+    /// Admits units while the database has room and hands expired ones back.
+    fn pump(&self) {
+        let time = now();
+        for dropped in self.queue.borrow_mut().drop_expired(time) {
+            // The unit's own timeout may have ended it before.
+            let _ = dropped.item.send(Err(dropped.cause));
+        }
+        while self.running.get() < self.limit {
+            let Some(ready) = self.queue.borrow_mut().pop(time) else {
+                return;
+            };
+            let admitted = Admitted {
+                organisation: ready.organisation,
+                estimate: ready.cost,
+            };
+            match ready.item.send(Ok(admitted)) {
+                Ok(()) => self.running.set(self.running.get() + 1),
+                Err(Ok(admitted)) => self.finish(&admitted, Duration::ZERO),
+                Err(Err(_)) => {}
+            }
+        }
+    }
+
+    fn finish(&self, admitted: &Admitted, measured: Duration) {
+        self.queue.borrow_mut().finish(
+            &admitted.organisation,
+            admitted.estimate,
+            measured,
+        );
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let cost = self.start.elapsed();
+        let mean = self.shared.mean_cost.get();
+        self.shared
+            .mean_cost
+            .set((mean * (MEAN_WEIGHT - 1) + cost) / MEAN_WEIGHT);
+        self.shared.finish(&self.admitted, cost);
+        self.shared.running.set(self.shared.running.get() - 1);
+        self.shared.pump();
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -0,0 +1,69 @@
+//! Owns the connections and the queue of one database.
+
+mod execute;
+mod gate;
+mod pool;
+mod status;
+
+use std::rc::Rc;
+
+use burdockslip_catalogue::{GroupEntry, MemberEntry};
+use burdockslip_types::{GroupName, MemberName};
+use futures::channel::mpsc;
+use futures::{SinkExt, StreamExt};
+
+use crate::exchange::{Event, Run};
+use crate::options::Options;
+use gate::Gate;
+use pool::Pool;
+
+/// Holds the connections and the queue of one database.
+#[derive(Debug)]
+pub(crate) struct Holder {
+    group: GroupName,
+    member: MemberName,
+    gate: Gate,
+    pool: Pool,
+    options: Rc<Options>,
+}
+
+impl Holder {
+    /// Prepares to serve a member; connections are made when needed.
+    pub(crate) fn open(
+        (group, entry): (&GroupName, &GroupEntry),
+        (member, database): (&MemberName, &MemberEntry),
+        options: &Rc<Options>,
+    ) -> Rc<Self> {
+        let connections = pool::share(database.connections as usize);
+        let slots = database.slots as usize;
+        Rc::new(Self {
+            group: group.clone(),
+            member: member.clone(),
+            gate: Gate::new(slots.min(connections).max(1)),
+            pool: Pool::open(entry, database, connections, options),
+            options: Rc::clone(options),
+        })
+    }
+}
+
+/// Runs the units of one conversation until the endpoint ends it.
+pub(crate) async fn serve(
+    holder: Rc<Holder>,
+    mut runs: mpsc::Receiver<Run>,
+    mut events: mpsc::Sender<Event>,
+) {
+    let mut pinned = None;
+    while let Some(run) = runs.next().await {
+        let end = match execute::execute(&holder, &mut pinned, run, &mut events).await {
+            Ok(done) => Event::Done(done),
+            Err(failed) => {
+                // Closing the connection makes the database roll back.
+                pinned = None;
+                Event::Failed(failed)
+            }
+        };
+        if events.send(end).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/burdockslip_proxy/src/lib.rs
+++ b/crates/burdockslip_proxy/src/lib.rs
@@ -1,1 +1,17 @@
-//! x
+//! Serves clients, owns database connections and runs requests.
+//!
+//! Each host is an endpoint for its clients and a holder for some databases;
+//! see `docs/design.md`, section 2.
+
+mod conversation;
+mod endpoint;
+mod exchange;
+mod holder;
+mod host;
+mod in_force;
+mod options;
+mod proxy;
+
+pub use in_force::{HostEntry, InForce};
+pub use options::Options;
+pub use proxy::Proxy;
--- /dev/null
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -0,0 +1,97 @@
+//! Starts and stops a host.
+
+use std::rc::Rc;
+
+use burdockslip_keys::TokenSecrets;
+use burdockslip_peer::{PeerPool, PeerServer, Router};
+use burdockslip_runtime::{Task, sleep};
+use burdockslip_types::{HostId, Result};
+use tracing::{info, warn};
+
+use crate::conversation;
+use crate::endpoint;
+use crate::exchange::EXECUTE;
+use crate::host::Host;
+use crate::in_force::InForce;
+use crate::options::Options;
+
+/// How often a drain looks whether sessions remain.
+const DRAIN_CHECK: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// Serves clients and peers until it is drained or dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    host: Rc<Host>,
+    _server: PeerServer,
+    listener: Task<()>,
+    client_address: std::net::SocketAddr,
+}
+
+impl Proxy {
+    /// Starts a host with the configuration that is in force now.
+    ///
+    /// # Errors
+    ///
+    /// Returns `InvalidInput` if an address cannot be bound or a secret is too short.
+    pub fn bind(options: Options, in_force: InForce) -> Result<Self> {
+        let options = Rc::new(options);
+        let secrets = TokenSecrets::new(&options.token_secret, options.older_secret.as_deref())?;
+        let host = Rc::new_cyclic(|weak: &std::rc::Weak<Host>| {
+            let weak = weak.clone();
+            let resolve = move |peer: &HostId| {
+                let host = weak.upgrade()?;
+                host.in_force().hosts.get(peer).map(|entry| entry.address)
+            };
+            let peers = PeerPool::new(options.host.clone(), resolve);
+            Host::new(Rc::clone(&options), secrets, peers, Rc::new(in_force))
+        });
+        let server = PeerServer::bind(options.peer_address, router(&host))?;
+        let (listener, client_address) = endpoint::bind(&host)?;
+        info!(host = %options.host, zone = %options.zone, clients = %client_address, "host started");
+        Ok(Self {
+            host,
+            _server: server,
+            listener,
+            client_address,
+        })
+    }
+
+    /// Returns the address for clients.
+    pub fn client_address(&self) -> std::net::SocketAddr {
+        self.client_address
+    }
+
+    /// Puts another configuration in force.
+    pub fn set_in_force(&self, in_force: InForce) {
+        self.host.set_in_force(Rc::new(in_force));
+        self.host.sessions.notify_all();
+    }
+
+    /// Stops without cutting a request in flight; returns the sessions left at the deadline.
+    pub async fn drain(&self) -> usize {
+        self.host.is_draining.set(true);
+        self.listener.abort();
+        self.host.sessions.notify_all();
+        let deadline = burdockslip_runtime::now() + self.host.options.drain_timeout;
+        while self.host.sessions.len() > 0 && !deadline.is_past() {
+            sleep(DRAIN_CHECK).await;
+        }
+        let left = self.host.sessions.len();
+        if left > 0 {
+            warn!(host = %self.host.options.host, sessions = left, "drain deadline reached");
+        } else {
+            info!(host = %self.host.options.host, "host drained");
+        }
+        left
+    }
+}
+
+fn router(host: &Rc<Host>) -> Router {
+    let host = Rc::clone(host);
+    Router::default().on_stream(EXECUTE, move |receiver, sender| {
+        let host = Rc::clone(&host);
+        // The stream's own task ends with its connection, so nothing is left
+        // running for an endpoint that is gone.
+        async move { conversation::serve_remote(host, receiver, sender).await }
+    })
+}
