Add catalogue, keys, settings and the report of faults they share

Cause: endpoints, limits, groups and the operators' program need the catalogue, key ring, session tokens and host settings.

The report machinery (path, line, column, seen, wanted) is a crate of its own, burdockslip_jsonc, because settings and catalogue need the same. Serde alone was ruled out, since it stops at the first fault.

Catalogue entries are maps by name, so that paths in faults, differences and conflicts do not depend on the order of entries. A burst that leaves a zone's bucket empty after the reserve of rate x 1 s (design, section 4.7) is refused.

--- /dev/null
+++ b/crates/burdockslip_catalogue/src/check.rs
@@ -0,0 +1,155 @@
+//! Checks references between entries and budgets that cannot be met.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use burdockslip_jsonc::Field;
+use burdockslip_types::{MemberName, Zone};
+
+use crate::{Catalogue, GroupEntry, MemberEntry, OrganisationEntry, RouteEntry};
+
+/// Gives the lifetime of rate tokens in seconds; a zone's bucket is smaller by
+/// what its rate yields in this time (`docs/design.md`, section 4.7).
+const GRANT_SECONDS: u64 = 1;
+
+/// Gives the percentage of a member's connections that its first-ranked holder
+/// may use (`docs/design.md`, section 2).
+const HOLDER_PERCENT: u32 = 70;
+
+/// Gives the percentage that any other host may use, at least one connection.
+const OTHER_PERCENT: u32 = 15;
+
+pub(crate) fn catalogue(catalogue: &Catalogue, root: &Field<'_>) {
+    if catalogue.zones.is_empty() {
+        let zones = root.descend(&["zones"]);
+        if !zones.has_fault() {
+            zones.fault("at least one zone");
+        }
+    }
+    for (name, entry) in &catalogue.organisations {
+        let field = root.descend(&["organisations", name.as_str()]);
+        organisation(catalogue, entry, &field);
+    }
+    for (name, entry) in &catalogue.routes {
+        route(catalogue, entry, &root.descend(&["routes", name.as_str()]));
+    }
+    let mut fleet = Fleet::default();
+    for (name, entry) in &catalogue.groups {
+        let field = root.descend(&["groups", name.as_str()]);
+        group(catalogue, entry, &field, &mut fleet);
+    }
+}
+
+fn organisation(catalogue: &Catalogue, entry: &OrganisationEntry, field: &Field<'_>) {
+    let routes = field.descend(&["routes"]);
+    for (name, element) in entry.routes.iter().zip(routes.list_quietly()) {
+        if catalogue.route(name.as_str()).is_none() && !element.has_fault() {
+            element.fault("a route of the catalogue");
+        }
+    }
+    let shares = field.descend(&["shares"]);
+    for zone in entry.shares.keys() {
+        if !catalogue.zones.contains_key(zone) {
+            shares
+                .descend(&[zone.as_str()])
+                .fault("a zone of the catalogue");
+        }
+    }
+    let total: u32 = entry.shares.values().sum();
+    if shares.is_present() && !shares.has_fault() && total != 100 {
+        shares.fault_seen(format!("a total of {total}"), "shares that add up to 100");
+    }
+    if !field.has_fault() {
+        budget(entry, field);
+    }
+}
+
+/// Refuses a burst that leaves the bucket of a zone empty for ever.
+fn budget(entry: &OrganisationEntry, field: &Field<'_>) {
+    let reserve = u64::from(entry.rate) * GRANT_SECONDS;
+    for (zone, percent) in entry.shares.iter().filter(|(_, percent)| **percent > 0) {
+        let percent = u64::from(*percent);
+        if u64::from(entry.burst) * percent < reserve * percent + 100 {
+            let least = reserve + 100_u64.div_ceil(percent);
+            field.descend(&["burst"]).fault(format!(
+                "at least {least}, so that zone {zone} with {percent}% has a token beyond \
+                 its rate of {GRANT_SECONDS} s"
+            ));
+            return;
+        }
+    }
+}
+
+fn route(catalogue: &Catalogue, entry: &RouteEntry, field: &Field<'_>) {
+    let group = field.descend(&["group"]);
+    if catalogue.group(entry.group.as_str()).is_none() && !group.has_fault() {
+        group.fault("a group of the catalogue");
+    }
+    let classes = field.descend(&["classes"]);
+    for (name, element) in entry.classes.iter().zip(classes.list_quietly()) {
+        if catalogue.class(name.as_str()).is_none() && !element.has_fault() {
+            element.fault("a class of the catalogue");
+        }
+    }
+}
+
+/// Holds the first use of names and addresses that are unique in the fleet.
+#[derive(Default)]
+struct Fleet {
+    names: HashMap<MemberName, String>,
+    addresses: HashMap<SocketAddr, String>,
+}
+
+fn group(catalogue: &Catalogue, entry: &GroupEntry, field: &Field<'_>, fleet: &mut Fleet) {
+    let user = field.descend(&["user"]);
+    if entry.user.starts_with("bsk_") {
+        user.fault("a database user name, never a client's key");
+    }
+    let mut zones: BTreeMap<&Zone, &MemberName> = BTreeMap::new();
+    for (name, member) in &entry.members {
+        let place = field.descend(&["members", name.as_str()]);
+        let zone = place.descend(&["zone"]);
+        if !zone.has_fault() {
+            if !catalogue.zones.contains_key(&member.zone) {
+                zone.fault("a zone of the catalogue");
+            } else if let Some(other) = zones.insert(&member.zone, name) {
+                zone.fault(format!("another zone than that of member {other}"));
+            }
+        }
+        unique(name, member, &place, fleet);
+        connections(member, &place);
+    }
+}
+
+fn unique(name: &MemberName, member: &MemberEntry, place: &Field<'_>, fleet: &mut Fleet) {
+    let path = place.path().to_owned();
+    if let Some(other) = fleet.names.insert(name.clone(), path.clone()) {
+        place.fault(format!("a member name unique in the fleet, unlike {other}"));
+    }
+    let address = place.descend(&["address"]);
+    if !address.has_fault()
+        && let Some(other) = fleet.addresses.insert(member.address, path)
+    {
+        address.fault(format!("an address unlike that of {other}"));
+    }
+}
+
+/// Refuses limits with which the holder cannot fill the slots, or two hosts
+/// that briefly disagree exceed the limit.
+fn connections(member: &MemberEntry, place: &Field<'_>) {
+    if place.descend(&["connections"]).has_fault() || place.descend(&["slots"]).has_fault() {
+        return;
+    }
+    let holder = member.connections * HOLDER_PERCENT / 100;
+    let other = member.connections * OTHER_PERCENT / 100;
+    if other == 0 {
+        let least = 100_u32.div_ceil(OTHER_PERCENT);
+        place.descend(&["connections"]).fault(format!(
+            "at least {least}, so that {OTHER_PERCENT}% are one connection"
+        ));
+    } else if member.slots > holder {
+        place.descend(&["slots"]).fault(format!(
+            "at most {holder}, which is {HOLDER_PERCENT}% of the connections"
+        ));
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_catalogue/tests/lookups.rs
@@ -0,0 +1,79 @@
+//! Guards parsing, rendering and lookups of a valid catalogue.
+
+use std::time::Duration;
+
+use burdockslip_catalogue::{Access, Catalogue, MAX_BYTES};
+use burdockslip_types::ErrorKind;
+use yare::parameterized;
+
+const EXAMPLE: &str = include_str!("fixtures/catalogue.example.jsonc");
+
+fn example() -> Catalogue {
+    Catalogue::parse(EXAMPLE).expect("the example has no faults")
+}
+
+/// Guards against fields that are read wrongly and defaults that change.
+#[test]
+fn example_is_valid() {
+    let catalogue = example();
+    let class = catalogue.class("check").expect("the class is listed");
+    assert_eq!(class.access, Access::Read);
+    assert_eq!(class.max_age, Some(Duration::ZERO));
+    assert_eq!(class.offline_limit, Duration::from_secs(30));
+    let browse = catalogue.class("browse").expect("the class is listed");
+    assert_eq!(browse.offline_limit, Duration::from_hours(1));
+    assert_eq!(catalogue.members().count(), 6);
+    let card = catalogue
+        .organisation("harbour-card")
+        .expect("it is listed");
+    let shares: Vec<_> = card.shares.values().copied().collect();
+    assert_eq!(shares, [25, 25, 25, 25]);
+}
+
+/// Guards against a document that changes its meaning when it is rendered.
+#[test]
+fn rendering_parses_to_the_same() {
+    let catalogue = example();
+    let text = catalogue.render();
+    assert_eq!(
+        Catalogue::parse(&text).expect("it has no faults"),
+        catalogue
+    );
+}
+
+/// Guards against routes that are open to the wrong organisations.
+#[parameterized(
+    listed = { "harbour-card", "entitlements", None },
+    open = { "visitor", "lounges", None },
+    not_listed = { "visitor", "entitlements", Some(ErrorKind::RouteDenied) },
+    unknown_route = { "visitor", "nothing", Some(ErrorKind::RouteDenied) },
+    unknown_organisation = { "nobody", "lounges", Some(ErrorKind::RouteDenied) },
+)]
+fn routes(organisation: &str, route: &str, error: Option<ErrorKind>) {
+    let catalogue = example();
+    let result = catalogue.route_for(organisation, route);
+    assert_eq!(result.err().map(|report| *report.current_context()), error);
+}
+
+/// Guards against classes that a route does not allow.
+#[parameterized(
+    default = { None, Ok("check") },
+    named = { Some("admit"), Ok("admit") },
+    of_another_route = { Some("browse"), Err(ErrorKind::UnknownClass) },
+    unknown = { Some("nothing"), Err(ErrorKind::UnknownClass) },
+)]
+fn classes(class: Option<&str>, expected: Result<&str, ErrorKind>) {
+    let catalogue = example();
+    let route = catalogue.route("entitlements").expect("it is listed");
+    let found = catalogue.class_for(route, class);
+    let found = found.map(|(name, _)| name.as_str());
+    assert_eq!(found.map_err(|report| *report.current_context()), expected);
+}
+
+/// Guards against documents that the store would refuse.
+#[test]
+fn size_is_bounded() {
+    let text = format!("{EXAMPLE}//{}", "x".repeat(MAX_BYTES));
+    let faults = Catalogue::parse(&text).expect_err("it is too large");
+    assert_eq!(faults.list[0].wanted, "at most 1000000 bytes");
+}
