Add the client endpoint of the proxy

Cause: the thin path needs clients to sign in, be judged by the catalogue and reach the holder of a database on any host. Cancel requests carry the host in the process number, so any host can pass them on; a table of all sessions in every host was ruled out because it grows with the fleet.

--- a/crates/burdockslip_peer/src/codec.rs
+++ b/crates/burdockslip_peer/src/codec.rs
@@ -41,8 +41,8 @@
         return Err(Report::new(ErrorKind::Protocol)
             .attach(format!("peer speaks version {version:?}, wanted {VERSION}")));
     }
-    let (message, len) = bincode::serde::decode_from_slice(body, config())
-        .change_context(ErrorKind::Protocol)?;
+    let (message, len) =
+        bincode::serde::decode_from_slice(body, config()).change_context(ErrorKind::Protocol)?;
     if len != body.len() {
         bail!(ErrorKind::Protocol);
     }
--- a/crates/burdockslip_peer/src/stream.rs
+++ b/crates/burdockslip_peer/src/stream.rs
@@ -17,6 +17,7 @@
 }
 
 /// Receives messages of one type.
+#[derive(Debug)]
 pub struct StreamReceiver<T> {
     receiver: Receiver,
     message: PhantomData<T>,
--- a/crates/burdockslip_proxy/src/conversation.rs
+++ b/crates/burdockslip_proxy/src/conversation.rs
@@ -130,10 +130,7 @@
 }
 
 /// Passes the events of one unit on.
-async fn forward(
-    conversation: &mut Conversation,
-    sender: &mut StreamSender<Event>,
-) -> Result<()> {
+async fn forward(conversation: &mut Conversation, sender: &mut StreamSender<Event>) -> Result<()> {
     loop {
         let event = conversation.next().await?;
         sender.send(&event).await?;
--- /dev/null
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -0,0 +1,106 @@
+//! Turns a unit into a request for a holder.
+
+use std::rc::Rc;
+
+use burdockslip_catalogue::ClassEntry;
+use burdockslip_runtime::{Instant, now};
+use burdockslip_types::{ErrorKind, GroupName, MemberName, Result};
+use burdockslip_wire as wire;
+use burdockslip_wire::{Statement, Verb};
+use bytes::Bytes;
+use error_stack::bail;
+
+use super::startup::State;
+use crate::exchange::{Access, Run};
+use crate::host::Host;
+
+/// Holds the text of a unit that may go to any connection.
+pub(super) struct Prepared {
+    pub(super) statement: Statement,
+    pub(super) frames: Bytes,
+    pub(super) injected: usize,
+    pub(super) names: Vec<String>,
+}
+
+/// Holds a request with what the endpoint needs to carry it out.
+pub(super) struct Request {
+    pub(super) run: Run,
+    pub(super) class: Rc<ClassEntry>,
+    pub(super) deadline: Instant,
+}
+
+/// Judges a unit by the configuration in force.
+///
+/// # Errors
+///
+/// Returns the kind of the first rule that the unit breaks; it has not run.
+pub(super) fn judge(host: &Host, state: &State, prepared: Prepared) -> Result<Request> {
+    let in_force = host.in_force();
+    check_key(&in_force, state)?;
+    let catalogue = &in_force.catalogue;
+    let route = catalogue.route_for(state.organisation.as_str(), state.route.as_str())?;
+    let tag = prepared.statement.comment.class.as_deref();
+    let (name, class) = catalogue.class_for(route, tag.or(state.class.as_deref()))?;
+    let access = access(&prepared.statement, class)?;
+    let Some(member) = choose_member(host, &route.group) else {
+        bail!(ErrorKind::NoPrimary);
+    };
+    let run = Run {
+        organisation: state.organisation.clone(),
+        class: name.clone(),
+        group: route.group.clone(),
+        member,
+        access,
+        priority: u8::try_from(class.priority).unwrap_or(u8::MAX),
+        floor: state.floors.get(&route.group).copied(),
+        max_age: class.max_age,
+        remaining: class.deadline,
+        request: prepared.statement.comment.request,
+        frames: prepared.frames,
+        injected: prepared.injected,
+        names: prepared.names,
+    };
+    Ok(Request {
+        run,
+        class: Rc::clone(class),
+        deadline: now() + class.deadline,
+    })
+}
+
+/// Checks that the session's key still works.
+///
+/// # Errors
+///
+/// Returns `KeyRevoked` if it was withdrawn.
+pub(super) fn check_key(in_force: &crate::InForce, state: &State) -> Result<()> {
+    let Some(key) = &state.key else {
+        return Ok(());
+    };
+    if in_force.keys.is_live(state.organisation.as_str(), key) {
+        Ok(())
+    } else {
+        bail!(ErrorKind::KeyRevoked)
+    }
+}
+
+/// Decides how a statement of a class is treated.
+///
+/// A class that reads refuses statements that write. In a class that writes,
+/// plain reads are still reads.
+fn access(statement: &Statement, class: &ClassEntry) -> Result<Access> {
+    if statement.verb == Verb::Unsupported {
+        bail!(ErrorKind::NotSupported);
+    }
+    match (statement.access(), class.access) {
+        (wire::Access::Read, _) => Ok(Access::Read),
+        (wire::Access::Write, burdockslip_catalogue::Access::Write) => Ok(Access::Write),
+        (wire::Access::Write, burdockslip_catalogue::Access::Read) => {
+            Err(error_stack::Report::new(ErrorKind::NotSupported).attach("the class only reads"))
+        }
+    }
+}
+
+/// Returns the member that is asked first.
+fn choose_member(host: &Host, group: &GroupName) -> Option<MemberName> {
+    host.primary(group)
+}
--- /dev/null
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -0,0 +1,381 @@
+//! Serves one client from its first statement to its end.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{now, sleep, timeout, timeout_at};
+use burdockslip_types::{ErrorKind, GroupName, Mark, Result};
+use burdockslip_wire::{
+    ClientStream, StatementNames, TransactionState, Unit, UnitKind, Verb, classify,
+    command_complete, error_response, parameter_status, ready,
+};
+use bytes::{Bytes, BytesMut};
+use error_stack::{Report, bail};
+use futures::future::{Either, select};
+use tracing::{debug, warn};
+
+use super::parameter;
+use super::request::{self, Prepared, Request};
+use super::startup::State;
+use crate::conversation::Conversation;
+use crate::exchange::{Done, Event, Failed, Run};
+use crate::host::Host;
+
+/// Time within which the rest of a unit must follow its first byte.
+const UNIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause before a request is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(5);
+
+/// Holds one client's session.
+struct Session {
+    host: Rc<Host>,
+    client: ClientStream,
+    state: State,
+    names: StatementNames,
+    transaction: Transaction,
+}
+
+/// Holds the transaction of a session.
+#[derive(Default)]
+struct Transaction {
+    conversation: Option<Conversation>,
+    names: BTreeSet<String>,
+    is_failed: bool,
+}
+
+impl Transaction {
+    fn state(&self) -> TransactionState {
+        if self.is_failed {
+            TransactionState::Failed
+        } else if self.conversation.is_some() {
+            TransactionState::Open
+        } else {
+            TransactionState::Idle
+        }
+    }
+}
+
+/// Says how an attempt to run a request failed.
+struct Attempt {
+    failed: Failed,
+    has_output: bool,
+}
+
+/// Serves a client until it leaves or is told to go.
+pub(super) async fn run(host: Rc<Host>, client: ClientStream, state: State) {
+    let process = state.entry.process;
+    let mut session = Session {
+        host: Rc::clone(&host),
+        client,
+        state,
+        names: StatementNames::default(),
+        transaction: Transaction::default(),
+    };
+    if let Err(report) = session.serve().await {
+        let kind = *report.current_context();
+        debug!(
+            host = %host.options.host, organisation = %session.state.organisation,
+            session = process, error = ?kind, "session ended"
+        );
+        if kind != ErrorKind::ConnectionLost {
+            // The client may be gone already.
+            let _ = session.client.write(error_response(kind, "")).await;
+        }
+    }
+    host.sessions.remove(process);
+    session.client.close().await;
+}
+
+impl Session {
+    async fn serve(&mut self) -> Result<()> {
+        loop {
+            self.wait_for_unit().await?;
+            let unit = timeout(UNIT_TIMEOUT, self.client.read_unit())
+                .await
+                .map_err(|_| Report::new(ErrorKind::Protocol))?;
+            match unit {
+                Ok(Some(unit)) => self.handle(unit).await?,
+                Ok(None) => return Ok(()),
+                Err(report) if *report.current_context() == ErrorKind::NotSupported => {
+                    self.refuse(ErrorKind::NotSupported, "Flush is not supported")
+                        .await?;
+                }
+                Err(report) => return Err(report),
+            }
+        }
+    }
+
+    /// Waits until the client sends something.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Draining` or `KeyRevoked` if the session has to end.
+    async fn wait_for_unit(&mut self) -> Result<()> {
+        let signal = self.host.sessions.signal();
+        loop {
+            let epoch = signal.epoch();
+            request::check_key(&self.host.in_force(), &self.state)?;
+            if self.host.is_draining.get() && self.transaction.state() == TransactionState::Idle {
+                bail!(ErrorKind::Draining);
+            }
+            if self.client.has_unread() {
+                return Ok(());
+            }
+            let readable = std::pin::pin!(self.client.readable());
+            let changed = std::pin::pin!(signal.changed(epoch));
+            if let Either::Left((result, _)) = select(readable, changed).await {
+                return result;
+            }
+        }
+    }
+
+    async fn handle(&mut self, unit: Unit) -> Result<()> {
+        let is_simple = matches!(unit.kind, UnitKind::Simple(_));
+        let prepared = match self.prepare(&unit) {
+            Ok(prepared) => prepared,
+            Err(report) => return self.refuse_report(&report).await,
+        };
+        if self.transaction.is_failed {
+            return self.handle_failed(&prepared.statement.verb).await;
+        }
+        let local = match &prepared.statement.verb {
+            Verb::Set(name, value) if is_simple => {
+                Some(parameter::set(&self.host, &mut self.state, name, value))
+            }
+            Verb::Show(name) if is_simple => Some(parameter::show(&self.host, &self.state, name)),
+            Verb::Set(..) | Verb::Show(_) => Some(Err(Report::new(ErrorKind::NotSupported))),
+            _ => None,
+        };
+        match local {
+            Some(Ok(answer)) => self.finish(answer).await,
+            Some(Err(report)) => self.refuse_report(&report).await,
+            None => match request::judge(&self.host, &self.state, prepared) {
+                Ok(request) => self.carry_out(request).await,
+                Err(report) => self.refuse_report(&report).await,
+            },
+        }
+    }
+
+    fn prepare(&mut self, unit: &Unit) -> Result<Prepared> {
+        match &unit.kind {
+            UnitKind::Simple(text) => Ok(Prepared {
+                statement: classify(text),
+                frames: unit.first_bytes(),
+                injected: 0,
+                names: Vec::new(),
+            }),
+            UnitKind::Extended => {
+                let rewritten = self.names.rewrite(&unit.frames, &self.transaction.names)?;
+                Ok(Prepared {
+                    statement: rewritten.statement,
+                    frames: rewritten.frames,
+                    injected: rewritten.injected,
+                    names: rewritten.names,
+                })
+            }
+        }
+    }
+
+    /// Answers in a transaction that the proxy had to abandon.
+    async fn handle_failed(&mut self, verb: &Verb) -> Result<()> {
+        if matches!(verb, Verb::Commit | Verb::Rollback) {
+            self.transaction = Transaction::default();
+            return self.finish(command_complete("ROLLBACK")).await;
+        }
+        self.refuse(ErrorKind::ConnectionLost, "transaction was rolled back")
+            .await
+    }
+
+    /// Runs a request, again if that is safe, until its deadline.
+    async fn carry_out(&mut self, mut request: Request) -> Result<()> {
+        loop {
+            request.run.remaining = request.deadline.remaining();
+            let attempt = match self.attempt(&request).await? {
+                Ok(done) => return self.complete(&request.run.group, done).await,
+                Err(attempt) => attempt,
+            };
+            if let Some(member) = &attempt.failed.redirect {
+                self.host.set_primary(&request.run.group, member.clone());
+                request.run.member = member.clone();
+            }
+            if !self.may_retry(&request, &attempt) {
+                let Failed { kind, detail, .. } = attempt.failed;
+                return self.refuse(kind, &detail).await;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Decides whether a request may run again.
+    ///
+    /// Inside a transaction nothing is repeated, because its earlier
+    /// statements are gone with the connection.
+    fn may_retry(&self, request: &Request, attempt: &Attempt) -> bool {
+        let Attempt { failed, has_output } = attempt;
+        let is_safe = !failed.is_sent || request.class.repeatable;
+        let is_transient = failed.is_sent
+            || matches!(
+                failed.kind,
+                ErrorKind::ConnectionLost | ErrorKind::NoPrimary | ErrorKind::NoFreshData
+            );
+        !has_output
+            && is_safe
+            && is_transient
+            && self.transaction.conversation.is_none()
+            && !(request.deadline.is_past() || now() + RETRY_PAUSE >= request.deadline)
+    }
+
+    /// Runs a request once and passes its answer on.
+    ///
+    /// The outer error means that the client is gone.
+    async fn attempt(&mut self, request: &Request) -> Result<Result<Done, Attempt>> {
+        let is_open = self.transaction.conversation.is_some();
+        let conversation = match self.transaction.conversation.take() {
+            Some(mut conversation) => match conversation.send(request.run.clone()).await {
+                Ok(()) => Ok(conversation),
+                Err(report) => Err(report),
+            },
+            None => self.open(&request.run).await,
+        };
+        let mut conversation = match conversation {
+            Ok(conversation) => conversation,
+            Err(report) => {
+                self.transaction.is_failed = is_open;
+                return Ok(Err(Attempt {
+                    failed: Failed::not_sent(*report.current_context(), ""),
+                    has_output: false,
+                }));
+            }
+        };
+        let mut has_output = false;
+        let end = loop {
+            match self.next_event(&mut conversation, request).await {
+                Ok(Event::Part(bytes)) => {
+                    has_output = true;
+                    self.client.write(bytes).await?;
+                }
+                Ok(Event::Done(done)) => break Ok(done),
+                Ok(Event::Failed(failed)) | Err(failed) => break Err(failed),
+            }
+        };
+        match end {
+            Ok(done) => {
+                self.keep(conversation, &done, is_open, &request.run);
+                Ok(Ok(done))
+            }
+            Err(failed) => {
+                self.transaction.is_failed = is_open;
+                self.transaction.names.clear();
+                Ok(Err(Attempt { failed, has_output }))
+            }
+        }
+    }
+
+    /// Keeps the conversation while its transaction is open.
+    fn keep(&mut self, conversation: Conversation, done: &Done, was_open: bool, run: &Run) {
+        if done.state == TransactionState::Idle {
+            self.transaction = Transaction::default();
+            return;
+        }
+        self.transaction.conversation = Some(conversation);
+        if was_open {
+            self.transaction.names.extend(run.names.iter().cloned());
+        }
+    }
+
+    /// Waits for an event, the deadline or a cancel request.
+    async fn next_event(
+        &self,
+        conversation: &mut Conversation,
+        request: &Request,
+    ) -> Result<Event, Failed> {
+        let epoch = self.state.entry.cancelled.epoch();
+        // The holder keeps the deadline; the endpoint waits a little longer to
+        // get its verdict, which says whether the request has run.
+        let deadline = request.deadline + Duration::from_millis(200);
+        let next = std::pin::pin!(timeout_at(deadline, conversation.next()));
+        let cancelled = std::pin::pin!(self.state.entry.cancelled.changed(epoch));
+        match select(next, cancelled).await {
+            Either::Left((Ok(Ok(event)), _)) => Ok(event),
+            Either::Left((Ok(Err(_)), _)) => Err(Failed::sent("connection to the holder lost")),
+            Either::Left((Err(_), _)) => Err(Failed::sent("no answer from the holder")),
+            Either::Right(_) => Err(Failed {
+                kind: ErrorKind::Cancelled,
+                ..Failed::sent("")
+            }),
+        }
+    }
+
+    /// Opens a conversation with the holder of the member and sends the unit.
+    async fn open(&self, run: &Run) -> Result<Conversation> {
+        let in_force = self.host.in_force();
+        let zone = in_force
+            .catalogue
+            .group(run.group.as_str())
+            .and_then(|group| group.members.get(&run.member))
+            .map(|member| member.zone.clone())
+            .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
+        let holder = self.host.holder_host(&run.member, &zone);
+        if holder != self.host.options.host {
+            return Conversation::remote(&self.host, &holder, run).await;
+        }
+        let local = self
+            .host
+            .holder(&run.group, &run.member)
+            .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
+        let mut conversation = Conversation::local(local);
+        conversation.send(run.clone()).await?;
+        Ok(conversation)
+    }
+
+    /// Raises the session's floor and ends the answer.
+    async fn complete(&mut self, group: &GroupName, done: Done) -> Result<()> {
+        let mut buf = BytesMut::new();
+        if let Some(mark) = done.mark
+            && self.raise_floor(group, mark)
+        {
+            match parameter::seal(&self.host, &self.state) {
+                Ok(token) => {
+                    buf.extend_from_slice(&parameter_status("burdockslip.token", &token));
+                }
+                Err(report) => {
+                    warn!(session = self.state.entry.process, error = ?report.current_context(), "token not sealed");
+                }
+            }
+        }
+        buf.extend_from_slice(&ready(self.transaction.state()));
+        self.client.write(buf.freeze()).await
+    }
+
+    fn raise_floor(&mut self, group: &GroupName, mark: Mark) -> bool {
+        let floor = self.state.floors.entry(group.clone()).or_default();
+        let is_higher = mark > *floor;
+        *floor = mark.max(*floor);
+        is_higher
+    }
+
+    async fn refuse_report(&mut self, report: &Report<ErrorKind>) -> Result<()> {
+        let detail = report
+            .downcast_ref::<&'static str>()
+            .copied()
+            .unwrap_or_default();
+        self.refuse(*report.current_context(), detail).await
+    }
+
+    /// Answers with an error; an open transaction is rolled back, as a
+    /// database does with the one that it was sent in.
+    async fn refuse(&mut self, kind: ErrorKind, detail: &str) -> Result<()> {
+        if self.transaction.conversation.take().is_some() {
+            self.transaction.is_failed = true;
+            self.transaction.names.clear();
+        }
+        self.finish(error_response(kind, detail)).await
+    }
+
+    async fn finish(&mut self, answer: Bytes) -> Result<()> {
+        let mut buf = BytesMut::from(answer.as_ref());
+        buf.extend_from_slice(&ready(self.transaction.state()));
+        self.client.write(buf.freeze()).await
+    }
+}
--- a/crates/burdockslip_proxy/src/exchange.rs
+++ b/crates/burdockslip_proxy/src/exchange.rs
@@ -13,7 +13,7 @@
 domain! {
     /// Says what a unit may do and so which members may run it.
     #[derive(Copy)]
-    pub enum Access {
+    pub(crate) enum Access {
         /// Reads; a replica that is fresh enough may serve it.
         Read,
         /// Writes, or opens a transaction; only the primary serves it.
@@ -21,61 +21,61 @@
     }
 
     /// Asks a holder to run one unit; units on one stream share a transaction.
-    pub struct Run {
+    pub(crate) struct Run {
         /// The organisation that is charged.
-        pub organisation: Organisation,
+        pub(crate) organisation: Organisation,
         /// The class of the request.
-        pub class: ClassName,
+        pub(crate) class: ClassName,
         /// The group of the database.
-        pub group: GroupName,
+        pub(crate) group: GroupName,
         /// The member whose connections are used.
-        pub member: MemberName,
+        pub(crate) member: MemberName,
         /// Whether the unit writes.
-        pub access: Access,
+        pub(crate) access: Access,
         /// The class's priority, higher first.
-        pub priority: u8,
+        pub(crate) priority: u8,
         /// The confirmed mark that a read must include; `None` for a new session.
-        pub floor: Option<Mark>,
+        pub(crate) floor: Option<Mark>,
         /// The greatest age of data read; `None` allows any.
-        pub max_age: Option<Duration>,
+        pub(crate) max_age: Option<Duration>,
         /// The time left until the deadline when the message was sent.
-        pub remaining: Duration,
+        pub(crate) remaining: Duration,
         /// The request identifier that is recorded with the write.
-        pub request: Option<String>,
+        pub(crate) request: Option<String>,
         /// The messages for the database.
-        pub frames: Bytes,
+        pub(crate) frames: Bytes,
         /// How many leading `ParseComplete` messages the client did not ask for.
-        pub injected: usize,
+        pub(crate) injected: usize,
         /// The prepared statements to close afterwards.
-        pub names: Vec<String>,
+        pub(crate) names: Vec<String>,
     }
 }
 
 /// Reports how a unit ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Done {
+pub(crate) struct Done {
     /// The confirmed mark that the session has now seen.
-    pub mark: Option<Mark>,
+    pub(crate) mark: Option<Mark>,
     /// The transaction state after the unit.
-    pub state: TransactionState,
+    pub(crate) state: TransactionState,
 }
 
 /// Reports why a unit did not end in order; the transaction is gone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Failed {
+pub(crate) struct Failed {
     /// The kind of error.
-    pub kind: ErrorKind,
+    pub(crate) kind: ErrorKind,
     /// The circumstances, without keys or values.
-    pub detail: String,
+    pub(crate) detail: String,
     /// Whether a byte may have reached the database.
-    pub is_sent: bool,
+    pub(crate) is_sent: bool,
     /// The member to ask instead.
-    pub redirect: Option<MemberName>,
+    pub(crate) redirect: Option<MemberName>,
 }
 
 /// Lists what a holder sends back for a unit: any number of parts and one end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Event {
+pub(crate) enum Event {
     /// Some bytes of the answer.
     Part(Bytes),
     /// The end of the answer.
--- a/crates/burdockslip_proxy/src/holder/execute.rs
+++ b/crates/burdockslip_proxy/src/holder/execute.rs
@@ -1,6 +1,6 @@
 //! Runs one unit on a connection of the pool.
 
-use burdockslip_runtime::{Instant, now, timeout_at};
+use burdockslip_runtime::{now, timeout_at};
 use burdockslip_types::{ErrorKind, Result};
 use burdockslip_wire::{TransactionState, close_statements, decode_state, query};
 use bytes::{Bytes, BytesMut};
@@ -33,10 +33,17 @@
         .gate
         .acquire(&run.organisation, run.priority, deadline)
         .await
-        .map_err(not_sent)?;
+        .map_err(|report| not_sent(&report))?;
     let (mut connection, is_pinned) = match pinned.take() {
         Some(connection) => (connection, true),
-        None => (holder.pool.take(deadline).await.map_err(not_sent)?, false),
+        None => (
+            holder
+                .pool
+                .take(deadline)
+                .await
+                .map_err(|report| not_sent(&report))?,
+            false,
+        ),
     };
     let answer = timeout_at(deadline, converse(holder, &mut connection, &run, is_pinned))
         .await
@@ -47,7 +54,6 @@
         settle(connection, answer.state, pinned);
         return Err(Failed::not_sent(ErrorKind::AlreadyRun, ""));
     }
-    confirm(holder, &answer, &run, deadline).await?;
     for part in parts(answer.bytes) {
         events
             .send(Event::Part(part))
@@ -69,7 +75,7 @@
     is_duplicate: bool,
 }
 
-fn not_sent(report: Report<ErrorKind>) -> Failed {
+fn not_sent(report: &Report<ErrorKind>) -> Failed {
     Failed::not_sent(*report.current_context(), "")
 }
 
@@ -77,11 +83,6 @@
     Failed::sent(report.current_context().to_string())
 }
 
-/// Waits until the mark that the answer reflects cannot be lost any more.
-async fn confirm(_: &Holder, _: &Answer, _: &Run, _: Instant) -> Result<(), Failed> {
-    Ok(())
-}
-
 /// Returns a clean connection to the pool, or keeps it for an open transaction.
 fn settle(connection: Pooled, state: TransactionState, pinned: &mut Option<Pooled>) {
     match state {
--- a/crates/burdockslip_proxy/src/holder/gate.rs
+++ b/crates/burdockslip_proxy/src/holder/gate.rs
@@ -69,14 +69,6 @@
         }
     }
 
-    /// Sets the weight of an organisation.
-    pub(super) fn set_weight(&self, organisation: &Organisation, weight: u32) {
-        self.shared
-            .queue
-            .borrow_mut()
-            .set_weight(organisation, weight);
-    }
-
     /// Waits until the unit may run.
     ///
     /// # Errors
@@ -90,13 +82,11 @@
     ) -> Result<Permit> {
         let (sender, receiver) = oneshot::channel();
         let estimate = self.shared.mean_cost.get();
-        let pushed = self.shared.queue.borrow_mut().push(
-            organisation,
-            priority,
-            deadline,
-            estimate,
-            sender,
-        );
+        let pushed =
+            self.shared
+                .queue
+                .borrow_mut()
+                .push(organisation, priority, deadline, estimate, sender);
         if let Err(dropped) = pushed {
             bail!(dropped.cause);
         }
@@ -141,11 +131,9 @@
     }
 
     fn finish(&self, admitted: &Admitted, measured: Duration) {
-        self.queue.borrow_mut().finish(
-            &admitted.organisation,
-            admitted.estimate,
-            measured,
-        );
+        self.queue
+            .borrow_mut()
+            .finish(&admitted.organisation, admitted.estimate, measured);
     }
 }
 
--- a/crates/burdockslip_proxy/src/holder/mod.rs
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 
 use burdockslip_catalogue::{GroupEntry, MemberEntry};
-use burdockslip_types::{GroupName, MemberName};
 use futures::channel::mpsc;
 use futures::{SinkExt, StreamExt};
 
@@ -20,8 +19,6 @@
 /// Holds the connections and the queue of one database.
 #[derive(Debug)]
 pub(crate) struct Holder {
-    group: GroupName,
-    member: MemberName,
     gate: Gate,
     pool: Pool,
     options: Rc<Options>,
@@ -30,17 +27,15 @@
 impl Holder {
     /// Prepares to serve a member; connections are made when needed.
     pub(crate) fn open(
-        (group, entry): (&GroupName, &GroupEntry),
-        (member, database): (&MemberName, &MemberEntry),
+        group: &GroupEntry,
+        database: &MemberEntry,
         options: &Rc<Options>,
     ) -> Rc<Self> {
         let connections = pool::share(database.connections as usize);
         let slots = database.slots as usize;
         Rc::new(Self {
-            group: group.clone(),
-            member: member.clone(),
             gate: Gate::new(slots.min(connections).max(1)),
-            pool: Pool::open(entry, database, connections, options),
+            pool: Pool::open(group, database, connections, options),
             options: Rc::clone(options),
         })
     }
--- a/crates/burdockslip_proxy/src/holder/status.rs
+++ b/crates/burdockslip_proxy/src/holder/status.rs
@@ -31,8 +31,14 @@
         let [row] = outcome.rows.as_slice() else {
             bail!(ErrorKind::Protocol);
         };
-        let [_, Some(promised), Some(term), Some(position), Some(role), Some(state)] =
-            row.as_slice()
+        let [
+            _,
+            Some(promised),
+            Some(term),
+            Some(position),
+            Some(role),
+            Some(state),
+        ] = row.as_slice()
         else {
             bail!(ErrorKind::Protocol);
         };
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -64,7 +64,7 @@
         let in_force = self.in_force();
         let entry = in_force.catalogue.group(group.as_str())?;
         let database = entry.members.get(member)?;
-        let holder = Holder::open((group, entry), (member, database), &self.options);
+        let holder = Holder::open(entry, database, &self.options);
         self.holders
             .borrow_mut()
             .insert(member.clone(), Rc::clone(&holder));
--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -6,10 +6,11 @@
 use burdockslip_peer::{PeerPool, PeerServer, Router};
 use burdockslip_runtime::{Task, sleep};
 use burdockslip_types::{HostId, Result};
+use futures::future::ready;
 use tracing::{info, warn};
 
 use crate::conversation;
-use crate::endpoint;
+use crate::endpoint::{self, CancelExchange};
 use crate::exchange::EXECUTE;
 use crate::host::Host;
 use crate::in_force::InForce;
@@ -87,11 +88,15 @@
 }
 
 fn router(host: &Rc<Host>) -> Router {
-    let host = Rc::clone(host);
-    Router::default().on_stream(EXECUTE, move |receiver, sender| {
-        let host = Rc::clone(&host);
-        // The stream's own task ends with its connection, so nothing is left
-        // running for an endpoint that is gone.
-        async move { conversation::serve_remote(host, receiver, sender).await }
-    })
+    let cancelling = Rc::clone(host);
+    let executing = Rc::clone(host);
+    Router::default()
+        .on_stream(EXECUTE, move |receiver, sender| {
+            // The stream's own task ends with its connection, so nothing is
+            // left running for an endpoint that is gone.
+            conversation::serve_remote(Rc::clone(&executing), receiver, sender)
+        })
+        .on(CancelExchange, move |_, request| {
+            ready(Ok(endpoint::cancel(&cancelling, &request)))
+        })
 }
--- a/crates/burdockslip_wire/src/client.rs
+++ b/crates/burdockslip_wire/src/client.rs
@@ -153,6 +153,11 @@
         self.connection.readable().await
     }
 
+    /// Returns whether the client sent bytes that no message has consumed.
+    pub fn has_unread(&self) -> bool {
+        self.connection.has_unread()
+    }
+
     /// Closes the connection.
     pub async fn close(mut self) {
         self.connection.shutdown().await;
