--- /dev/null
+++ b/crates/burdockslip_proxy/tests/support/mod.rs
@@ -0,0 +1,245 @@
+//! Runs stand-ins and hosts in a thread, and gives tests ordinary PostgreSQL clients.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc as std_mpsc;
+use std::thread::JoinHandle;
+
+use burdockslip_catalogue::Catalogue;
+use burdockslip_keys::{Key, KeyPath, KeyRecord, KeyRing};
+use burdockslip_proxy::{HostEntry, InForce, Options, Proxy};
+use burdockslip_runtime::block_on;
+use burdockslip_testkit::database::{DatabaseGroup, MemberOptions};
+use futures::StreamExt;
+use futures::channel::mpsc;
+use postgres::{Client, Config, NoTls};
+
+/// Zones of the three hosts and of the three members.
+pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Holds everything that lives in the runtime's thread.
+pub(crate) struct Site {
+    pub(crate) group: DatabaseGroup,
+    pub(crate) hosts: Vec<Option<Proxy>>,
+    pub(crate) in_force: InForce,
+}
+
+type Command = Box<dyn FnOnce(&mut Site) + Send>;
+
+/// Stands for a running site; dropping it stops the thread.
+pub(crate) struct Running {
+    commands: Option<mpsc::UnboundedSender<Command>>,
+    thread: Option<JoinHandle<()>>,
+    addresses: Vec<SocketAddr>,
+    /// The key of the organisation `airline`.
+    pub(crate) airline: String,
+    /// The key of the organisation `club`.
+    pub(crate) club: String,
+}
+
+/// Gives every site of this process its own loopback addresses.
+fn site_prefix() -> (u8, u8) {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    let low = u8::try_from(process % 200).unwrap_or_default();
+    (low + 20, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+fn address((high, low): (u8, u8), host: usize, port: u16) -> SocketAddr {
+    let last = u8::try_from(host).expect("few hosts") + 1;
+    SocketAddr::from(([127, high, low, last], port))
+}
+
+fn catalogue(members: &[MemberOptions]) -> Catalogue {
+    let members: Vec<String> = members
+        .iter()
+        .map(|member| {
+            format!(
+                r#""{}": {{ "zone": "{}", "address": "{}", "connections": 20, "slots": 3 }}"#,
+                member.name, member.zone, member.address
+            )
+        })
+        .collect();
+    let text = include_str!("catalogue.jsonc").replace("\"MEMBERS\"", &members.join(","));
+    Catalogue::parse(&text).unwrap_or_else(|faults| panic!("catalogue: {faults}"))
+}
+
+/// Starts three hosts and one group of three members, each in its own zone.
+pub(crate) fn start() -> Running {
+    start_with(|_| {})
+}
+
+/// Starts a site whose members are changed before they start.
+pub(crate) fn start_with(adjust: impl Fn(&mut MemberOptions) + Send + 'static) -> Running {
+    let prefix = site_prefix();
+    let airline = Key::issue();
+    let club = Key::issue();
+    let keys = [
+        ("airline", airline.reveal().to_string()),
+        ("club", club.reveal().to_string()),
+    ];
+    let records: Vec<(String, Vec<u8>)> = [("airline", &airline), ("club", &club)]
+        .into_iter()
+        .map(|(organisation, key)| {
+            let path = KeyPath {
+                organisation: organisation.into(),
+                id: key.id(),
+            };
+            (path.render(), KeyRecord::live(key).render())
+        })
+        .collect();
+    let (commands, receiver) = mpsc::unbounded::<Command>();
+    let (ready, is_ready) = std_mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        block_on(async move {
+            let mut site = build(prefix, &records, &adjust);
+            ready.send(()).expect("the test waits");
+            let mut receiver = receiver;
+            while let Some(command) = receiver.next().await {
+                command(&mut site);
+            }
+        });
+    });
+    is_ready.recv().expect("the site starts");
+    let [(_, airline), (_, club)] = keys;
+    Running {
+        commands: Some(commands),
+        thread: Some(thread),
+        addresses: (0..ZONES.len())
+            .map(|host| address(prefix, host, 6432))
+            .collect(),
+        airline,
+        club,
+    }
+}
+
+fn build(
+    prefix: (u8, u8),
+    records: &[(String, Vec<u8>)],
+    adjust: &dyn Fn(&mut MemberOptions),
+) -> Site {
+    let members: Vec<MemberOptions> = ZONES
+        .iter()
+        .enumerate()
+        .map(|(index, zone)| {
+            let name = format!("db-{zone}");
+            let mut options = MemberOptions::new(&name, zone, address(prefix, index, 5432));
+            adjust(&mut options);
+            options
+        })
+        .collect();
+    let entries = records
+        .iter()
+        .map(|(path, value)| (path.as_str(), value.as_slice()));
+    let (ring, malformed) = KeyRing::from_entries(entries);
+    assert!(malformed.is_empty());
+    let hosts: BTreeMap<_, _> = ZONES
+        .iter()
+        .enumerate()
+        .map(|(index, zone)| {
+            let entry = HostEntry {
+                zone: (*zone).into(),
+                address: address(prefix, index, 7432),
+            };
+            (format!("host-{zone}").as_str().into(), entry)
+        })
+        .collect();
+    let in_force = InForce {
+        catalogue: Rc::new(catalogue(&members)),
+        keys: Rc::new(ring),
+        hosts: Rc::new(hosts),
+    };
+    let group = DatabaseGroup::bind(members).expect("members start");
+    let proxies = ZONES
+        .iter()
+        .enumerate()
+        .map(|(index, zone)| {
+            let mut options = Options::new(
+                &format!("host-{zone}"),
+                zone,
+                address(prefix, index, 6432),
+                address(prefix, index, 7432),
+            );
+            options.token_secret = vec![7; 32];
+            Some(Proxy::bind(options, in_force.clone()).expect("host starts"))
+        })
+        .collect();
+    Site {
+        group,
+        hosts: proxies,
+        in_force,
+    }
+}
+
+impl Running {
+    /// Runs a command in the thread of the site and returns its result.
+    pub(crate) fn with<T: Send + 'static>(
+        &self,
+        command: impl FnOnce(&mut Site) -> T + Send + 'static,
+    ) -> T {
+        let (sender, receiver) = std_mpsc::channel();
+        let command: Command = Box::new(move |site| {
+            sender.send(command(site)).expect("the test waits");
+        });
+        self.commands
+            .as_ref()
+            .expect("the site runs")
+            .unbounded_send(command)
+            .expect("the site runs");
+        receiver.recv().expect("the site answers")
+    }
+
+    /// Describes a connection of the organisation `airline` to a host.
+    pub(crate) fn config(&self, host: usize) -> Config {
+        let mut config = Config::new();
+        config
+            .host(&self.addresses[host].ip().to_string())
+            .port(self.addresses[host].port())
+            .user("airline")
+            .password(&self.airline)
+            .dbname("records");
+        config
+    }
+
+    /// Connects the organisation `airline` to a host.
+    pub(crate) fn connect(&self, host: usize) -> Client {
+        self.config(host).connect(NoTls).expect("client connects")
+    }
+
+    /// Connects with a session token.
+    pub(crate) fn connect_with_token(&self, host: usize, token: &str) -> Client {
+        self.config(host)
+            .options(&format!("-c burdockslip.token={token}"))
+            .connect(NoTls)
+            .expect("client connects")
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.commands = None;
+        if let Some(thread) = self.thread.take() {
+            // A panic in the thread has failed the test already.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Returns the single value of the single row of a simple query.
+pub(crate) fn value(client: &mut Client, sql: &str) -> Option<String> {
+    let messages = client.simple_query(sql).expect("query runs");
+    messages.iter().find_map(|message| match message {
+        postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    })
+}
+
+/// Returns the SQLSTATE of a failed query.
+pub(crate) fn sqlstate(error: &postgres::Error) -> String {
+    error
+        .code()
+        .map(|code| code.code().to_owned())
+        .unwrap_or_default()
+}
