Add the store over the network, its fake in memory and a stand-in server

Cause: the configuration, the leases and the announcements need the store, and tests need one with faults.

Store::connect speaks the range, transaction, lease and watch calls of etcd v3 over several endpoints. A transaction that may have been applied is not repeated. Ranges come in pages at one revision. A watch asks for progress, one request at a time, so that each notice proves the state at a moment after the one before it.

Seen to fail with the mechanism disabled: the test of repeated transactions with repetition allowed, the test of failover with the move to the next endpoint removed, the test of long ranges with only the first page read. All pass with the mechanisms.

--- a/crates/burdockslip_store/src/lib.rs
+++ b/crates/burdockslip_store/src/lib.rs
@@ -3,8 +3,20 @@
 //! The store counts each call and has outages; see `docs/design.md`,
 //! sections 1.4 and 3.3.
 
+use std::time::Duration;
+
+pub mod convert;
+pub mod etcd;
+mod memory;
+mod network;
 mod store;
+mod stream;
+mod watching;
 
+pub use memory::{Calls, Faults, MemoryStore};
 pub use store::{
     Compare, Entry, Event, LeaseId, Operation, Page, Reply, Request, Store, Txn, TxnReply, Watch,
 };
+
+/// Spaces the progress notices of a watch without changes.
+pub const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/burdockslip_store/src/memory.rs
@@ -0,0 +1,383 @@
+//! Keeps a store in memory, on the clock of the runtime and with faults.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, now, sleep, spawn};
+use burdockslip_types::{ErrorKind, Result, Revision};
+use error_stack::{Report, bail};
+use futures::channel::oneshot;
+use futures::{FutureExt, StreamExt};
+
+use crate::watching::Cursor;
+use crate::{
+    Compare, Entry, Event, LeaseId, Operation, Page, Reply, Request, Store, Txn, TxnReply,
+};
+
+/// Bounds a call of a client that is cut from the store.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sets what goes wrong with calls; the default is nothing.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Refuses every call and breaks every watch.
+    pub is_down: bool,
+    /// Delays every answer; half of it passes before a change takes effect.
+    pub delay: Duration,
+    /// Answers with an error although the change took effect.
+    pub loses_answers: bool,
+}
+
+/// Counts the calls by kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads.
+    pub ranges: u64,
+    /// Transactions.
+    pub txns: u64,
+    /// Grants, renewals and revocations of leases.
+    pub leases: u64,
+    /// Opened watches; each counts once however long it waits.
+    pub watches: u64,
+    /// Progress notices of watches, which a client requests over the network.
+    pub progress: u64,
+}
+
+impl Calls {
+    /// Returns the number of all calls.
+    pub fn total(&self) -> u64 {
+        self.ranges + self.txns + self.leases + self.watches + self.progress
+    }
+}
+
+/// Keeps keys, leases and revisions as etcd does; clones share the content.
+#[derive(Clone, Default)]
+pub struct MemoryStore {
+    state: Rc<RefCell<State>>,
+}
+
+#[derive(Default)]
+pub(crate) struct State {
+    pub(crate) revision: u64,
+    pub(crate) log: Vec<Event>,
+    pub(crate) faults: Faults,
+    pub(crate) cuts: BTreeSet<String>,
+    pub(crate) calls: Calls,
+    pub(crate) generation: u64,
+    entries: BTreeMap<String, Stored>,
+    leases: BTreeMap<LeaseId, Lease>,
+    granted: i64,
+    waiters: Vec<oneshot::Sender<()>>,
+}
+
+struct Stored {
+    value: Vec<u8>,
+    revision: Revision,
+    lease: Option<LeaseId>,
+}
+
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+impl MemoryStore {
+    /// Builds an empty store at revision zero.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the store as seen by one client, which can be cut from it.
+    pub fn client(&self, name: &str) -> Store {
+        let (caller, opener) = (self.clone(), self.clone());
+        let (name, watcher) = (name.to_owned(), name.to_owned());
+        Store::new(
+            move |request| caller.clone().call(name.clone(), request).boxed_local(),
+            move |prefix, after| {
+                let watch = opener.open(&watcher, prefix, after);
+                async move { watch }.boxed_local()
+            },
+        )
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state.borrow_mut().faults = faults;
+        self.notify();
+    }
+
+    /// Cuts a client from the store: its calls and watches hear nothing.
+    pub fn cut(&self, client: &str) {
+        self.state.borrow_mut().cuts.insert(client.to_owned());
+    }
+
+    /// Reconnects a client.
+    pub fn heal(&self, client: &str) {
+        self.state.borrow_mut().cuts.remove(client);
+        self.notify();
+    }
+
+    /// Breaks all watches that are open now.
+    pub fn drop_watches(&self) {
+        self.state.borrow_mut().generation += 1;
+        self.notify();
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> Calls {
+        self.state.borrow().calls
+    }
+
+    /// Writes one key without a call, as the platform does.
+    pub fn put(&self, key: &str, value: &[u8]) -> Revision {
+        self.change(Operation::Put(key.to_owned(), value.to_vec(), None))
+    }
+
+    /// Removes one key without a call, as the platform does.
+    pub fn delete(&self, key: &str) -> Revision {
+        self.change(Operation::Delete(key.to_owned()))
+    }
+
+    fn change(&self, operation: Operation) -> Revision {
+        let txn = Txn {
+            operations: vec![operation],
+            ..Txn::default()
+        };
+        let reply = self.state.borrow_mut().txn(&txn);
+        self.notify();
+        reply.revision
+    }
+
+    /// Runs a call to its end even if the caller gives up, as a network does.
+    async fn call(self, client: String, request: Request) -> Result<Reply> {
+        let (sender, answer) = oneshot::channel();
+        let run = async move {
+            // The caller is gone if it gave up.
+            let _ = sender.send(self.serve(&client, request).await);
+        };
+        spawn(run).detach();
+        match answer.await {
+            Ok(reply) => reply,
+            Err(_) => bail!(ErrorKind::StoreUnavailable),
+        }
+    }
+
+    async fn serve(&self, client: &str, request: Request) -> Result<Reply> {
+        if self.state.borrow().cuts.contains(client) {
+            sleep(CALL_TIMEOUT).await;
+            bail!(ErrorKind::StoreUnavailable);
+        }
+        let half = self.state.borrow().faults.delay / 2;
+        if !half.is_zero() {
+            sleep(half).await;
+        }
+        let reply = {
+            let mut state = self.state.borrow_mut();
+            state.calls.count(&request);
+            if state.faults.is_down {
+                bail!(ErrorKind::StoreUnavailable);
+            }
+            state.expire();
+            state.apply(request)
+        };
+        self.notify();
+        if !half.is_zero() {
+            sleep(half).await;
+        }
+        let is_lost = self.state.borrow().faults.loses_answers;
+        if is_lost || self.state.borrow().cuts.contains(client) {
+            bail!(ErrorKind::StoreUnavailable);
+        }
+        Ok(reply)
+    }
+
+    fn open(&self, client: &str, prefix: String, after: Revision) -> Result<crate::Watch> {
+        {
+            let mut state = self.state.borrow_mut();
+            state.calls.watches += 1;
+            if state.faults.is_down || state.cuts.contains(client) {
+                bail!(ErrorKind::StoreUnavailable);
+            }
+        }
+        let cursor = Cursor::new(self.clone(), client, prefix, after);
+        Ok(futures::stream::unfold(cursor, Cursor::advance).boxed_local())
+    }
+
+    pub(crate) fn state(&self) -> &RefCell<State> {
+        &self.state
+    }
+
+    /// Completes at the next change of anything.
+    pub(crate) fn changed(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.state.borrow_mut().waiters.push(sender);
+        receiver
+    }
+
+    pub(crate) fn notify(&self) {
+        let waiters = std::mem::take(&mut self.state.borrow_mut().waiters);
+        for waiter in waiters {
+            // A dropped watch no longer listens.
+            let _ = waiter.send(());
+        }
+    }
+}
+
+impl Calls {
+    fn count(&mut self, request: &Request) {
+        match request {
+            Request::Range(_) => self.ranges += 1,
+            Request::Txn(_) => self.txns += 1,
+            Request::GrantLease(_) | Request::KeepLease(_) | Request::RevokeLease(_) => {
+                self.leases += 1;
+            }
+        }
+    }
+}
+
+impl State {
+    /// Ends the leases whose time is over; returns whether any key went.
+    pub(crate) fn expire(&mut self) -> bool {
+        let over: Vec<_> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends.is_past())
+            .map(|(id, _)| *id)
+            .collect();
+        let before = self.revision;
+        for id in over {
+            self.end_lease(id);
+        }
+        self.revision != before
+    }
+
+    /// Returns when the next lease ends.
+    pub(crate) fn next_end(&self) -> Option<Instant> {
+        self.leases.values().map(|lease| lease.ends).min()
+    }
+
+    fn apply(&mut self, request: Request) -> Reply {
+        match request {
+            Request::Range(prefix) => Reply::Page(self.range(&prefix)),
+            Request::Txn(txn) => Reply::Txn(self.txn(&txn)),
+            Request::GrantLease(ttl) => {
+                self.granted += 1;
+                let id = LeaseId(self.granted);
+                let ends = now() + ttl;
+                self.leases.insert(id, Lease { ttl, ends });
+                Reply::Lease(id, ttl)
+            }
+            Request::KeepLease(id) => Reply::Lease(id, self.keep(id)),
+            Request::RevokeLease(id) => {
+                self.end_lease(id);
+                Reply::Done
+            }
+        }
+    }
+
+    fn range(&self, prefix: &str) -> Page {
+        let entries = self
+            .entries
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, stored)| Entry {
+                key: key.clone(),
+                value: stored.value.clone(),
+                revision: stored.revision,
+            })
+            .collect();
+        Page {
+            revision: Revision(self.revision),
+            entries,
+        }
+    }
+
+    fn keep(&mut self, id: LeaseId) -> Duration {
+        match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.ends = now() + lease.ttl;
+                lease.ttl
+            }
+            None => Duration::ZERO,
+        }
+    }
+
+    fn end_lease(&mut self, id: LeaseId) {
+        if self.leases.remove(&id).is_none() {
+            return;
+        }
+        let operations = self
+            .entries
+            .iter()
+            .filter(|(_, stored)| stored.lease == Some(id))
+            .map(|(key, _)| Operation::Delete(key.clone()))
+            .collect();
+        self.txn(&Txn {
+            operations,
+            ..Txn::default()
+        });
+    }
+
+    fn txn(&mut self, txn: &Txn) -> TxnReply {
+        let is_applied = txn.compares.iter().all(|compare| {
+            let Compare::Revision(key, revision) = compare;
+            self.entries.get(key).map_or(Revision(0), |s| s.revision) == *revision
+        });
+        if is_applied {
+            let next = Revision(self.revision + 1);
+            let mut has_changed = false;
+            for operation in &txn.operations {
+                has_changed |= self.run(operation, next);
+            }
+            if has_changed {
+                self.revision = next.0;
+            }
+        }
+        TxnReply {
+            is_applied,
+            revision: Revision(self.revision),
+        }
+    }
+
+    fn run(&mut self, operation: &Operation, revision: Revision) -> bool {
+        match operation {
+            Operation::Put(key, value, lease) => {
+                let stored = Stored {
+                    value: value.clone(),
+                    revision,
+                    lease: *lease,
+                };
+                self.entries.insert(key.clone(), stored);
+                self.log.push(Event::Put(Entry {
+                    key: key.clone(),
+                    value: value.clone(),
+                    revision,
+                }));
+                true
+            }
+            Operation::Delete(key) => {
+                let is_present = self.entries.remove(key).is_some();
+                if is_present {
+                    self.log.push(Event::Delete(key.clone(), revision));
+                }
+                is_present
+            }
+        }
+    }
+}
+
+impl fmt::Debug for MemoryStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MemoryStore")
+            .field("revision", &self.state.borrow().revision)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Builds the error of a broken watch.
+pub(crate) fn broken() -> Report<ErrorKind> {
+    Report::new(ErrorKind::StoreUnavailable)
+}
--- /dev/null
+++ b/crates/burdockslip_store/src/watching.rs
@@ -0,0 +1,98 @@
+//! Follows the log of a store in memory on behalf of one watch.
+
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, now, sleep_until};
+use burdockslip_types::{Result, Revision};
+use futures::future::select;
+
+use crate::memory::{MemoryStore, broken};
+use crate::{Event, PROGRESS_PERIOD};
+
+/// Remembers how far a watch has read.
+pub(crate) struct Cursor {
+    store: MemoryStore,
+    client: String,
+    prefix: String,
+    after: Revision,
+    index: usize,
+    generation: u64,
+    progress: Instant,
+    is_broken: bool,
+}
+
+impl Cursor {
+    pub(crate) fn new(store: MemoryStore, client: &str, prefix: String, after: Revision) -> Self {
+        let generation = store.state().borrow().generation;
+        Self {
+            store,
+            client: client.to_owned(),
+            prefix,
+            after,
+            index: 0,
+            generation,
+            progress: now() + PROGRESS_PERIOD,
+            is_broken: false,
+        }
+    }
+
+    /// Waits for the next event; ends after the first error.
+    pub(crate) async fn advance(mut self) -> Option<(Result<Event>, Self)> {
+        if self.is_broken {
+            return None;
+        }
+        loop {
+            if let Some(event) = self.poll_once() {
+                return Some((event, self));
+            }
+            let changed = self.store.changed();
+            select(changed, sleep_until(self.wake_time())).await;
+        }
+    }
+
+    fn poll_once(&mut self) -> Option<Result<Event>> {
+        let has_expired = self.store.state().borrow_mut().expire();
+        if has_expired {
+            self.store.notify();
+        }
+        let mut state = self.store.state().borrow_mut();
+        if state.faults.is_down || state.generation != self.generation {
+            self.is_broken = true;
+            return Some(Err(broken()));
+        }
+        if state.cuts.contains(&self.client) {
+            self.progress = now() + PROGRESS_PERIOD;
+            return None;
+        }
+        while let Some(event) = state.log.get(self.index) {
+            self.index += 1;
+            let (key, revision) = locate(event);
+            if revision > self.after && key.starts_with(&self.prefix) {
+                return Some(Ok(event.clone()));
+            }
+        }
+        if !self.progress.is_past() {
+            return None;
+        }
+        self.progress = now() + PROGRESS_PERIOD;
+        state.calls.progress += 1;
+        Some(Ok(Event::Progress(Revision(state.revision))))
+    }
+
+    fn wake_time(&self) -> Instant {
+        let state = self.store.state().borrow();
+        // A lease that ended meanwhile must not wake the watch without pause.
+        let earliest = now() + Duration::from_millis(1);
+        state
+            .next_end()
+            .map_or(self.progress, |end| end.min(self.progress).max(earliest))
+    }
+}
+
+fn locate(event: &Event) -> (&str, Revision) {
+    match event {
+        Event::Put(entry) => (&entry.key, entry.revision),
+        Event::Delete(key, revision) => (key, *revision),
+        Event::Progress(revision) => ("", *revision),
+    }
+}
--- a/crates/burdockslip_testkit/src/lib.rs
+++ b/crates/burdockslip_testkit/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod database;
 mod relay;
+mod store_server;
 
 pub use relay::Relay;
+pub use store_server::StoreServer;
