Add logs, metrics and the admin endpoint

Cause: operators need one line per event, histograms per organisation and class, and an endpoint that a load balancer and burdockslipctl can ask.

Log lines withhold everything after the prefix of a client key and the values of fields that hold statements or secrets.

--- /dev/null
+++ b/crates/burdockslip_telemetry/src/lib.rs
@@ -0,0 +1,15 @@
+//! Writes log lines, keeps metrics and serves both to operators.
+//!
+//! See `docs/operators.md` for the fields of log lines, the metrics and the
+//! paths of the admin endpoint.
+
+mod admin;
+mod http;
+mod logs;
+mod metrics;
+mod redact;
+
+pub use admin::{Admin, AdminServer, MAX_CONNECTIONS, answer_connection, serve_admin};
+pub use http::{EXCHANGE_DEADLINE, MAX_REQUEST, MAX_RESPONSE, Response, fetch};
+pub use logs::{install_logs, subscriber};
+pub use metrics::{Metrics, RequestMetrics, Source};
--- /dev/null
+++ b/crates/burdockslip_telemetry/tests/admin.rs
@@ -0,0 +1,152 @@
+//! Guards the admin endpoint, over streams in memory on the paused clock and over loopback.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{block_on, now, paused};
+use burdockslip_telemetry::{
+    Admin, EXCHANGE_DEADLINE, MAX_REQUEST, Metrics, answer_connection, fetch, serve_admin,
+};
+use burdockslip_types::ErrorKind;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use support::Peer;
+use yare::parameterized;
+
+mod support;
+
+fn admin(is_ready: bool) -> Admin {
+    Admin {
+        metrics: Metrics::new().expect("the exporter starts"),
+        is_ready: Rc::new(move || is_ready),
+        status: Rc::new(|| "{\"revision\":7}".to_owned()),
+    }
+}
+
+/// Runs one exchange with a client that sends `input` and then is silent.
+fn exchange(input: &[u8], admin: Admin) -> (String, Duration) {
+    let mut peer = Peer::new(input);
+    paused::run(1, async move {
+        let start = now();
+        answer_connection(&mut peer, &admin).await;
+        let text = String::from_utf8(peer.output).expect("answers are text");
+        (text, start.elapsed())
+    })
+}
+
+/// Guards against wrong answers to well-formed and malformed requests.
+#[parameterized(
+    health = { "GET /health HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\n", "ok\n" },
+    ready = { "GET /ready HTTP/1.1\r\nhost: x\r\n\r\n", "HTTP/1.1 200 OK\r\n", "ready\n" },
+    status = { "GET /status?x=1 HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\n", "{\"revision\":7}" },
+    metrics = { "GET /metrics HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-type: text/plain; version=0.0.4", "" },
+    unknown = { "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 404 Not Found\r\n", "not found\n" },
+    method = { "POST /health HTTP/1.1\r\n\r\n", "HTTP/1.1 405 Method Not Allowed\r\n", "only GET is supported\n" },
+    malformed = { "GET\0/ HTTP/1.1\r\n\r\n", "HTTP/1.1 400 Bad Request\r\n", "request malformed\n" },
+)]
+fn answers(request: &str, start: &str, body: &str) {
+    let (text, _) = exchange(request.as_bytes(), admin(true));
+    assert!(text.starts_with(start), "{text}");
+    let (_, found) = text.split_once("\r\n\r\n").expect("headers end");
+    assert_eq!(found, body);
+}
+
+/// Guards against a load balancer that sends clients to a host that is not ready.
+#[test]
+fn not_ready_is_an_error() {
+    let (text, _) = exchange(b"GET /ready HTTP/1.1\r\n\r\n", admin(false));
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+}
+
+/// Guards against slow senders that hold connections for ever.
+#[test]
+fn slow_sender_is_dropped() {
+    let (text, span) = exchange(b"GET /health HT", admin(true));
+    assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+    assert_eq!(span, EXCHANGE_DEADLINE);
+}
+
+/// Guards against slow receivers that hold connections for ever.
+#[test]
+fn slow_receiver_is_dropped() {
+    let mut peer = Peer::new(b"GET /health HTTP/1.1\r\n\r\n");
+    peer.is_blocked = true;
+    let span = paused::run(1, async move {
+        let start = now();
+        answer_connection(&mut peer, &admin(true)).await;
+        start.elapsed()
+    });
+    assert_eq!(span, EXCHANGE_DEADLINE);
+}
+
+/// Guards against requests without end that fill the memory.
+#[parameterized(
+    long_path = { "GET /", "x" },
+    long_header = { "GET / HTTP/1.1\r\na: ", "x" },
+    many_headers = { "GET / HTTP/1.1\r\n", "a: b\r\n" },
+)]
+fn input_is_bounded(start: &str, part: &str) {
+    let input = format!("{start}{}", part.repeat(MAX_REQUEST));
+    let (text, span) = exchange(input.as_bytes(), admin(true));
+    assert!(text.starts_with("HTTP/1.1 431 "), "{text}");
+    assert_eq!(span, Duration::ZERO);
+}
+
+/// Guards against an endpoint that works only on streams in memory, and
+/// against one that still listens after it was stopped.
+#[test]
+fn endpoint_serves_over_loopback() {
+    block_on(async {
+        let span = Duration::from_secs(5);
+        let any = "127.0.0.1:0".parse().expect("it is an address");
+        let server = serve_admin(any, admin(true)).expect("a port is free");
+        let address = server.address();
+        for _ in 0..3 {
+            let body = fetch(address, "/status", span).await.expect("it answers");
+            assert_eq!(body, "{\"revision\":7}");
+        }
+        let error = fetch(address, "/nothing", span).await.expect_err("404");
+        assert_eq!(*error.current_context(), ErrorKind::Protocol);
+        drop(server);
+        burdockslip_runtime::yield_now().await;
+        let error = fetch(address, "/status", span)
+            .await
+            .expect_err("it stopped");
+        assert_eq!(*error.current_context(), ErrorKind::ConnectionLost);
+    });
+}
+
+/// Guards against readiness that is read once and not for each request.
+#[test]
+fn readiness_is_read_for_each_request() {
+    let flag = Rc::new(Cell::new(false));
+    let shown = Rc::clone(&flag);
+    let admin = Admin {
+        is_ready: Rc::new(move || shown.get()),
+        ..admin(true)
+    };
+    assert_eq!(admin.answer("/ready").status, 503);
+    flag.set(true);
+    assert_eq!(admin.answer("/ready").status, 200);
+}
+
+/// Runs every property with the same numbers each time, so that a verdict depends on the tree alone.
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    /// Guards against a parser that panics or never answers.
+    #[test]
+    fn any_input_is_answered(input in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let (text, _) = exchange(&input, admin(true));
+        prop_assert!(text.starts_with("HTTP/1.1 4"), "{}", text);
+    }
+}
