Route by freshness, confirm writes and fail over

Cause: the thin path sent everything to a fixed primary and acknowledged writes that only it held. Holders now run a watcher of the group, ask it before a unit runs and have the mark of the answer confirmed before it is released; a holder that may not serve names the member that does.

Eight failure tests over sockets: killed primary, isolated primary, lagging replica, revoked key, drain, lost host, cancel.

Found on the way: a drain ended a session right after its answer, and the postgres library then reported the end instead of the answer that it had not read yet. A session that drains now waits 200 ms after its last answer.

--- a/crates/burdockslip_catalogue/src/catalogue.rs
+++ b/crates/burdockslip_catalogue/src/catalogue.rs
@@ -98,6 +98,11 @@
         self.groups.get(name)
     }
 
+    /// Lists all database groups.
+    pub fn groups(&self) -> impl Iterator<Item = (&GroupName, &Rc<GroupEntry>)> {
+        self.groups.iter()
+    }
+
     /// Lists all members with their groups.
     pub fn members(&self) -> impl Iterator<Item = (&GroupName, &MemberName, &Rc<MemberEntry>)> {
         self.groups.iter().flat_map(|(group, entry)| {
--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -42,7 +42,7 @@
     let tag = prepared.statement.comment.class.as_deref();
     let (name, class) = catalogue.class_for(route, tag.or(state.class.as_deref()))?;
     let access = access(&prepared.statement, class)?;
-    let Some(member) = choose_member(host, &route.group) else {
+    let Some(member) = choose_member(host, &route.group, access) else {
         bail!(ErrorKind::NoPrimary);
     };
     let run = Run {
@@ -53,6 +53,7 @@
         access,
         priority: u8::try_from(class.priority).unwrap_or(u8::MAX),
         floor: state.floors.get(&route.group).copied(),
+        zone: host.options.zone.clone(),
         max_age: class.max_age,
         remaining: class.deadline,
         request: prepared.statement.comment.request,
@@ -100,7 +101,21 @@
     }
 }
 
-/// Returns the member that is asked first.
-fn choose_member(host: &Host, group: &GroupName) -> Option<MemberName> {
-    host.primary(group)
+/// Returns the member whose holder is asked first; that one may name another.
+fn choose_member(host: &Host, group: &GroupName, access: Access) -> Option<MemberName> {
+    let in_force = host.in_force();
+    let members = &in_force.catalogue.group(group.as_str())?.members;
+    let primary = host.primary(group);
+    if access == Access::Write {
+        return primary.or_else(|| members.keys().next().cloned());
+    }
+    let mut replicas = members
+        .iter()
+        .filter(|(name, _)| Some(*name) != primary.as_ref());
+    let near = replicas
+        .clone()
+        .find(|(_, member)| member.zone == host.options.zone);
+    near.or_else(|| replicas.next())
+        .map(|(name, _)| name.clone())
+        .or(primary)
 }
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{now, sleep, timeout, timeout_at};
+use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout, timeout_at};
 use burdockslip_types::{ErrorKind, GroupName, Mark, Result};
 use burdockslip_wire::{
     ClientStream, StatementNames, TransactionState, Unit, UnitKind, Verb, classify,
@@ -19,7 +19,7 @@
 use super::request::{self, Prepared, Request};
 use super::startup::State;
 use crate::conversation::Conversation;
-use crate::exchange::{Done, Event, Failed, Run};
+use crate::exchange::{Access, Done, Event, Failed, Run};
 use crate::host::Host;
 
 /// Time within which the rest of a unit must follow its first byte.
@@ -27,6 +27,11 @@
 /// Pause before a request is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
+/// Time that a client has to read its last answer before a drain ends the
+/// session; some libraries report the end instead of an answer that they have
+/// not read yet.
+const DRAIN_GRACE: Duration = Duration::from_millis(200);
+
 /// Holds one client's session.
 struct Session {
     host: Rc<Host>,
@@ -34,6 +39,7 @@
     state: State,
     names: StatementNames,
     transaction: Transaction,
+    served_at: Instant,
 }
 
 /// Holds the transaction of a session.
@@ -71,6 +77,7 @@
         state,
         names: StatementNames::default(),
         transaction: Transaction::default(),
+        served_at: Instant::START,
     };
     if let Err(report) = session.serve().await {
         let kind = *report.current_context();
@@ -95,7 +102,13 @@
                 .await
                 .map_err(|_| Report::new(ErrorKind::Protocol))?;
             match unit {
-                Ok(Some(unit)) => self.handle(unit).await?,
+                // Read first and refused afterwards, because closing with
+                // unread bytes would take the answer from the client.
+                Ok(Some(_)) if self.is_leaving() => bail!(ErrorKind::Draining),
+                Ok(Some(unit)) => {
+                    self.handle(unit).await?;
+                    self.served_at = now();
+                }
                 Ok(None) => return Ok(()),
                 Err(report) if *report.current_context() == ErrorKind::NotSupported => {
                     self.refuse(ErrorKind::NotSupported, "Flush is not supported")
@@ -106,6 +119,11 @@
         }
     }
 
+    /// Returns whether the host drains and the session holds no transaction.
+    fn is_leaving(&self) -> bool {
+        self.host.is_draining.get() && self.transaction.state() == TransactionState::Idle
+    }
+
     /// Waits until the client sends something.
     ///
     /// # Errors
@@ -116,15 +134,22 @@
         loop {
             let epoch = signal.epoch();
             request::check_key(&self.host.in_force(), &self.state)?;
-            if self.host.is_draining.get() && self.transaction.state() == TransactionState::Idle {
+            let is_leaving = self.is_leaving();
+            if is_leaving && (self.served_at + DRAIN_GRACE).is_past() {
                 bail!(ErrorKind::Draining);
             }
             if self.client.has_unread() {
                 return Ok(());
             }
             let readable = std::pin::pin!(self.client.readable());
-            let changed = std::pin::pin!(signal.changed(epoch));
-            if let Either::Left((result, _)) = select(readable, changed).await {
+            let woken = std::pin::pin!(async {
+                if is_leaving {
+                    sleep_until(self.served_at + DRAIN_GRACE).await;
+                } else {
+                    signal.changed(epoch).await;
+                }
+            });
+            if let Either::Left((result, _)) = select(readable, woken).await {
                 return result;
             }
         }
@@ -195,15 +220,33 @@
                 Ok(done) => return self.complete(&request.run.group, done).await,
                 Err(attempt) => attempt,
             };
-            if let Some(member) = &attempt.failed.redirect {
-                self.host.set_primary(&request.run.group, member.clone());
-                request.run.member = member.clone();
-            }
             if !self.may_retry(&request, &attempt) {
                 let Failed { kind, detail, .. } = attempt.failed;
                 return self.refuse(kind, &detail).await;
             }
-            sleep(RETRY_PAUSE).await;
+            if let Some(member) = attempt.failed.redirect {
+                if request.run.access == Access::Write {
+                    self.host.set_primary(&request.run.group, member.clone());
+                }
+                request.run.member = member;
+            } else {
+                self.ask_next_member(&mut request.run);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// Turns to another member of the group, whose holder knows where to go.
+    fn ask_next_member(&self, run: &mut Run) {
+        let in_force = self.host.in_force();
+        let Some(group) = in_force.catalogue.group(run.group.as_str()) else {
+            return;
+        };
+        let mut names = group.members.keys().cycle().take(group.members.len() * 2);
+        if names.any(|name| *name == run.member)
+            && let Some(next) = names.next()
+        {
+            run.member = next.clone();
         }
     }
 
--- a/crates/burdockslip_proxy/src/exchange.rs
+++ b/crates/burdockslip_proxy/src/exchange.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use burdockslip_types::{ClassName, ErrorKind, GroupName, Mark, MemberName, Organisation, domain};
+use burdockslip_types::{
+    ClassName, ErrorKind, GroupName, Mark, MemberName, Organisation, Zone, domain,
+};
 use burdockslip_wire::TransactionState;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -36,6 +38,8 @@
         pub(crate) priority: u8,
         /// The confirmed mark that a read must include; `None` for a new session.
         pub(crate) floor: Option<Mark>,
+        /// The zone in which replicas are preferred.
+        pub(crate) zone: Zone,
         /// The greatest age of data read; `None` allows any.
         pub(crate) max_age: Option<Duration>,
         /// The time left until the deadline when the message was sent.
--- a/crates/burdockslip_proxy/src/holder/execute.rs
+++ b/crates/burdockslip_proxy/src/holder/execute.rs
@@ -1,7 +1,8 @@
 //! Runs one unit on a connection of the pool.
 
-use burdockslip_runtime::{now, timeout_at};
-use burdockslip_types::{ErrorKind, Result};
+use burdockslip_group::Status;
+use burdockslip_runtime::{Instant, now, timeout_at};
+use burdockslip_types::{ErrorKind, Mark, Result};
 use burdockslip_wire::{TransactionState, close_statements, decode_state, query};
 use bytes::{Bytes, BytesMut};
 use error_stack::Report;
@@ -10,7 +11,8 @@
 
 use super::Holder;
 use super::pool::Pooled;
-use super::status::MemberStatus;
+use super::route::{self, Check};
+use super::status;
 use crate::exchange::{Done, Event, Failed, Run};
 
 /// Size of the parts in which an answer is passed on, in bytes.
@@ -29,6 +31,11 @@
     events: &mut mpsc::Sender<Event>,
 ) -> Result<Done, Failed> {
     let deadline = now() + run.remaining;
+    let check = if pinned.is_some() {
+        route::check_pinned(holder)?
+    } else {
+        route::admit(holder, &run, deadline).await?
+    };
     let permit = holder
         .gate
         .acquire(&run.organisation, run.priority, deadline)
@@ -36,42 +43,55 @@
         .map_err(|report| not_sent(&report))?;
     let (mut connection, is_pinned) = match pinned.take() {
         Some(connection) => (connection, true),
-        None => (
-            holder
-                .pool
-                .take(deadline)
-                .await
-                .map_err(|report| not_sent(&report))?,
-            false,
-        ),
+        None => (take(holder, deadline).await?, false),
     };
     let answer = timeout_at(deadline, converse(holder, &mut connection, &run, is_pinned))
         .await
         .map_err(|_| Failed::sent("deadline exceeded while the database worked"))?
         .map_err(|report| sent(&report))?;
     drop(permit);
+    let state = answer.state;
+    settle(connection, state, pinned);
     if answer.is_duplicate {
-        settle(connection, answer.state, pinned);
         return Err(Failed::not_sent(ErrorKind::AlreadyRun, ""));
     }
+    let mark = confirm(holder, &check, &answer, deadline).await?;
     for part in parts(answer.bytes) {
         events
             .send(Event::Part(part))
             .await
             .map_err(|_| Failed::sent("the endpoint has gone"))?;
     }
-    settle(connection, answer.state, pinned);
-    Ok(Done {
-        mark: Some(answer.status.mark),
-        state: answer.state,
-    })
+    Ok(Done { mark, state })
+}
+
+/// Takes a connection from the pool.
+async fn take(holder: &Holder, deadline: Instant) -> Result<Pooled, Failed> {
+    let taken = holder.pool.take(deadline).await;
+    taken.map_err(|report| not_sent(&report))
+}
+
+/// Confirms the mark of an answer, unless a transaction is still open: what it
+/// has read counts only when its end is confirmed.
+async fn confirm(
+    holder: &Holder,
+    check: &Check,
+    answer: &Answer,
+    deadline: Instant,
+) -> Result<Option<Mark>, Failed> {
+    if answer.state != TransactionState::Idle {
+        return Ok(None);
+    }
+    let mark = answer.status.mark;
+    route::verify(holder, check, mark, deadline).await?;
+    Ok(Some(mark))
 }
 
 /// Holds the whole answer to a unit.
 struct Answer {
     bytes: Bytes,
     state: TransactionState,
-    status: MemberStatus,
+    status: Status,
     is_duplicate: bool,
 }
 
@@ -130,7 +150,7 @@
     if !names.is_empty() {
         read_answer(connection, 0).await?;
     }
-    let status = MemberStatus::read(&connection.read_outcome().await?)?;
+    let status = status::read(&holder.member, &connection.read_outcome().await?)?;
     if state == TransactionState::Idle {
         close_names(connection).await?;
     }
--- a/crates/burdockslip_proxy/src/holder/mod.rs
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -2,23 +2,30 @@
 
 mod execute;
 mod gate;
+mod member;
 mod pool;
+mod route;
 mod status;
 
 use std::rc::Rc;
 
 use burdockslip_catalogue::{GroupEntry, MemberEntry};
+use burdockslip_group::Group;
+use burdockslip_types::MemberName;
 use futures::channel::mpsc;
 use futures::{SinkExt, StreamExt};
 
 use crate::exchange::{Event, Run};
 use crate::options::Options;
 use gate::Gate;
+pub(crate) use member::member;
 use pool::Pool;
 
 /// Holds the connections and the queue of one database.
 #[derive(Debug)]
 pub(crate) struct Holder {
+    member: MemberName,
+    group: Group,
     gate: Gate,
     pool: Pool,
     options: Rc<Options>,
@@ -27,6 +34,8 @@
 impl Holder {
     /// Prepares to serve a member; connections are made when needed.
     pub(crate) fn open(
+        member: &MemberName,
+        watch: Group,
         group: &GroupEntry,
         database: &MemberEntry,
         options: &Rc<Options>,
@@ -34,6 +43,8 @@
         let connections = pool::share(database.connections as usize);
         let slots = database.slots as usize;
         Rc::new(Self {
+            member: member.clone(),
+            group: watch,
             gate: Gate::new(slots.min(connections).max(1)),
             pool: Pool::open(group, database, connections, options),
             options: Rc::clone(options),
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -5,13 +5,15 @@
 use std::fmt;
 use std::rc::Rc;
 
+use burdockslip_catalogue::GroupEntry;
+use burdockslip_group::{Group, ReadPolicy, Settings, Timing, WatchReply, WatchRequest, Watcher};
 use burdockslip_keys::TokenSecrets;
 use burdockslip_peer::PeerPool;
 use burdockslip_types::{GroupName, HostId, MemberName, Zone};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::endpoint::Sessions;
-use crate::holder::Holder;
+use crate::holder::{self, Holder};
 use crate::in_force::InForce;
 use crate::options::Options;
 
@@ -24,6 +26,7 @@
     pub(crate) is_draining: Cell<bool>,
     in_force: RefCell<Rc<InForce>>,
     holders: RefCell<HashMap<MemberName, Rc<Holder>>>,
+    groups: RefCell<HashMap<GroupName, Group>>,
     primaries: RefCell<HashMap<GroupName, MemberName>>,
 }
 
@@ -42,6 +45,7 @@
             is_draining: Cell::new(false),
             in_force: RefCell::new(in_force),
             holders: RefCell::default(),
+            groups: RefCell::default(),
             primaries: RefCell::default(),
         }
     }
@@ -64,13 +68,90 @@
         let in_force = self.in_force();
         let entry = in_force.catalogue.group(group.as_str())?;
         let database = entry.members.get(member)?;
-        let holder = Holder::open(entry, database, &self.options);
+        let watch = self.watch(group, entry);
+        let holder = Holder::open(member, watch, entry, database, &self.options);
         self.holders
             .borrow_mut()
             .insert(member.clone(), Rc::clone(&holder));
         Some(holder)
     }
 
+    /// Returns the watcher of a group on this host, starting it if needed.
+    fn watch(&self, name: &GroupName, entry: &GroupEntry) -> Group {
+        let mut groups = self.groups.borrow_mut();
+        let group = groups.entry(name.clone()).or_insert_with(|| {
+            let settings = Settings {
+                group: name.clone(),
+                host: self.options.host.clone(),
+                zone: self.options.zone.clone(),
+                watchers: self.watchers(entry),
+                policy: ReadPolicy::default(),
+                timing: Timing::default(),
+            };
+            let members = entry
+                .members
+                .iter()
+                .map(|(member, database)| holder::member(member, entry, database, &self.options))
+                .collect();
+            Group::spawn(settings, members, self.peers.link())
+        });
+        group.clone()
+    }
+
+    /// Lists the hosts that watch a group: the holders of its members.
+    fn watchers(&self, entry: &GroupEntry) -> Vec<Watcher> {
+        let mut watchers: Vec<Watcher> = Vec::new();
+        for (member, database) in &entry.members {
+            let host = self.holder_host(member, &database.zone);
+            if watchers.iter().all(|watcher| watcher.host != host) {
+                let zone = self.zone_of(&host).unwrap_or_else(|| database.zone.clone());
+                watchers.push(Watcher { host, zone });
+            }
+        }
+        watchers
+    }
+
+    fn zone_of(&self, host: &HostId) -> Option<Zone> {
+        let in_force = self.in_force();
+        in_force.hosts.get(host).map(|entry| entry.zone.clone())
+    }
+
+    /// Starts, adjusts and stops holders and watchers after a change.
+    pub(crate) fn refresh(&self) {
+        let in_force = self.in_force();
+        for (group, member, database) in in_force.catalogue.members() {
+            let is_own = self.holder_host(member, &database.zone) == self.options.host;
+            if is_own {
+                // Watchers have to run before the first request, since they promote.
+                self.holder(group, member);
+            } else {
+                self.holders.borrow_mut().remove(member);
+            }
+        }
+        let groups = in_force.catalogue.groups();
+        let watched: HashMap<&GroupName, Vec<Watcher>> = groups
+            .map(|(name, entry)| (name, self.watchers(entry)))
+            .collect();
+        self.groups.borrow_mut().retain(|name, group| {
+            let Some(watchers) = watched.get(name) else {
+                return false;
+            };
+            group.set_watchers(watchers.clone());
+            watchers.iter().any(|w| w.host == self.options.host)
+        });
+    }
+
+    /// Answers another watcher of a group.
+    pub(crate) fn answer_watcher(&self, request: WatchRequest) -> WatchReply {
+        let name = match &request {
+            WatchRequest::View { group }
+            | WatchRequest::Freshness { group }
+            | WatchRequest::Promoted { group, .. } => group,
+        };
+        let group = self.groups.borrow().get(name).cloned();
+        group.map_or(WatchReply::Nothing, |group| group.handle(request))
+    }
+
     /// Returns the host that holds the connections of a member: the highest
     /// ranked in the member's zone, or of all if that zone has none.
     pub(crate) fn holder_host(&self, member: &MemberName, zone: &Zone) -> HostId {
@@ -91,6 +172,10 @@
 
     /// Returns the member that was last known as the group's primary.
     pub(crate) fn primary(&self, group: &GroupName) -> Option<MemberName> {
+        let watched = self.groups.borrow().get(group).cloned();
+        if let Some(Ok(primary)) = watched.map(|group| group.primary()) {
+            return Some(primary.member);
+        }
         if let Some(member) = self.primaries.borrow().get(group) {
             return Some(member.clone());
         }
--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use burdockslip_group::Watch;
 use burdockslip_keys::TokenSecrets;
 use burdockslip_peer::{PeerPool, PeerServer, Router};
 use burdockslip_runtime::{Task, sleep};
@@ -46,6 +47,7 @@
             let peers = PeerPool::new(options.host.clone(), resolve);
             Host::new(Rc::clone(&options), secrets, peers, Rc::new(in_force))
         });
+        host.refresh();
         let server = PeerServer::bind(options.peer_address, router(&host))?;
         let (listener, client_address) = endpoint::bind(&host)?;
         info!(host = %options.host, zone = %options.zone, clients = %client_address, "host started");
@@ -65,6 +67,7 @@
     /// Puts another configuration in force.
     pub fn set_in_force(&self, in_force: InForce) {
         self.host.set_in_force(Rc::new(in_force));
+        self.host.refresh();
         self.host.sessions.notify_all();
     }
 
@@ -90,12 +93,16 @@
 fn router(host: &Rc<Host>) -> Router {
     let cancelling = Rc::clone(host);
     let executing = Rc::clone(host);
+    let watching = Rc::clone(host);
     Router::default()
         .on_stream(EXECUTE, move |receiver, sender| {
             // The stream's own task ends with its connection, so nothing is
             // left running for an endpoint that is gone.
             conversation::serve_remote(Rc::clone(&executing), receiver, sender)
         })
+        .on(Watch, move |_, request| {
+            ready(Ok(watching.answer_watcher(request)))
+        })
         .on(CancelExchange, move |_, request| {
             ready(Ok(endpoint::cancel(&cancelling, &request)))
         })
--- /dev/null
+++ b/crates/burdockslip_proxy/tests/failure.rs
@@ -0,0 +1,201 @@
+//! Causes failures under a running site and checks what clients see.
+
+mod support;
+
+use std::rc::Rc;
+
+use burdockslip_keys::{KeyRing, KeyState};
+use support::{sqlstate, start, value};
+
+/// How often a write is tried while a failover is under way.
+const TRIES: usize = 20;
+
+/// Guards acknowledged writes when the primary is killed, and writes after it.
+#[test]
+fn killed_primary_loses_no_acknowledged_write() {
+    let site = start();
+    let mut client = site.connect(0);
+    for n in 0..10 {
+        client
+            .batch_execute(&format!(
+                "INSERT INTO records (key, value) VALUES ('a{n}', '1')"
+            ))
+            .expect("write runs");
+    }
+    let old = site.with(|site| {
+        let old = site.group.primary();
+        site.group.kill(old);
+        old
+    });
+    let mut client = site.connect(1);
+    let is_written = (0..TRIES).any(|n| {
+        let sql = format!("INSERT INTO records (key, value) VALUES ('b{n}', '1')");
+        client.batch_execute(&sql).is_ok()
+    });
+    assert!(is_written, "no write succeeded after the failover");
+    let new = site.with(|site| site.group.primary());
+    assert_ne!(old, new);
+    for n in 0..10 {
+        let key = format!("a{n}");
+        let kept = site.with(move |site| site.group.record(new, "records", &key));
+        assert_eq!(kept.as_deref(), Some("1"), "write {n} was lost");
+    }
+}
+
+/// Guards against an acknowledgement by a primary that is cut off from its group.
+#[test]
+fn isolated_primary_acknowledges_nothing() {
+    let site = start();
+    let mut client = site.connect(0);
+    client
+        .batch_execute("INSERT INTO records (key, value) VALUES ('a', '1')")
+        .expect("write runs");
+    let old = site.with(|site| {
+        let old = site.group.primary();
+        site.group.isolate(old, true);
+        old
+    });
+    let result = client.batch_execute("UPDATE records SET value = '2' WHERE key = 'a'");
+    let new = site.with(|site| site.group.primary());
+    match result {
+        Ok(()) => {
+            let held = site.with(move |site| {
+                (0..3)
+                    .filter(|&index| index != old)
+                    .any(|index| site.group.record(index, "records", "a").as_deref() == Some("2"))
+            });
+            assert!(held || new != old, "acknowledged by the cut primary alone");
+        }
+        Err(error) => assert_eq!(sqlstate(&error), "40003"),
+    }
+}
+
+/// Guards replicas: reads of a class that allows old data go to them.
+#[test]
+fn replica_serves_reads_that_allow_age() {
+    let site = start();
+    let mut client = site.connect(0);
+    client
+        .batch_execute("INSERT INTO records (key, value) VALUES ('a', '1')")
+        .expect("write runs");
+    client
+        .batch_execute("SET burdockslip.class = 'browse'")
+        .expect("class is set");
+    for _ in 0..50 {
+        let read = value(&mut client, "SELECT value FROM records WHERE key = 'a'");
+        assert_eq!(read.as_deref(), Some("1"), "own write was not read");
+    }
+    let counts = site.with(|site| site.group.statement_counts("SELECT value"));
+    let replicas: usize = counts[1..].iter().sum();
+    assert!(replicas >= 40, "reads by member: {counts:?}");
+}
+
+/// Guards read-your-writes when replicas lag far behind.
+#[test]
+fn lagging_replica_is_not_read_below_the_floor() {
+    let site = start();
+    site.with(|site| {
+        site.group.set_lag(1, std::time::Duration::from_hours(1));
+    });
+    let mut client = site.connect(1);
+    client
+        .batch_execute("SET burdockslip.class = 'browse'")
+        .expect("class is set");
+    for n in 0..20 {
+        let sql =
+            format!("/*class='order'*/ INSERT INTO records (key, value) VALUES ('k{n}', '1')");
+        client.batch_execute(&sql).expect("write runs");
+        let sql = format!("SELECT value FROM records WHERE key = 'k{n}'");
+        assert_eq!(value(&mut client, &sql).as_deref(), Some("1"));
+    }
+}
+
+/// Guards withdrawal of a key from a client that is connected and idle.
+#[test]
+fn revoked_key_ends_connected_sessions() {
+    let site = start();
+    let mut client = site.connect(0);
+    assert_eq!(value(&mut client, "SELECT 1").as_deref(), Some("1"));
+    site.with(|site| {
+        let mut ring = KeyRing::default();
+        for (path, mut record) in site.records.clone() {
+            if path.contains("airline") {
+                record.state = KeyState::Revoked;
+            }
+            ring.put(&path, &record.render()).expect("record is valid");
+        }
+        site.in_force.keys = Rc::new(ring);
+        for host in site.hosts.iter().flatten() {
+            host.set_in_force(site.in_force.clone());
+        }
+    });
+    client
+        .simple_query("SELECT 1")
+        .expect_err("session has ended");
+    let Err(error) = site.config(1).connect(postgres::NoTls) else {
+        panic!("revoked key was accepted");
+    };
+    assert_eq!(sqlstate(&error), "28000");
+}
+
+/// Guards requests in flight during a planned stop.
+#[test]
+fn drain_cuts_no_request_in_flight() {
+    let site = start();
+    let mut client = site.connect(0);
+    let mut idle = site.connect(0);
+    let slow = std::thread::spawn(move || {
+        let result = value(&mut client, "SELECT pg_sleep(0.3)");
+        (result, client)
+    });
+    // The statement has started once the database has seen its text.
+    while !site.with(|site| {
+        let texts = site.group.received_texts();
+        texts.iter().any(|text| text.contains("pg_sleep"))
+    }) {}
+    site.drain(0);
+    let (result, _) = slow.join().expect("client thread");
+    assert_eq!(result.as_deref(), Some(""));
+    let error = idle
+        .simple_query("SELECT 1")
+        .expect_err("session has ended");
+    assert!(error.is_closed() || sqlstate(&error) == "57P01");
+}
+
+/// Guards against an open transaction that outlives its client's host.
+#[test]
+fn transaction_of_a_lost_host_is_rolled_back() {
+    let site = start();
+    let mut client = site.connect(1);
+    client.batch_execute("BEGIN").expect("begin");
+    client
+        .batch_execute("INSERT INTO records (key, value) VALUES ('t', '1')")
+        .expect("insert");
+    site.with(|site| site.hosts[1] = None);
+    drop(client);
+    let mut other = site.connect(0);
+    let read = value(&mut other, "SELECT value FROM records WHERE key = 't'");
+    assert_eq!(read, None);
+}
+
+/// Guards against a cancel request that reaches another client's statement.
+#[test]
+fn cancel_needs_the_secret_and_works_at_any_host() {
+    let site = start();
+    let mut client = site.connect(0);
+    let token = client.cancel_token();
+    let other = site.connect(1).cancel_token();
+    let running = std::thread::spawn(move || client.simple_query("SELECT pg_sleep(2)").map(|_| ()));
+    while !site.with(|site| {
+        let texts = site.group.received_texts();
+        texts.iter().any(|text| text.contains("pg_sleep"))
+    }) {}
+    other.cancel_query(postgres::NoTls).expect("cancel is sent");
+    assert!(!running.is_finished(), "a stranger cancelled the statement");
+    token.cancel_query(postgres::NoTls).expect("cancel is sent");
+    let error = running
+        .join()
+        .expect("client thread")
+        .expect_err("statement was cancelled");
+    assert_eq!(sqlstate(&error), "57014");
+}
--- a/crates/burdockslip_proxy/tests/support/mod.rs
+++ b/crates/burdockslip_proxy/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Runs stand-ins and hosts in a thread, and gives tests ordinary PostgreSQL clients.
 
+// Each test program uses another part of this module.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +13,7 @@
 use burdockslip_catalogue::Catalogue;
 use burdockslip_keys::{Key, KeyPath, KeyRecord, KeyRing};
 use burdockslip_proxy::{HostEntry, InForce, Options, Proxy};
-use burdockslip_runtime::block_on;
+use burdockslip_runtime::{block_on, spawn};
 use burdockslip_testkit::database::{DatabaseGroup, MemberOptions};
 use futures::StreamExt;
 use futures::channel::mpsc;
@@ -24,6 +27,7 @@
     pub(crate) group: DatabaseGroup,
     pub(crate) hosts: Vec<Option<Proxy>>,
     pub(crate) in_force: InForce,
+    pub(crate) records: Vec<(String, KeyRecord)>,
 }
 
 type Command = Box<dyn FnOnce(&mut Site) + Send>;
@@ -80,14 +84,14 @@
         ("airline", airline.reveal().to_string()),
         ("club", club.reveal().to_string()),
     ];
-    let records: Vec<(String, Vec<u8>)> = [("airline", &airline), ("club", &club)]
+    let records: Vec<(String, KeyRecord)> = [("airline", &airline), ("club", &club)]
         .into_iter()
         .map(|(organisation, key)| {
             let path = KeyPath {
                 organisation: organisation.into(),
                 id: key.id(),
             };
-            (path.render(), KeyRecord::live(key).render())
+            (path.render(), KeyRecord::live(key))
         })
         .collect();
     let (commands, receiver) = mpsc::unbounded::<Command>();
@@ -117,7 +121,7 @@
 
 fn build(
     prefix: (u8, u8),
-    records: &[(String, Vec<u8>)],
+    records: &[(String, KeyRecord)],
     adjust: &dyn Fn(&mut MemberOptions),
 ) -> Site {
     let members: Vec<MemberOptions> = ZONES
@@ -130,11 +134,10 @@
             options
         })
         .collect();
-    let entries = records
-        .iter()
-        .map(|(path, value)| (path.as_str(), value.as_slice()));
-    let (ring, malformed) = KeyRing::from_entries(entries);
-    assert!(malformed.is_empty());
+    let mut ring = KeyRing::default();
+    for (path, record) in records {
+        ring.put(path, &record.render()).expect("record is valid");
+    }
     let hosts: BTreeMap<_, _> = ZONES
         .iter()
         .enumerate()
@@ -170,6 +173,7 @@
         group,
         hosts: proxies,
         in_force,
+        records: records.to_vec(),
     }
 }
 
@@ -191,6 +195,14 @@
         receiver.recv().expect("the site answers")
     }
 
+    /// Starts the planned stop of a host.
+    pub(crate) fn drain(&self, host: usize) {
+        self.with(move |site| {
+            let proxy = site.hosts[host].take().expect("the host runs");
+            spawn(async move { proxy.drain().await }).detach();
+        });
+    }
+
     /// Describes a connection of the organisation `airline` to a host.
     pub(crate) fn config(&self, host: usize) -> Config {
         let mut config = Config::new();
--- a/crates/burdockslip_testkit/src/database/group.rs
+++ b/crates/burdockslip_testkit/src/database/group.rs
@@ -131,6 +131,17 @@
             .collect()
     }
 
+    /// Counts, for each member, the statements that contain a text.
+    pub fn statement_counts(&self, text: &str) -> Vec<usize> {
+        self.members
+            .iter()
+            .map(|member| {
+                let texts = member.texts.borrow();
+                texts.iter().filter(|seen| seen.contains(text)).count()
+            })
+            .collect()
+    }
+
     /// Returns the number of open connections of a member.
     pub fn connections(&self, index: usize) -> usize {
         self.members[index].open.get()
