Let other parts of a host decide admission and record requests

Cause: rates, the age of the configuration and metrics live in other crates, and the endpoint must not depend on them. Hooks are closures; a trait was ruled out because there is one implementation and the house style asks for closures.

--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -176,7 +176,7 @@
             Some(Ok(answer)) => self.finish(answer).await,
             Some(Err(report)) => self.refuse_report(&report).await,
             None => match request::judge(&self.host, &self.state, prepared) {
-                Ok(request) => self.carry_out(request).await,
+                Ok(request) => self.serve_request(request).await,
                 Err(report) => self.refuse_report(&report).await,
             },
         }
@@ -212,17 +212,58 @@
             .await
     }
 
+    /// Admits a request, runs it and ends its answer.
+    async fn serve_request(&mut self, mut request: Request) -> Result<()> {
+        let start = now();
+        let admitted = self.admit(&request).await;
+        let outcome = match admitted {
+            Ok(()) => self.carry_out(&mut request).await?,
+            Err(failed) => Err(failed),
+        };
+        let finished = Rc::clone(&self.host.hooks.finished);
+        let verdict = outcome.as_ref().map(|_| ()).map_err(|failed| failed.kind);
+        let Run {
+            organisation,
+            class,
+            group,
+            ..
+        } = &request.run;
+        finished(organisation, class, verdict, start.elapsed());
+        match outcome {
+            Ok(done) => self.complete(group, done).await,
+            Err(Failed { kind, detail, .. }) => self.refuse(kind, &detail).await,
+        }
+    }
+
+    /// Waits for the organisation's rate, and checks that the configuration is
+    /// recent enough for the class.
+    async fn admit(&self, request: &Request) -> Result<(), Failed> {
+        let hooks = &self.host.hooks;
+        if (hooks.config_age)() > request.class.offline_limit {
+            return Err(Failed::not_sent(
+                ErrorKind::ConfigMissing,
+                "the configuration was not confirmed for too long",
+            ));
+        }
+        let admitted = (hooks.admit)(request.run.organisation.clone(), request.deadline);
+        admitted.await.map_err(|report| {
+            let detail = report.downcast_ref::<String>().cloned().unwrap_or_default();
+            Failed::not_sent(*report.current_context(), detail)
+        })
+    }
+
     /// Runs a request, again if that is safe, until its deadline.
-    async fn carry_out(&mut self, mut request: Request) -> Result<()> {
+    ///
+    /// The outer error means that the client is gone.
+    async fn carry_out(&mut self, request: &mut Request) -> Result<Result<Done, Failed>> {
         loop {
             request.run.remaining = request.deadline.remaining();
-            let attempt = match self.attempt(&request).await? {
-                Ok(done) => return self.complete(&request.run.group, done).await,
+            let attempt = match self.attempt(request).await? {
+                Ok(done) => return Ok(Ok(done)),
                 Err(attempt) => attempt,
             };
-            if !self.may_retry(&request, &attempt) {
-                let Failed { kind, detail, .. } = attempt.failed;
-                return self.refuse(kind, &detail).await;
+            if !self.may_retry(request, &attempt) {
+                return Ok(Err(attempt.failed));
             }
             if let Some(member) = attempt.failed.redirect {
                 if request.run.access == Access::Write {
@@ -361,7 +402,11 @@
             .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
         let holder = self.host.holder_host(&run.member, &zone);
         if holder != self.host.options.host {
-            return Conversation::remote(&self.host, &holder, run).await;
+            let opened = Conversation::remote(&self.host, &holder, run).await;
+            if opened.is_err() {
+                self.host.suspect(&holder);
+            }
+            return opened;
         }
         let local = self
             .host
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -4,19 +4,25 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 
 use burdockslip_catalogue::GroupEntry;
 use burdockslip_group::{Group, ReadPolicy, Settings, Timing, WatchReply, WatchRequest, Watcher};
 use burdockslip_keys::TokenSecrets;
 use burdockslip_peer::PeerPool;
+use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{GroupName, HostId, MemberName, Zone};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::endpoint::Sessions;
 use crate::holder::{self, Holder};
+use crate::hooks::Hooks;
 use crate::in_force::InForce;
 use crate::options::Options;
 
+/// Time for which a host is avoided after it could not be reached.
+const SUSPECT_TIME: Duration = Duration::from_secs(1);
+
 /// Holds the state that all sessions of a host share.
 pub(crate) struct Host {
     pub(crate) options: Rc<Options>,
@@ -24,6 +30,8 @@
     pub(crate) peers: PeerPool,
     pub(crate) sessions: Sessions,
     pub(crate) is_draining: Cell<bool>,
+    pub(crate) hooks: Hooks,
+    suspects: RefCell<HashMap<HostId, Instant>>,
     in_force: RefCell<Rc<InForce>>,
     holders: RefCell<HashMap<MemberName, Rc<Holder>>>,
     groups: RefCell<HashMap<GroupName, Group>>,
@@ -35,6 +43,7 @@
         options: Rc<Options>,
         secrets: TokenSecrets,
         peers: PeerPool,
+        hooks: Hooks,
         in_force: Rc<InForce>,
     ) -> Self {
         Self {
@@ -43,6 +52,8 @@
             peers,
             sessions: Sessions::default(),
             is_draining: Cell::new(false),
+            hooks,
+            suspects: RefCell::default(),
             in_force: RefCell::new(in_force),
             holders: RefCell::default(),
             groups: RefCell::default(),
@@ -159,17 +170,25 @@
             return self.options.host.clone();
         }
         let in_force = self.in_force();
+        let suspects = self.suspects.borrow();
+        let is_usable = |host: &HostId| suspects.get(host).is_none_or(|until| until.is_past());
         let is_in_zone = in_force.hosts.values().any(|entry| entry.zone == *zone);
         in_force
             .hosts
             .iter()
             .filter(|(_, entry)| !is_in_zone || entry.zone == *zone)
             .map(|(host, _)| host)
-            .max_by_key(|host| rank(member, host))
+            .max_by_key(|host| (is_usable(host), rank(member, host)))
             .unwrap_or(&self.options.host)
             .clone()
     }
 
+    /// Avoids a host that could not be reached, until membership has judged it.
+    pub(crate) fn suspect(&self, host: &HostId) {
+        let until = now() + SUSPECT_TIME;
+        self.suspects.borrow_mut().insert(host.clone(), until);
+    }
+
     /// Returns the member that was last known as the group's primary.
     pub(crate) fn primary(&self, group: &GroupName) -> Option<MemberName> {
         let watched = self.groups.borrow().get(group).cloned();
--- a/crates/burdockslip_proxy/src/lib.rs
+++ b/crates/burdockslip_proxy/src/lib.rs
@@ -7,11 +7,13 @@
 mod endpoint;
 mod exchange;
 mod holder;
+mod hooks;
 mod host;
 mod in_force;
 mod options;
 mod proxy;
 
+pub use hooks::{Admit, ConfigAge, Finished, Hooks};
 pub use in_force::{HostEntry, InForce};
 pub use options::Options;
 pub use proxy::Proxy;
--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -13,6 +13,7 @@
 use crate::conversation;
 use crate::endpoint::{self, CancelExchange};
 use crate::exchange::EXECUTE;
+use crate::hooks::Hooks;
 use crate::host::Host;
 use crate::in_force::InForce;
 use crate::options::Options;
@@ -36,6 +37,22 @@
     ///
     /// Returns `InvalidInput` if an address cannot be bound or a secret is too short.
     pub fn bind(options: Options, in_force: InForce) -> Result<Self> {
+        Self::bind_with(options, in_force, Hooks::default(), |_, router| router)
+    }
+
+    /// Starts a host whose other parts make decisions and serve exchanges of their own.
+    ///
+    /// `extend` gets the connections to other hosts and adds to what is served to them.
+    ///
+    /// # Errors
+    ///
+    /// As [`Proxy::bind`].
+    pub fn bind_with(
+        options: Options,
+        in_force: InForce,
+        hooks: Hooks,
+        extend: impl FnOnce(&PeerPool, Router) -> Router,
+    ) -> Result<Self> {
         let options = Rc::new(options);
         let secrets = TokenSecrets::new(&options.token_secret, options.older_secret.as_deref())?;
         let host = Rc::new_cyclic(|weak: &std::rc::Weak<Host>| {
@@ -45,10 +62,17 @@
                 host.in_force().hosts.get(peer).map(|entry| entry.address)
             };
             let peers = PeerPool::new(options.host.clone(), resolve);
-            Host::new(Rc::clone(&options), secrets, peers, Rc::new(in_force))
+            Host::new(
+                Rc::clone(&options),
+                secrets,
+                peers,
+                hooks,
+                Rc::new(in_force),
+            )
         });
         host.refresh();
-        let server = PeerServer::bind(options.peer_address, router(&host))?;
+        let router = extend(&host.peers, router(&host));
+        let server = PeerServer::bind(options.peer_address, router)?;
         let (listener, client_address) = endpoint::bind(&host)?;
         info!(host = %options.host, zone = %options.zone, clients = %client_address, "host started");
         Ok(Self {
