Guard markers, idle transactions and broken idle connections

Cause, found by reading: a request id on BEGIN or inside a transaction would have wrapped the unit in a transaction of its own and committed the client's early; a cancelled request of a repeatable class would have run again; a connection that the database had closed while idle was handed out, so that a write on it ended as "outcome unknown" though it never ran; a transaction without requests held its connection for ever; a client that did not read held its answer for ever.

Three new tests: a marker shares the fate of its transaction, transactions of twelve clients do not mix, large answers arrive whole. The marker test fails without the change (the write inside the transaction commits alone).

--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -45,6 +45,7 @@
     let Some(member) = choose_member(host, &route.group, access) else {
         bail!(ErrorKind::NoPrimary);
     };
+    let request = request_id(prepared.statement, access)?;
     let run = Run {
         organisation: state.organisation.clone(),
         class: name.clone(),
@@ -56,7 +57,7 @@
         zone: host.options.zone.clone(),
         max_age: class.max_age,
         remaining: class.deadline,
-        request: prepared.statement.comment.request,
+        request,
         frames: prepared.frames,
         injected: prepared.injected,
         names: prepared.names,
@@ -68,6 +69,21 @@
     })
 }
 
+/// Returns the identifier under which a write is recorded.
+///
+/// The record is written in the same transaction, so a statement that opens or
+/// ends a transaction cannot carry one; the first write inside it can.
+fn request_id(statement: Statement, access: Access) -> Result<Option<String>> {
+    if access == Access::Read {
+        return Ok(None);
+    }
+    if statement.has_control && statement.comment.request.is_some() {
+        return Err(error_stack::Report::new(ErrorKind::NotSupported)
+            .attach("a request id goes on the first write of a transaction"));
+    }
+    Ok(statement.comment.request)
+}
+
 /// Checks that the session's key still works.
 ///
 /// # Errors
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout, timeout_at};
+use burdockslip_runtime::{Instant, now, sleep, timeout, timeout_at};
 use burdockslip_types::{ErrorKind, GroupName, Mark, Result};
 use burdockslip_wire::{
     ClientStream, StatementNames, TransactionState, Unit, UnitKind, Verb, classify,
@@ -24,6 +24,9 @@
 
 /// Time within which the rest of a unit must follow its first byte.
 const UNIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time within which a client has to take a part of its answer; a client that
+/// reads more slowly would hold memory for as long as it likes.
+const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Pause before a request is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -77,7 +80,7 @@
         state,
         names: StatementNames::default(),
         transaction: Transaction::default(),
-        served_at: Instant::START,
+        served_at: now(),
     };
     if let Err(report) = session.serve().await {
         let kind = *report.current_context();
@@ -134,27 +137,45 @@
         loop {
             let epoch = signal.epoch();
             request::check_key(&self.host.in_force(), &self.state)?;
-            let is_leaving = self.is_leaving();
-            if is_leaving && (self.served_at + DRAIN_GRACE).is_past() {
-                bail!(ErrorKind::Draining);
+            let limit = self.waiting_limit();
+            if limit.is_past() {
+                self.give_up()?;
+                continue;
             }
             if self.client.has_unread() {
                 return Ok(());
             }
             let readable = std::pin::pin!(self.client.readable());
-            let woken = std::pin::pin!(async {
-                if is_leaving {
-                    sleep_until(self.served_at + DRAIN_GRACE).await;
-                } else {
-                    signal.changed(epoch).await;
-                }
-            });
-            if let Either::Left((result, _)) = select(readable, woken).await {
+            let changed = std::pin::pin!(timeout_at(limit, signal.changed(epoch)));
+            if let Either::Left((result, _)) = select(readable, changed).await {
                 return result;
             }
         }
     }
 
+    /// Returns until when the session waits for its client.
+    fn waiting_limit(&self) -> Instant {
+        let options = &self.host.options;
+        if self.is_leaving() {
+            self.served_at + DRAIN_GRACE
+        } else if self.transaction.conversation.is_some() {
+            self.served_at + options.transaction_timeout
+        } else {
+            self.served_at + options.idle_timeout
+        }
+    }
+
+    /// Rolls an abandoned transaction back, or ends an idle session.
+    fn give_up(&mut self) -> Result<()> {
+        if self.transaction.conversation.take().is_some() {
+            self.transaction.is_failed = true;
+            self.transaction.names.clear();
+            self.served_at = now();
+            return Ok(());
+        }
+        bail!(ErrorKind::Draining)
+    }
+
     async fn handle(&mut self, unit: Unit) -> Result<()> {
         let is_simple = matches!(unit.kind, UnitKind::Simple(_));
         let prepared = match self.prepare(&unit) {
@@ -298,7 +319,7 @@
     fn may_retry(&self, request: &Request, attempt: &Attempt) -> bool {
         let Attempt { failed, has_output } = attempt;
         let is_safe = !failed.is_sent || request.class.repeatable;
-        let is_transient = failed.is_sent
+        let is_transient = failed.kind == ErrorKind::OutcomeUnknown
             || matches!(
                 failed.kind,
                 ErrorKind::ConnectionLost | ErrorKind::NoPrimary | ErrorKind::NoFreshData
@@ -337,7 +358,7 @@
             match self.next_event(&mut conversation, request).await {
                 Ok(Event::Part(bytes)) => {
                     has_output = true;
-                    self.client.write(bytes).await?;
+                    self.write(bytes).await?;
                 }
                 Ok(Event::Done(done)) => break Ok(done),
                 Ok(Event::Failed(failed)) | Err(failed) => break Err(failed),
@@ -417,6 +438,13 @@
         Ok(conversation)
     }
 
+    /// Writes to the client, which has to keep reading.
+    async fn write(&mut self, bytes: Bytes) -> Result<()> {
+        timeout(WRITE_TIMEOUT, self.client.write(bytes))
+            .await
+            .map_err(|_| Report::new(ErrorKind::ConnectionLost))?
+    }
+
     /// Raises the session's floor and ends the answer.
     async fn complete(&mut self, group: &GroupName, done: Done) -> Result<()> {
         let mut buf = BytesMut::new();
@@ -433,7 +461,7 @@
             }
         }
         buf.extend_from_slice(&ready(self.transaction.state()));
-        self.client.write(buf.freeze()).await
+        self.write(buf.freeze()).await
     }
 
     fn raise_floor(&mut self, group: &GroupName, mark: Mark) -> bool {
@@ -464,6 +492,6 @@
     async fn finish(&mut self, answer: Bytes) -> Result<()> {
         let mut buf = BytesMut::from(answer.as_ref());
         buf.extend_from_slice(&ready(self.transaction.state()));
-        self.client.write(buf.freeze()).await
+        self.write(buf.freeze()).await
     }
 }
--- a/crates/burdockslip_proxy/src/holder/execute.rs
+++ b/crates/burdockslip_proxy/src/holder/execute.rs
@@ -132,19 +132,22 @@
     } else {
         run.names.as_slice()
     };
+    let has_own = marker.is_some() && !is_pinned;
     connection
-        .write(compose(holder, run, marker.as_deref(), names))
+        .write(compose(holder, run, marker.as_deref(), names, has_own))
         .await?;
     let mut is_duplicate = false;
-    if marker.is_some() {
+    if has_own {
         connection.read_outcome().await?;
+    }
+    if marker.is_some() {
         let outcome = connection.read_outcome().await?;
         is_duplicate = outcome
             .error
             .is_some_and(|(code, _)| code == UNIQUE_VIOLATION);
     }
     let (bytes, mut state) = read_answer(connection, run.injected).await?;
-    if marker.is_some() {
+    if has_own {
         state = connection.read_outcome().await?.state;
     }
     if !names.is_empty() {
@@ -175,14 +178,25 @@
 }
 
 /// Joins all messages of a unit, so that they cost one round trip.
-fn compose(holder: &Holder, run: &Run, marker: Option<&str>, names: &[String]) -> Bytes {
+///
+/// A marker outside of a transaction gets one of its own around the unit. If
+/// the marker exists, the unit fails with the transaction and does not run.
+fn compose(
+    holder: &Holder,
+    run: &Run,
+    marker: Option<&str>,
+    names: &[String],
+    has_own: bool,
+) -> Bytes {
     let mut buf = BytesMut::new();
-    if let Some(marker) = marker {
+    if has_own {
         buf.extend_from_slice(&query("BEGIN"));
+    }
+    if let Some(marker) = marker {
         buf.extend_from_slice(&query(marker));
     }
     buf.extend_from_slice(&run.frames);
-    if marker.is_some() {
+    if has_own {
         buf.extend_from_slice(&query("COMMIT"));
     }
     if !names.is_empty() {
@@ -194,8 +208,11 @@
 
 /// Builds the statement that fails if the request has run before.
 fn marker_statement(holder: &Holder, run: &Run, request: &str) -> String {
-    let id = format!("{}/{request}", run.organisation).replace('\'', "''");
-    holder.options.marker_statement.replace("{id}", &id)
+    let id = format!(
+        "'{}/{request}'",
+        run.organisation.as_str().replace('\'', "''")
+    );
+    holder.options.marker_statement.replace("{request}", &id)
 }
 
 /// Reads messages up to `ReadyForQuery`, without it and without injected completions.
--- a/crates/burdockslip_proxy/src/holder/pool.rs
+++ b/crates/burdockslip_proxy/src/holder/pool.rs
@@ -98,11 +98,12 @@
         }
     }
 
-    /// Takes a connection that nobody uses; one with unread bytes is closed.
+    /// Takes a connection that nobody uses; one that the database has closed or
+    /// that has bytes to read is dropped, because nobody asked for them.
     fn take_idle(&self) -> Option<UpstreamStream> {
         loop {
             let stream = self.shared.idle.borrow_mut().pop()?;
-            if !stream.has_unread() {
+            if !stream.is_readable() {
                 return Some(stream);
             }
             self.shared.release();
--- a/crates/burdockslip_proxy/src/options.rs
+++ b/crates/burdockslip_proxy/src/options.rs
@@ -28,7 +28,8 @@
     pub fence_statement: String,
     /// The statement that promotes a database in the term `{term}`.
     pub promote_statement: String,
-    /// The statement that records the request identifier `{id}` and fails if it is there.
+    /// The statement that records the request identifier `{request}`, a quoted
+    /// literal with the organisation in front, and fails if it is there.
     pub marker_statement: String,
     /// The longest message, in bytes.
     pub message_limit: usize,
@@ -38,6 +39,11 @@
     pub client_limit: usize,
     /// The time within which a client has to authenticate.
     pub startup_timeout: Duration,
+    /// The time after which an idle client is disconnected.
+    pub idle_timeout: Duration,
+    /// The time after which a transaction without a request is rolled back,
+    /// since it holds a connection that others wait for.
+    pub transaction_timeout: Duration,
     /// The time that a planned stop may take.
     pub drain_timeout: Duration,
     /// Whether requests go to the holder of a database or to a pool of this host.
@@ -63,11 +69,13 @@
             status_statement: "SHOW burdockslip.status".to_owned(),
             fence_statement: "SELECT burdockslip_fence({term})".to_owned(),
             promote_statement: "SELECT burdockslip_promote({term})".to_owned(),
-            marker_statement: "INSERT INTO burdockslip_marker (id) VALUES ('{id}')".to_owned(),
+            marker_statement: "INSERT INTO burdockslip_marker (id) VALUES ({request})".to_owned(),
             message_limit: 16 << 20,
             unit_limit: 900_000,
             client_limit: 10_000,
             startup_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_hours(1),
+            transaction_timeout: Duration::from_mins(1),
             drain_timeout: Duration::from_secs(30),
             is_direct: false,
         }
--- a/crates/burdockslip_proxy/tests/path.rs
+++ b/crates/burdockslip_proxy/tests/path.rs
@@ -110,3 +110,108 @@
     let read = value(&mut client, "SELECT value FROM records WHERE key = 'once'");
     assert_eq!(read.as_deref(), Some("1"));
 }
+
+/// Guards against a marker that commits the client's own transaction early.
+#[test]
+fn request_id_inside_a_transaction_shares_its_fate() {
+    let site = start();
+    let mut client = site.connect(0);
+    let error = client
+        .batch_execute("/*request_id='t1'*/ BEGIN")
+        .expect_err("request id on BEGIN is refused");
+    assert_eq!(sqlstate(&error), "0A000");
+    let write = "/*request_id='t1'*/ INSERT INTO records (key, value) VALUES ('t', '1')";
+    client.batch_execute("BEGIN").expect("begin");
+    client.batch_execute(write).expect("write");
+    client.batch_execute("ROLLBACK").expect("rollback");
+    client.batch_execute("BEGIN").expect("begin");
+    client.batch_execute(write).expect("write after rollback");
+    client.batch_execute("COMMIT").expect("commit");
+    let error = client.batch_execute(write).expect_err("write runs again");
+    assert_eq!(sqlstate(&error), "23505");
+}
+
+/// Guards against a statement of one client that runs in another's transaction.
+#[test]
+fn transactions_of_many_clients_do_not_mix() {
+    let site = start();
+    let clients: Vec<_> = (0..12).map(|n| site.connect(n % 3)).collect();
+    let threads: Vec<_> = clients
+        .into_iter()
+        .enumerate()
+        .map(|(n, mut client)| {
+            std::thread::spawn(move || {
+                for round in 0..5 {
+                    let mut transaction = client.transaction().expect("begin");
+                    for part in 0..3 {
+                        let key = format!("c{n}-{round}-{part}");
+                        transaction
+                            .execute("INSERT INTO records (key, value) VALUES ($1, 'x')", &[&key])
+                            .expect("insert");
+                    }
+                    if round % 2 == 0 {
+                        transaction.commit().expect("commit");
+                    } else {
+                        transaction.rollback().expect("rollback");
+                    }
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("client thread");
+    }
+    let entries = site.with(|site| {
+        let primary = site.group.primary();
+        site.group.entries(primary)
+    });
+    let commits: Vec<_> = entries
+        .iter()
+        .filter(|entry| !entry.changes.is_empty())
+        .collect();
+    assert_eq!(commits.len(), 12 * 3);
+    for entry in commits {
+        let owners: std::collections::BTreeSet<String> = entry
+            .changes
+            .iter()
+            .map(|change| {
+                change
+                    .id()
+                    .1
+                    .rsplit_once('-')
+                    .expect("key has parts")
+                    .0
+                    .to_owned()
+            })
+            .collect();
+        assert_eq!((entry.changes.len(), owners.len()), (3, 1), "{entry:?}");
+    }
+}
+
+/// Guards large answers against being cut, reordered or mixed.
+#[test]
+fn large_answers_arrive_whole() {
+    let site = start();
+    let threads: Vec<_> = (0..3)
+        .map(|n| {
+            let mut client = site.connect(n);
+            std::thread::spawn(move || {
+                let sql = format!("SELECT fill({}, 1000)", 1000 * (n + 1));
+                let rows = client.simple_query(&sql).expect("query runs");
+                let count = rows
+                    .iter()
+                    .filter(|row| match row {
+                        postgres::SimpleQueryMessage::Row(row) => {
+                            row.get(0).is_some_and(|text| text.len() == 1000)
+                        }
+                        _ => false,
+                    })
+                    .count();
+                assert_eq!(count, 1000 * (n + 1));
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("client thread");
+    }
+}
--- a/crates/burdockslip_wire/src/name.rs
+++ b/crates/burdockslip_wire/src/name.rs
@@ -12,7 +12,7 @@
 use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
 
 use crate::frame::Frame;
-use crate::statement::{Comment, Statement, Verb, classify, combine};
+use crate::statement::{Comment, Statement, Verb, classify, combine, has_control};
 
 /// Bounds the statements that one session may keep, because they live in the host's memory.
 const MAX_STATEMENTS: usize = 1_000;
@@ -145,6 +145,7 @@
                     combine(&self.verbs)
                 },
                 count: self.verbs.len(),
+                has_control: has_control(&self.verbs),
                 comment: self.comment,
             },
         }
--- a/crates/burdockslip_wire/src/statement.rs
+++ b/crates/burdockslip_wire/src/statement.rs
@@ -54,6 +54,8 @@
     pub verb: Verb,
     /// How many statements the text holds.
     pub count: usize,
+    /// Whether one of them opens or ends a transaction.
+    pub has_control: bool,
     /// The tags of its comments.
     pub comment: Comment,
 }
@@ -76,6 +78,7 @@
     Statement {
         verb: combine(&verbs),
         count,
+        has_control: has_control(&verbs),
         comment,
     }
 }
@@ -104,6 +107,12 @@
     }
 }
 
+/// Returns whether one of the statements opens or ends a transaction.
+pub(crate) fn has_control(verbs: &[Verb]) -> bool {
+    let is_control = |verb: &Verb| matches!(verb, Verb::Begin | Verb::Commit | Verb::Rollback);
+    verbs.iter().any(is_control)
+}
+
 fn verb_of(text: &str) -> Verb {
     let mut words = text
         .split(|c: char| c.is_whitespace() || c == '(')
--- a/crates/burdockslip_wire/src/upstream.rs
+++ b/crates/burdockslip_wire/src/upstream.rs
@@ -5,6 +5,7 @@
 use burdockslip_types::{ErrorKind, Result};
 use bytes::{Bytes, BytesMut};
 use error_stack::{Report, ResultExt, bail};
+use futures::FutureExt;
 use pgwire::messages::PgWireFrontendMessage as Frontend;
 use pgwire::messages::data::DataRow;
 use pgwire::messages::extendedquery::Close;
@@ -145,6 +146,12 @@
         self.connection.has_unread()
     }
 
+    /// Returns whether bytes or the end of the stream wait to be read, which
+    /// makes an idle connection unfit for use.
+    pub fn is_readable(&self) -> bool {
+        self.has_unread() || self.connection.readable().now_or_never().is_some()
+    }
+
     /// Runs a simple query and gathers its rows.
     ///
     /// # Errors
