Add the operators' program burdockslipctl

Cause: operators control the system by editing the catalogue and by issuing and withdrawing keys, also when others edit at the same time and when the store loses answers.

An apply compares its base with the store's text and then swaps by revision. A base given only by revision was ruled out, because a three-way difference needs the base's text. The ids of the last 16 applies travel in a comment line of the document, so that an apply is recognised after a lost answer and also when another one followed; a separate store key was ruled out, since every apply would leave one behind.

The status of a host is now a typed message, HostStatus in burdockslip_telemetry, shared by hosts and program.

Seen to fail with the mechanism disabled, then to pass with it: comparison of the swap (one_of_two_racing_operators_wins, outcomes_tell_the_truth), apply id (lost_messages_are_resolved, outcomes_tell_the_truth), check of the base (edit_of_an_old_copy_is_refused), wait for hosts (wait_ends_when_all_hosts_have_it), recognition of an own key record (key_works_until_withdrawn).

--- a/crates/burdockslip_telemetry/src/admin.rs
+++ b/crates/burdockslip_telemetry/src/admin.rs
@@ -11,8 +11,8 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRent};
 use monoio::net::{TcpListener, TcpStream};
 
-use crate::Metrics;
 use crate::http::{self, EXCHANGE_DEADLINE, Response};
+use crate::{HostStatus, Metrics};
 
 /// Bounds the admin connections that are open at once.
 pub const MAX_CONNECTIONS: usize = 32;
@@ -25,10 +25,8 @@
 pub struct Admin {
     /// The metrics of the host.
     pub metrics: Metrics,
-    /// Returns whether the host should get new clients.
-    pub is_ready: Rc<dyn Fn() -> bool>,
-    /// Returns the status of the host as JSON; it has at least `host`, `zone` and `revision`.
-    pub status: Rc<dyn Fn() -> String>,
+    /// Returns the status of the host, which also says whether it is ready.
+    pub status: Rc<dyn Fn() -> HostStatus>,
 }
 
 impl Admin {
@@ -44,12 +42,13 @@
                 Err(_) => Response::text(500, "metrics cannot be rendered\n"),
             },
             "/health" => Response::text(200, "ok\n"),
-            "/ready" if (self.is_ready)() => Response::text(200, "ready\n"),
+            "/ready" if (self.status)().is_ready => Response::text(200, "ready\n"),
             "/ready" => Response::text(503, "not ready\n"),
             "/status" => Response {
                 status: 200,
                 media: "application/json",
-                body: (self.status)(),
+                body: serde_json::to_string(&(self.status)())
+                    .expect("a status is texts and numbers"),
             },
             _ => Response::text(404, "not found\n"),
         }
--- a/crates/burdockslip_telemetry/src/http.rs
+++ b/crates/burdockslip_telemetry/src/http.rs
@@ -155,7 +155,7 @@
     let mut fields = response.headers.iter();
     let length = fields
         .find(|field| field.name.eq_ignore_ascii_case("content-length"))
-        .and_then(|field| std::str::from_utf8(field.value).ok()?.parse().ok())
+        .and_then(|field| std::str::from_utf8(field.value).ok()?.parse::<usize>().ok())
         .ok_or_else(broken)?;
     let body = bytes.get(start..).unwrap_or_default();
     ensure!(
--- a/crates/burdockslip_telemetry/src/lib.rs
+++ b/crates/burdockslip_telemetry/src/lib.rs
@@ -8,8 +8,10 @@
 mod logs;
 mod metrics;
 mod redact;
+mod status;
 
 pub use admin::{Admin, AdminServer, MAX_CONNECTIONS, answer_connection, serve_admin};
 pub use http::{EXCHANGE_DEADLINE, MAX_REQUEST, MAX_RESPONSE, Response, fetch};
 pub use logs::{install_logs, subscriber};
 pub use metrics::{Metrics, RequestMetrics, Source};
+pub use status::HostStatus;
--- a/crates/burdockslip_telemetry/tests/admin.rs
+++ b/crates/burdockslip_telemetry/tests/admin.rs
@@ -6,9 +6,10 @@
 
 use burdockslip_runtime::{block_on, now, paused};
 use burdockslip_telemetry::{
-    Admin, EXCHANGE_DEADLINE, MAX_REQUEST, Metrics, answer_connection, fetch, serve_admin,
+    Admin, EXCHANGE_DEADLINE, HostStatus, MAX_REQUEST, Metrics, answer_connection, fetch,
+    serve_admin,
 };
-use burdockslip_types::ErrorKind;
+use burdockslip_types::{ErrorKind, Revision};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use support::Peer;
@@ -16,11 +17,24 @@
 
 mod support;
 
+const STATUS: &str = "{\"host\":\"h1\",\"zone\":\"a\",\"is_ready\":true,\"revision\":7,\
+    \"age_millis\":20,\"connections\":3}";
+
+fn status(is_ready: bool) -> HostStatus {
+    HostStatus {
+        host: "h1".into(),
+        zone: "a".into(),
+        is_ready,
+        revision: Revision(7),
+        age_millis: 20,
+        connections: 3,
+    }
+}
+
 fn admin(is_ready: bool) -> Admin {
     Admin {
         metrics: Metrics::new().expect("the exporter starts"),
-        is_ready: Rc::new(move || is_ready),
-        status: Rc::new(|| "{\"revision\":7}".to_owned()),
+        status: Rc::new(move || status(is_ready)),
     }
 }
 
@@ -39,7 +53,7 @@
 #[parameterized(
     health = { "GET /health HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\n", "ok\n" },
     ready = { "GET /ready HTTP/1.1\r\nhost: x\r\n\r\n", "HTTP/1.1 200 OK\r\n", "ready\n" },
-    status = { "GET /status?x=1 HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\n", "{\"revision\":7}" },
+    status = { "GET /status?x=1 HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\n", STATUS },
     metrics = { "GET /metrics HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-type: text/plain; version=0.0.4", "" },
     unknown = { "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 404 Not Found\r\n", "not found\n" },
     method = { "POST /health HTTP/1.1\r\n\r\n", "HTTP/1.1 405 Method Not Allowed\r\n", "only GET is supported\n" },
@@ -104,7 +118,7 @@
         let address = server.address();
         for _ in 0..3 {
             let body = fetch(address, "/status", span).await.expect("it answers");
-            assert_eq!(body, "{\"revision\":7}");
+            assert_eq!(body, STATUS);
         }
         let error = fetch(address, "/nothing", span).await.expect_err("404");
         assert_eq!(*error.current_context(), ErrorKind::Protocol);
@@ -123,7 +137,7 @@
     let flag = Rc::new(Cell::new(false));
     let shown = Rc::clone(&flag);
     let admin = Admin {
-        is_ready: Rc::new(move || shown.get()),
+        status: Rc::new(move || status(shown.get())),
         ..admin(true)
     };
     assert_eq!(admin.answer("/ready").status, 503);
--- /dev/null
+++ b/crates/burdockslipctl/src/commands/mod.rs
@@ -0,0 +1,9 @@
+//! Holds one module for each command.
+
+pub mod apply;
+pub mod check;
+pub mod completion;
+pub mod diff;
+pub mod key;
+pub mod show;
+pub mod status;
--- /dev/null
+++ b/crates/burdockslipctl/src/run.rs
@@ -0,0 +1,180 @@
+//! Runs a command line: reads files, connects to the store and calls the command.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_settings::Settings;
+use burdockslip_store::Store;
+use burdockslip_telemetry::fetch;
+use burdockslip_types::Result;
+use futures::FutureExt;
+
+use crate::args::{
+    Apply, Burdockslipctl, BurdockslipctlCmd, CompletionCmd, Diff, Key, KeyCmd, Show, Status,
+};
+use crate::commands::apply::{Edit, Wait};
+use crate::commands::{apply, check, completion, diff, key, show, status};
+use crate::{DEFAULT_ADMIN_PORT, ExitStatus, Fetch, Outcome};
+
+/// Gives a call of the store this long unless the settings say otherwise.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Gives a host this long to answer.
+const HOST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Waits this long for hosts unless told otherwise; the target is 10 s.
+const DEFAULT_WAIT: u64 = 30;
+
+/// Runs a command line and returns what to print.
+pub async fn run(args: Burdockslipctl) -> Outcome {
+    let Burdockslipctl {
+        store,
+        settings,
+        subcommand,
+        ..
+    } = args;
+    let result = match subcommand {
+        BurdockslipctlCmd::Check(args) => match read(&args.file) {
+            Ok(text) => Ok(check::check(&text, &name(&args.file))),
+            Err(outcome) => Ok(outcome),
+        },
+        BurdockslipctlCmd::Completion(args) => match args.subcommand {
+            CompletionCmd::Bash(_) => Ok(completion::bash()),
+        },
+        command => match connect(&store, settings.as_deref()) {
+            Ok(store) => with_store(&store, command).await,
+            Err(outcome) => Ok(outcome),
+        },
+    };
+    result.unwrap_or_else(|report| Outcome::of_error(&report))
+}
+
+/// Runs the commands that need a store.
+async fn with_store(store: &Store, command: BurdockslipctlCmd) -> Result<Outcome> {
+    match command {
+        BurdockslipctlCmd::Show(args) => run_show(store, &args).await,
+        BurdockslipctlCmd::Diff(args) => run_diff(store, &args).await,
+        BurdockslipctlCmd::Apply(args) => run_apply(store, &args).await,
+        BurdockslipctlCmd::Key(args) => run_key(store, &args).await,
+        BurdockslipctlCmd::Status(args) => run_status(store, &args).await,
+        BurdockslipctlCmd::Check(_) | BurdockslipctlCmd::Completion(_) => Ok(Outcome::message(
+            ExitStatus::Failure,
+            "the command needs no store",
+        )),
+    }
+}
+
+/// Connects to the addresses of the command line, or to those of the settings.
+fn connect(addresses: &[SocketAddr], path: Option<&Path>) -> std::result::Result<Store, Outcome> {
+    if !addresses.is_empty() {
+        return Ok(Store::connect(addresses, STORE_TIMEOUT));
+    }
+    let Some(path) = path else {
+        let text = "name the store with --store ADDRESS or --settings FILE";
+        return Err(Outcome::message(ExitStatus::Usage, text));
+    };
+    // The files that the settings name belong to the host and are not needed here.
+    let settings = Settings::parse(&read(path)?)
+        .map_err(|faults| Outcome::new(ExitStatus::Invalid, &faults.named(name(path))))?;
+    Ok(Store::connect(
+        &settings.store.endpoints,
+        settings.store.timeout,
+    ))
+}
+
+async fn run_show(store: &Store, args: &Show) -> Result<Outcome> {
+    let (mut outcome, shown) = show::show(store).await?;
+    if let (Some(path), Some(text)) = (&args.output, shown) {
+        let base = base_path(path);
+        let written = std::fs::write(path, &text).and_then(|()| std::fs::write(&base, &text));
+        if let Err(error) = written {
+            return Ok(unwritable(path, &error));
+        }
+        outcome.text = format!("wrote {} and {}", path.display(), base.display());
+    }
+    Ok(outcome)
+}
+
+async fn run_diff(store: &Store, args: &Diff) -> Result<Outcome> {
+    match read(&args.file) {
+        Ok(text) => diff::diff(store, &text, &name(&args.file)).await,
+        Err(outcome) => Ok(outcome),
+    }
+}
+
+async fn run_apply(store: &Store, args: &Apply) -> Result<Outcome> {
+    let kept = base_path(&args.file);
+    let base = match &args.base {
+        Some(path) => read(path).map(Some),
+        None if kept.exists() => read(&kept).map(Some),
+        None => Ok(None),
+    };
+    let (text, base) = match (read(&args.file), base) {
+        (Ok(text), Ok(base)) => (text, base),
+        (Err(outcome), _) | (_, Err(outcome)) => return Ok(outcome),
+    };
+    let edit = Edit {
+        text: &text,
+        base: base.as_deref(),
+        source: &name(&args.file),
+    };
+    let wait = args.wait.then(|| Wait {
+        fetch: network(),
+        port: args.admin_port.unwrap_or(DEFAULT_ADMIN_PORT),
+        span: Duration::from_secs(args.wait_seconds.unwrap_or(DEFAULT_WAIT)),
+    });
+    let outcome = apply::apply(store, edit, wait.as_ref()).await?;
+    // The next edit of the same file starts from what was applied now.
+    if matches!(outcome.status, ExitStatus::Success | ExitStatus::Incomplete)
+        && let Err(error) = std::fs::write(&kept, &text)
+    {
+        let mut outcome = outcome;
+        let warning = unwritable(&kept, &error).text;
+        outcome.text = format!("{}\n{warning}", outcome.text);
+        return Ok(outcome);
+    }
+    Ok(outcome)
+}
+
+async fn run_key(store: &Store, args: &Key) -> Result<Outcome> {
+    match &args.subcommand {
+        KeyCmd::Issue(args) => key::issue(store, &args.organisation).await,
+        KeyCmd::List(args) => key::list(store, &args.organisation).await,
+        KeyCmd::Withdraw(args) => key::withdraw(store, &args.organisation, &args.id).await,
+    }
+}
+
+async fn run_status(store: &Store, args: &Status) -> Result<Outcome> {
+    let port = args.admin_port.unwrap_or(DEFAULT_ADMIN_PORT);
+    status::status(store, &network(), port).await
+}
+
+/// Asks hosts over the network.
+fn network() -> Fetch {
+    Rc::new(|address| async move { fetch(address, "/status", HOST_TIMEOUT).await }.boxed_local())
+}
+
+fn base_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".base");
+    PathBuf::from(name)
+}
+
+fn name(path: &Path) -> String {
+    path.display().to_string()
+}
+
+fn read(path: &Path) -> std::result::Result<String, Outcome> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let text = format!("cannot read {}: {error}", path.display());
+        Outcome::message(ExitStatus::Failure, text)
+    })
+}
+
+fn unwritable(path: &Path, error: &io::Error) -> Outcome {
+    let text = format!("cannot write {}: {error}", path.display());
+    Outcome::message(ExitStatus::Failure, text)
+}
--- /dev/null
+++ b/crates/burdockslipctl/tests/commands/main.rs
@@ -0,0 +1,6 @@
+//! Guards the commands over a store in memory.
+
+mod apply;
+mod hosts;
+mod keys;
+mod support;
