--- a/crates/burdockslipctl/src/commands/apply.rs
+++ b/crates/burdockslipctl/src/commands/apply.rs
@@ -58,6 +58,9 @@
     done: Vec<HostView>,
     behind: Vec<HostView>,
     unreachable: Vec<HostView>,
+    /// Why the host list could not be read.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
 }
 
 /// Reports an apply that changed nothing, because the store holds another
@@ -96,7 +99,7 @@
     if let Some(document) = &current.document {
         if document.text == edit.text {
             let applied = Applied::new(current.revision, true, false);
-            return finish(store, applied, wait).await;
+            return Ok(finish(store, applied, wait).await);
         }
         let theirs = match document.catalogue() {
             Ok(catalogue) => catalogue,
@@ -108,7 +111,7 @@
         }
     }
     match swap(store, &current, edit.text).await? {
-        Swap::Applied(applied) => finish(store, applied, wait).await,
+        Swap::Applied(applied) => Ok(finish(store, applied, wait).await),
         Swap::Lost(latest) => Ok(lost(&latest, base.as_ref(), &ours)),
     }
 }
@@ -148,7 +151,7 @@
                 return Ok(resolve(latest, &id));
             }
             Err(report) if retry::is_unanswered(&report) => retry::pause(attempt).await,
-            Err(report) => return Err(report),
+            Err(report) => return Err(unknown(&id)(report)),
         }
     }
     bail!(unknown(&id)(Report::new(ErrorKind::StoreUnavailable)));
@@ -205,26 +208,34 @@
     Outcome::new(ExitStatus::Conflict, &difference)
 }
 
-async fn finish(store: &Store, mut applied: Applied, wait: Option<&Wait>) -> Result<Outcome> {
+async fn finish(store: &Store, mut applied: Applied, wait: Option<&Wait>) -> Outcome {
     let mut status = ExitStatus::Success;
     if let Some(wait) = wait {
-        let hosts = wait_for(store, applied.revision, wait).await?;
+        let hosts = wait_for(store, applied.revision, wait).await;
         if !hosts.is_complete() {
             status = ExitStatus::Incomplete;
         }
         applied.hosts = Some(hosts);
     }
-    Ok(Outcome::new(status, &applied))
+    Outcome::new(status, &applied)
 }
 
 /// Asks all hosts until the revision is in force on each or the time is over.
-async fn wait_for(store: &Store, revision: Revision, wait: &Wait) -> Result<Progress> {
+///
+/// The change has taken effect by now, so a store that does not answer is
+/// part of the report and no error.
+async fn wait_for(store: &Store, revision: Revision, wait: &Wait) -> Progress {
     let deadline = now() + wait.span;
     loop {
-        let views = poll(store, &wait.fetch, wait.port).await?;
-        let hosts = Progress::sort(views, revision);
-        if hosts.is_complete() || deadline.is_past() {
-            return Ok(hosts);
+        let progress = match poll(store, &wait.fetch, wait.port).await {
+            Ok(views) => Progress::sort(views, revision),
+            Err(report) => Progress {
+                error: Some(report.to_string()),
+                ..Progress::default()
+            },
+        };
+        if progress.is_complete() || deadline.is_past() {
+            return progress;
         }
         sleep(POLL_PAUSE.min(deadline.remaining())).await;
     }
@@ -255,7 +266,7 @@
     }
 
     fn is_complete(&self) -> bool {
-        self.behind.is_empty() && self.unreachable.is_empty()
+        self.error.is_none() && self.behind.is_empty() && self.unreachable.is_empty()
     }
 }
 
@@ -278,6 +289,9 @@
 
 impl fmt::Display for Progress {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(error) = &self.error {
+            return write!(f, "the host list cannot be read: {error}");
+        }
         write!(f, "in force on {} hosts", self.done.len())?;
         for view in &self.behind {
             write!(f, "\nnot yet in force: {view}")?;
--- a/crates/burdockslipctl/src/commands/key.rs
+++ b/crates/burdockslipctl/src/commands/key.rs
@@ -167,7 +167,7 @@
                 return Ok(own.map(|entry| entry.revision));
             }
             Err(report) if retry::is_unanswered(&report) => retry::pause(attempt).await,
-            Err(report) => return Err(report),
+            Err(report) => return Err(unknown(report)),
         }
     }
     Err(unknown(Report::new(ErrorKind::StoreUnavailable)))
--- a/crates/burdockslipctl/src/main.rs
+++ b/crates/burdockslipctl/src/main.rs
@@ -1,5 +1,6 @@
 //! Runs the operators' program.
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use burdockslipctl::args::Burdockslipctl;
@@ -9,12 +10,16 @@
     let args = Burdockslipctl::from_env_or_exit();
     let is_json = args.json;
     let outcome = burdockslip_runtime::block_on(run(args));
-    if is_json {
-        println!("{:#}", outcome.json);
-    } else if outcome.status.is_report() {
-        println!("{}", outcome.text);
+    let text = if is_json {
+        format!("{:#}", outcome.json)
     } else {
-        eprintln!("{}", outcome.text);
-    }
+        outcome.text
+    };
+    // A closed pipe, as with `head`, is no failure of the command.
+    let _ = if is_json || outcome.status.is_report() {
+        writeln!(std::io::stdout(), "{text}")
+    } else {
+        writeln!(std::io::stderr(), "{text}")
+    };
     ExitCode::from(outcome.status.code())
 }
--- a/crates/burdockslipctl/tests/commands/hosts.rs
+++ b/crates/burdockslipctl/tests/commands/hosts.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use crate::support::{EXAMPLE, Network, edit, seed};
-use burdockslip_runtime::{now, paused, sleep};
-use burdockslip_store::MemoryStore;
+use burdockslip_runtime::{now, paused, sleep, spawn};
+use burdockslip_store::{Faults, MemoryStore};
 use burdockslip_telemetry::HostStatus;
 use burdockslip_types::{ErrorKind, Revision};
 use burdockslipctl::commands::apply::{Wait, apply};
@@ -112,6 +112,35 @@
     });
 }
 
+/// Guards against an apply that is reported as failed because the store went
+/// away while the program waited for hosts.
+#[test]
+fn outage_during_the_wait_is_no_failure() {
+    paused::run(1, async {
+        let network = Network::new(&[]);
+        let store = network.client();
+        let wait = wait(&[("10.0.0.1:7401", Some(60))]);
+        host(&network.store, "h1", "null", "live");
+        let outage = network.store.clone();
+        let task = spawn(async move {
+            sleep(Duration::from_secs(2)).await;
+            let is_down = true;
+            outage.set_faults(Faults {
+                is_down,
+                ..Faults::default()
+            });
+        });
+        let outcome = apply(&store, edit(EXAMPLE, None), Some(&wait)).await;
+        drop(task);
+        let outcome = outcome.expect("the apply took effect");
+        assert_eq!(outcome.status, ExitStatus::Incomplete);
+        assert_eq!(
+            outcome.text,
+            "applied, revision 2\nthe host list cannot be read: store unavailable"
+        );
+    });
+}
+
 /// Guards against a status that hides hosts without an answer.
 #[test]
 fn status_lists_all_hosts() {
