Pass long answers on once they are proved, and recheck after the queue

Cause, found by reading: a holder kept the whole answer of a unit in memory whatever its size; a replica chosen before the queue could be too old when the read was sent; a duplicate request id was reported before the first run was confirmed, so that a failover could lose it after the caller had been told that it ran.

Passing on unproved rows was ruled out, because a session could then have seen data that a promotion discards.

--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -45,6 +45,7 @@
     let Some(member) = choose_member(host, &route.group, access) else {
         bail!(ErrorKind::NoPrimary);
     };
+    let may_stream = access == Access::Read && !prepared.statement.has_control;
     let request = request_id(prepared.statement, access)?;
     let run = Run {
         organisation: state.organisation.clone(),
@@ -58,6 +59,7 @@
         max_age: class.max_age,
         remaining: class.deadline,
         request,
+        may_stream,
         frames: prepared.frames,
         injected: prepared.injected,
         names: prepared.names,
--- a/crates/burdockslip_proxy/src/exchange.rs
+++ b/crates/burdockslip_proxy/src/exchange.rs
@@ -46,6 +46,8 @@
         pub(crate) remaining: Duration,
         /// The request identifier that is recorded with the write.
         pub(crate) request: Option<String>,
+        /// Whether the answer may be passed on before the unit has ended.
+        pub(crate) may_stream: bool,
         /// The messages for the database.
         pub(crate) frames: Bytes,
         /// How many leading `ParseComplete` messages the client did not ask for.
--- a/crates/burdockslip_proxy/src/holder/mod.rs
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -1,16 +1,18 @@
 //! Owns the connections and the queue of one database.
 
+mod converse;
 mod execute;
 mod gate;
 mod member;
 mod pool;
+mod release;
 mod route;
 mod status;
 
 use std::rc::Rc;
 
 use burdockslip_catalogue::{GroupEntry, MemberEntry};
-use burdockslip_group::Group;
+use burdockslip_group::{Group, Member};
 use burdockslip_types::MemberName;
 use futures::channel::mpsc;
 use futures::{SinkExt, StreamExt};
@@ -26,6 +28,7 @@
 pub(crate) struct Holder {
     member: MemberName,
     group: Group,
+    control: Member,
     gate: Gate,
     pool: Pool,
     options: Rc<Options>,
@@ -45,6 +48,7 @@
         Rc::new(Self {
             member: member.clone(),
             group: watch,
+            control: member::member(member, group, database, options),
             gate: Gate::new(slots.min(connections).max(1)),
             pool: Pool::open(group, database, connections, options),
             options: Rc::clone(options),
--- a/crates/burdockslip_proxy/src/holder/route.rs
+++ b/crates/burdockslip_proxy/src/holder/route.rs
@@ -52,6 +52,17 @@
     redirect_unless(holder, &choice.member).map(|()| Check::Read(choice))
 }
 
+/// Returns whether a check made before the unit waited in the queue no longer holds.
+pub(super) fn is_outdated(holder: &Holder, check: &Check) -> bool {
+    match check {
+        Check::Confirm => holder
+            .group
+            .primary()
+            .is_ok_and(|primary| primary.member != holder.member),
+        Check::Read(choice) => choice.fresh_until.is_past(),
+    }
+}
+
 /// Checks that a transaction still runs at the primary.
 ///
 /// # Errors
