--- /dev/null
+++ b/crates/burdockslip_limits/examples/rates.rs
@@ -0,0 +1,95 @@
+//! Prints the figures of every policy under every fault, worst of 20 seeds.
+
+use burdockslip_limits::measure::{
+    Deployment, Fault, RateFigures, RatePolicy, Spread, measure_rates,
+};
+
+const POLICIES: [RatePolicy; 4] = [
+    RatePolicy::Batches,
+    RatePolicy::PerRequest,
+    RatePolicy::StaticSplit,
+    RatePolicy::StoreBatches,
+];
+
+const FAULTS: [Fault; 10] = [
+    Fault::None,
+    Fault::ZoneFromStore,
+    Fault::ZoneFromZones,
+    Fault::HostFromAll,
+    Fault::AuthorityKilled,
+    Fault::AuthorityPaused,
+    Fault::HolderPaused,
+    Fault::StoreDown,
+    Fault::StoreAnswersLost,
+    Fault::Replaced,
+];
+
+/// The number of seeds may be given as the first argument.
+fn main() {
+    let seeds = std::env::args()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(20);
+    println!(
+        "deployment policy case load% rejected% over_tokens usable% p50_us p99_us messages/request store/s"
+    );
+    for (name, deployment) in [
+        ("tallinna", Deployment::tallinna()),
+        ("quollridge", Deployment::quollridge()),
+    ] {
+        for policy in POLICIES {
+            for spread in [
+                Spread::Even,
+                Spread::OneZone,
+                Spread::OneHost,
+                Spread::Skewed,
+            ] {
+                let deployment = Deployment {
+                    spread,
+                    ..deployment.clone()
+                };
+                print_worst(
+                    &format!("{name} {policy:?} {spread:?}"),
+                    seeds,
+                    policy,
+                    Fault::None,
+                    &deployment,
+                );
+            }
+            for fault in FAULTS {
+                for load in [90, 200] {
+                    let deployment = Deployment {
+                        load,
+                        ..deployment.clone()
+                    };
+                    print_worst(
+                        &format!("{name} {policy:?} {fault:?}"),
+                        seeds,
+                        policy,
+                        fault,
+                        &deployment,
+                    );
+                }
+            }
+        }
+    }
+}
+
+fn print_worst(label: &str, seeds: u64, policy: RatePolicy, fault: Fault, deployment: &Deployment) {
+    let runs: Vec<_> = (0..seeds)
+        .map(|seed| measure_rates(seed, policy, fault, deployment))
+        .collect();
+    let worst = |value: fn(&RateFigures) -> f64| runs.iter().map(value).fold(0.0, f64::max);
+    let usable = runs.iter().map(|run| run.usable).fold(f64::MAX, f64::min);
+    println!(
+        "{label} {} {:.3} {:.2} {:.1} {:.0} {:.0} {:.2} {:.1}",
+        deployment.load,
+        worst(RateFigures::rejected_share) * 100.0,
+        worst(RateFigures::over_tokens),
+        usable * 100.0,
+        worst(|run| run.p50.as_secs_f64() * 1e6),
+        worst(|run| run.p99.as_secs_f64() * 1e6),
+        worst(|run| run.messages),
+        worst(|run| run.store_calls),
+    );
+}
--- /dev/null
+++ b/crates/burdockslip_limits/src/authority.rs
@@ -0,0 +1,188 @@
+//! Grants tokens and loans for the shards that this host has authority over.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, Task, now, random_u64, sleep, spawn};
+use burdockslip_store::Store;
+use burdockslip_types::{HostId, Link, Organisation, Zone};
+
+use crate::account::Account;
+use crate::ownership::Ownership;
+use crate::{Directory, Envelope, Rate, Rates, Reply, Request, Settings, Shard, Tokens};
+use crate::{lease, loans};
+
+/// Holds the authority of one host over the shards for which it is ranked first in its zone.
+///
+/// Dropping it stops its tasks without giving up the lease, like a crash;
+/// [`Authority::drain`] hands over.
+#[derive(Debug)]
+pub struct Authority {
+    shared: Rc<Shared>,
+    tasks: Vec<Task<()>>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) directory: Directory,
+    pub(crate) settings: Settings,
+    pub(crate) store: Store,
+    pub(crate) link: Link<Rates>,
+    pub(crate) state: RefCell<Ownership>,
+    /// When the host may claim: it does not remember the pledges of an earlier run.
+    pub(crate) ready: Instant,
+    /// Distinguishes this run of the host in the store's records.
+    pub(crate) run: u64,
+    pub(crate) is_draining: Cell<bool>,
+}
+
+impl Authority {
+    /// Starts the tasks that claim shards, renew the lease and take loans.
+    pub fn spawn(
+        directory: Directory,
+        settings: Settings,
+        store: Store,
+        link: Link<Rates>,
+    ) -> Self {
+        let shared = Rc::new(Shared {
+            ready: now() + settings.pledge_life,
+            directory,
+            settings,
+            store,
+            link,
+            state: RefCell::default(),
+            run: random_u64(),
+            is_draining: Cell::new(false),
+        });
+        let tasks = vec![
+            spawn(lease::keep_store(Rc::clone(&shared))),
+            spawn(lease::keep_pledges(Rc::clone(&shared))),
+            spawn(loans::keep_loans(Rc::clone(&shared))),
+        ];
+        Self { shared, tasks }
+    }
+
+    /// Answers a request of another host or of this host's own limiter.
+    ///
+    /// The answer is decided at one reading of the clock. A reply that is
+    /// delayed afterwards is harmless, because its life counts from before
+    /// the request was sent.
+    pub fn handle(&self, envelope: Envelope) -> Reply {
+        let from = envelope.from;
+        match envelope.request {
+            Request::Grant {
+                organisation,
+                wanted,
+                demand,
+            } => self.shared.grant(from, &organisation, wanted, demand),
+            Request::Borrow {
+                organisation,
+                zone,
+                rate,
+                life,
+            } => self.shared.lend(&organisation, zone, rate, life),
+            Request::Pledge { shard, life } => {
+                let life = life.min(self.shared.settings.pledge_life);
+                let mut state = self.shared.state.borrow_mut();
+                Reply::Pledged(state.pledge(shard, now() + life, now()))
+            }
+        }
+    }
+
+    /// Lists the shards that this host has authority over now.
+    pub fn shards(&self) -> Vec<Shard> {
+        let state = self.shared.state.borrow();
+        let is_valid = |shard: &Shard| state.end(*shard).is_some_and(|end| !end.is_past());
+        state.owned.keys().copied().filter(is_valid).collect()
+    }
+
+    /// Hands over all shards: stops granting, waits for loans to end and gives up the lease.
+    ///
+    /// The next owner can claim at once instead of waiting for the lease to
+    /// expire. Loans must end first, because the next owner does not know them.
+    pub async fn drain(self) {
+        self.shared.is_draining.set(true);
+        let end = {
+            let mut state = self.shared.state.borrow_mut();
+            let owned = state.owned.values_mut();
+            owned
+                .map(|owned| {
+                    owned.is_leaving = true;
+                    loans::last_end(owned)
+                })
+                .max()
+                .flatten()
+        };
+        if let Some(end) = end {
+            sleep(end.remaining()).await;
+        }
+        drop(self.tasks);
+        lease::give_up(&self.shared).await;
+    }
+}
+
+impl Shared {
+    fn grant(
+        &self,
+        from: HostId,
+        organisation: &Organisation,
+        wanted: Tokens,
+        demand: Rate,
+    ) -> Reply {
+        let life = self.token_life(organisation);
+        let granted = self.with_account(organisation, |account, _| {
+            account.grant(from, wanted, demand, now())
+        });
+        match granted {
+            Some((count, retry)) => Reply::Granted { count, life, retry },
+            None => Reply::NotOwner,
+        }
+    }
+
+    /// Lends to another zone, at most until this authority ends.
+    ///
+    /// The next owner starts with the full rate and does not know the loans
+    /// of this one, so no loan may outlive the authority.
+    fn lend(&self, organisation: &Organisation, zone: Zone, rate: Rate, life: Duration) -> Reply {
+        let longest = life.min(self.settings.loan_life);
+        let lent = self.with_account(organisation, |account, end| {
+            let life = longest.min(end.remaining());
+            (account.lend(zone, rate, life, now()), life)
+        });
+        match lent {
+            Some((rate, life)) => Reply::Lent { rate, life },
+            None => Reply::NotOwner,
+        }
+    }
+
+    /// Runs `f` on an account if this host has authority over it now, with the end of the authority.
+    pub(crate) fn with_account<T>(
+        &self,
+        organisation: &Organisation,
+        f: impl FnOnce(&mut Account, Instant) -> T,
+    ) -> Option<T> {
+        let now = now();
+        let part = self.directory.zone_part(organisation)?;
+        let life = self.token_life(organisation);
+        let shard = self.settings.shard(organisation);
+        let mut state = self.state.borrow_mut();
+        let end = state.end(shard)?;
+        let owned = state.valid(shard, now)?;
+        if owned.is_leaving {
+            return None;
+        }
+        let account = owned
+            .accounts
+            .entry(organisation.clone())
+            .or_insert_with(|| Account::new(part, life, now));
+        account.set_limit(part, life, now);
+        Some(f(account, end))
+    }
+
+    /// Returns the life of tokens, the same in all zones because it follows from the whole limit.
+    fn token_life(&self, organisation: &Organisation) -> Duration {
+        let limit = (self.directory.limit)(organisation).unwrap_or_default();
+        limit.life(self.settings.token_life)
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_limits/src/lease.rs
@@ -0,0 +1,252 @@
+//! Claims shards in the store, renews the lease and bridges outages of the store by pledges.
+
+use std::rc::Rc;
+
+use burdockslip_runtime::{now, sleep, timeout};
+use burdockslip_store::{Compare, LeaseId, Operation, Page, Txn};
+use burdockslip_types::{Result, Revision};
+use futures::future::{LocalBoxFuture, join_all};
+use tracing::info;
+
+use crate::authority::Shared;
+use crate::ownership::Lease;
+use crate::{Reply, Request, Shard};
+
+/// Renews the lease and claims or hands over shards for ever.
+pub(crate) async fn keep_store(shared: Rc<Shared>) {
+    loop {
+        shared.renew().await;
+        shared.claim_all().await;
+        shared.hand_over().await;
+        sleep(shared.settings.renewal).await;
+    }
+}
+
+/// Collects pledges for ever while the lease cannot be renewed.
+pub(crate) async fn keep_pledges(shared: Rc<Shared>) {
+    loop {
+        sleep(shared.settings.renewal).await;
+        let shards = shared.endangered();
+        join_all(shards.into_iter().map(|shard| shared.collect(shard))).await;
+    }
+}
+
+/// Ends the lease and with it the records of all shards.
+pub(crate) async fn give_up(shared: &Shared) {
+    let lease = shared.state.borrow_mut().lease.take();
+    shared.state.borrow_mut().owned.clear();
+    if let Some(lease) = lease {
+        // Without an answer the lease expires by itself.
+        let _ = shared.limited(shared.store.revoke_lease(lease.id)).await;
+    }
+}
+
+impl Shared {
+    /// Runs a call to the store with its time limit.
+    async fn limited<T>(&self, call: impl Future<Output = Result<T>>) -> Option<T> {
+        timeout(self.settings.store_timeout, call).await.ok()?.ok()
+    }
+
+    /// Renews the lease once a third of its life has passed.
+    async fn renew(&self) {
+        let Some(lease) = self.state.borrow().lease else {
+            return;
+        };
+        let sent = now();
+        if lease.end.remaining() > self.settings.lease_life * 2 / 3 {
+            return;
+        }
+        let Some(ttl) = self.limited(self.store.keep_lease(lease.id)).await else {
+            return;
+        };
+        let mut state = self.state.borrow_mut();
+        if ttl.is_zero() {
+            info!(event = "lease_lost", host = %self.directory.host);
+            state.lose_lease();
+        } else {
+            let ttl = ttl.min(self.settings.lease_life);
+            state.lease = Some(Lease {
+                id: lease.id,
+                end: sent + ttl.saturating_sub(self.settings.lease_margin),
+            });
+        }
+    }
+
+    /// Claims the shards for which this host is ranked first and has no record.
+    async fn claim_all(&self) {
+        let wanted = self.unclaimed();
+        if wanted.is_empty() || self.is_draining.get() {
+            return;
+        }
+        let Some(page) = self.limited(self.store.range(&self.prefix())).await else {
+            return;
+        };
+        for shard in wanted {
+            // A store that does not answer one claim would not answer the next.
+            if self.claim(shard, &page).await.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn unclaimed(&self) -> Vec<Shard> {
+        let state = self.state.borrow();
+        (0..self.settings.shards)
+            .map(Shard)
+            .filter(|shard| match state.owned.get(shard) {
+                Some(owned) => !owned.is_recorded || state.end(*shard) <= Some(now()),
+                None => self.is_first(*shard),
+            })
+            .collect()
+    }
+
+    /// Claims one shard; `None` if the store did not answer.
+    async fn claim(&self, shard: Shard, page: &Page) -> Option<()> {
+        let key = self.key(shard);
+        let record = page.entries.iter().find(|entry| entry.key == key);
+        let lease = self.state.borrow().lease;
+        let mine = lease.map(|lease| self.value(lease.id));
+        match record {
+            // An earlier claim was applied although its answer was lost.
+            Some(entry) if Some(&entry.value) == mine.as_ref() => {
+                self.take(shard, entry.revision);
+                return Some(());
+            }
+            Some(_) => {
+                self.state.borrow_mut().claims.remove(&shard);
+                return Some(());
+            }
+            None => {}
+        }
+        // From here on this host gives no pledge, and waits until its last one has expired.
+        self.state.borrow_mut().claims.insert(shard);
+        if !self.may_claim(shard) {
+            return Some(());
+        }
+        let lease = self.lease().await?;
+        let txn = Txn {
+            compares: vec![Compare::Revision(key.clone(), Revision(0))],
+            operations: vec![Operation::Put(key, self.value(lease), Some(lease))],
+        };
+        let reply = self.limited(self.store.txn(txn)).await?;
+        if reply.is_applied {
+            self.take(shard, reply.revision);
+        }
+        Some(())
+    }
+
+    fn may_claim(&self, shard: Shard) -> bool {
+        self.ready.is_past() && self.state.borrow().may_claim(shard, now())
+    }
+
+    fn take(&self, shard: Shard, revision: Revision) {
+        if self.may_claim(shard) {
+            info!(event = "shard_claimed", host = %self.directory.host, shard = shard.0);
+            self.state.borrow_mut().take(shard, revision, now());
+        }
+    }
+
+    /// Returns the current lease, granted now if there is none.
+    async fn lease(&self) -> Option<LeaseId> {
+        if let Some(lease) = self.state.borrow().lease {
+            return Some(lease.id);
+        }
+        let sent = now();
+        let life = self.settings.lease_life;
+        let id = self.limited(self.store.grant_lease(life)).await?;
+        let end = sent + life.saturating_sub(self.settings.lease_margin);
+        self.state.borrow_mut().lease = Some(Lease { id, end });
+        Some(id)
+    }
+
+    /// Gives shards to a host that is now ranked higher, once their loans have ended.
+    async fn hand_over(&self) {
+        let leaving = self.leaving();
+        for (shard, revision) in leaving {
+            let key = self.key(shard);
+            // An unanswered deletion is tried again; by then the record may be another host's.
+            let delete = Txn {
+                compares: vec![Compare::Revision(key.clone(), revision)],
+                operations: vec![Operation::Delete(key)],
+            };
+            if self.limited(self.store.txn(delete)).await.is_none() {
+                return;
+            }
+            info!(event = "shard_handed_over", host = %self.directory.host, shard = shard.0);
+            self.state.borrow_mut().owned.remove(&shard);
+        }
+    }
+
+    /// Stops granting for shards that belong elsewhere and lists those without loans.
+    fn leaving(&self) -> Vec<(Shard, Revision)> {
+        let mut state = self.state.borrow_mut();
+        let healthy = now() + self.settings.lease_life / 2;
+        // During an outage of the store the next owner could not claim.
+        if state.lease.is_none_or(|lease| lease.end < healthy) {
+            return Vec::new();
+        }
+        let owned = state.owned.iter_mut();
+        let moved = owned.filter(|(shard, owned)| owned.is_recorded && !self.is_first(**shard));
+        moved
+            .filter_map(|(shard, owned)| {
+                owned.is_leaving = true;
+                let end = crate::loans::last_end(owned);
+                let is_free = end.is_none_or(burdockslip_runtime::Instant::is_past);
+                is_free.then_some((*shard, owned.revision))
+            })
+            .collect()
+    }
+
+    /// Lists the owned shards whose lease was not renewed in time.
+    fn endangered(&self) -> Vec<Shard> {
+        let state = self.state.borrow();
+        let soon = now() + self.settings.pledge_life * 3 / 4;
+        let shards = state.owned.keys().copied();
+        shards
+            .filter(|shard| {
+                state
+                    .end(*shard)
+                    .is_some_and(|end| !end.is_past() && end <= soon)
+            })
+            .collect()
+    }
+
+    /// Extends the authority over `shard` if every host of the zone pledges not to claim it.
+    async fn collect(&self, shard: Shard) {
+        let sent = now();
+        let life = self.settings.pledge_life;
+        let hosts = (self.directory.hosts)(&self.directory.zone);
+        let others = hosts.iter().filter(|host| **host != self.directory.host);
+        let calls: Vec<LocalBoxFuture<_>> = others
+            .map(|host| -> LocalBoxFuture<_> {
+                Box::pin(self.call(host, Request::Pledge { shard, life }))
+            })
+            .collect();
+        let replies = join_all(calls).await;
+        let is_safe = replies
+            .iter()
+            .all(|reply| *reply == Some(Reply::Pledged(true)));
+        let mut state = self.state.borrow_mut();
+        // An authority that lapsed while it asked has to claim again.
+        if is_safe && let Some(owned) = state.valid(shard, now()) {
+            owned.pledged = sent + life;
+        }
+    }
+
+    fn is_first(&self, shard: Shard) -> bool {
+        let rank = (self.directory.rank)(&self.directory.zone, shard);
+        rank.first() == Some(&self.directory.host)
+    }
+
+    fn prefix(&self) -> String {
+        format!("burdockslip/leases/{}/", self.directory.zone)
+    }
+
+    fn key(&self, shard: Shard) -> String {
+        format!("{}{}", self.prefix(), shard.0)
+    }
+
+    fn value(&self, lease: LeaseId) -> Vec<u8> {
+        format!("{} {:x} {}", self.directory.host, self.run, lease.0).into_bytes()
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_limits/src/loans.rs
@@ -0,0 +1,90 @@
+//! Borrows rate from other zones while the demand of this one exceeds its part.
+
+use std::rc::Rc;
+
+use burdockslip_runtime::{Instant, now, sleep, timeout};
+use burdockslip_types::{HostId, Organisation, Zone};
+use futures::future::join_all;
+
+use crate::authority::Shared;
+use crate::ownership::Owned;
+use crate::{Envelope, Rate, Reply, Request};
+
+/// The hosts of another zone that are asked before the zone counts as unreachable.
+const CANDIDATES: usize = 2;
+
+/// Takes and renews loans for ever.
+pub(crate) async fn keep_loans(shared: Rc<Shared>) {
+    loop {
+        sleep(shared.settings.loan_check).await;
+        let needy = shared.needy();
+        join_all(needy.iter().map(|organisation| shared.borrow(organisation))).await;
+    }
+}
+
+/// Returns when the last loan of a shard to another zone ends.
+pub(crate) fn last_end(owned: &Owned) -> Option<Instant> {
+    let accounts = owned.accounts.values();
+    accounts
+        .filter_map(crate::account::Account::last_loan)
+        .max()
+}
+
+impl Shared {
+    /// Lists the organisations whose zone part does not suffice.
+    fn needy(&self) -> Vec<Organisation> {
+        let now = now();
+        let ahead = self.settings.loan_life / 2;
+        let mut state = self.state.borrow_mut();
+        let owned = state.owned.values_mut().filter(|owned| !owned.is_leaving);
+        let accounts = owned.flat_map(|owned| owned.accounts.iter_mut());
+        accounts
+            .filter_map(|(name, account)| account.needs_loan(now, ahead).then(|| name.clone()))
+            .collect()
+    }
+
+    /// Asks each other zone for the part of the demand that is still uncovered.
+    async fn borrow(&self, organisation: &Organisation) {
+        let lacking = self.with_account(organisation, |account, _| account.lacking(now()));
+        let mut wanted = lacking.unwrap_or_default();
+        let zones: Vec<_> = self.directory.other_zones().cloned().collect();
+        for zone in zones {
+            if wanted == Rate::default() {
+                return;
+            }
+            wanted = wanted - self.borrow_from(organisation, &zone, wanted).await;
+        }
+    }
+
+    async fn borrow_from(&self, organisation: &Organisation, zone: &Zone, rate: Rate) -> Rate {
+        let shard = self.settings.shard(organisation);
+        let hosts = (self.directory.rank)(zone, shard);
+        for host in hosts.iter().take(CANDIDATES) {
+            let sent = now();
+            let request = Request::Borrow {
+                organisation: organisation.clone(),
+                zone: self.directory.zone.clone(),
+                rate,
+                life: self.settings.loan_life,
+            };
+            if let Some(Reply::Lent { rate, life }) = self.call(host, request).await {
+                // An authority that lapsed meanwhile must not use the loan.
+                let taken = self.with_account(organisation, |account, _| {
+                    account.borrow_from(zone.clone(), rate, sent + life, now());
+                });
+                return taken.map_or(Rate::default(), |()| rate);
+            }
+        }
+        Rate::default()
+    }
+
+    /// Sends a request to a host, with the time limit for messages.
+    pub(crate) async fn call(&self, host: &HostId, request: Request) -> Option<Reply> {
+        let envelope = Envelope {
+            from: self.directory.host.clone(),
+            request,
+        };
+        let call = self.link.call(host, envelope);
+        timeout(self.settings.peer_timeout, call).await.ok()?.ok()
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_limits/src/measure/mod.rs
@@ -0,0 +1,12 @@
+//! Measures the mechanism and its alternatives on the paused clock, with faults.
+
+mod baseline;
+mod checker;
+mod fleet;
+mod network;
+mod report;
+mod store;
+
+pub use checker::{Admission, over_admission};
+pub use fleet::{Deployment, Fault, RatePolicy, Spread};
+pub use report::{RateFigures, measure_rates};
--- /dev/null
+++ b/crates/burdockslip_limits/src/messages.rs
@@ -0,0 +1,89 @@
+//! Defines the messages between endpoints and authorities.
+
+use std::time::Duration;
+
+use burdockslip_types::{Exchange, HostId, Organisation, Zone, domain};
+
+use crate::{Rate, Tokens};
+
+domain! {
+    /// Numbers a shard of organisations; a zone has one authority for each.
+    #[derive(Copy)]
+    #[serde(transparent)]
+    pub struct Shard(pub u32);
+
+    /// Lists the requests to an authority or to a host of its zone.
+    pub enum Request {
+        /// Asks the authority for tokens.
+        Grant {
+            /// The organisation.
+            organisation: Organisation,
+            /// The tokens wanted.
+            wanted: Tokens,
+            /// The recent arrivals at the endpoint, from which loans are sized.
+            demand: Rate,
+        },
+        /// Asks the authority of another zone for part of its rate.
+        Borrow {
+            /// The organisation.
+            organisation: Organisation,
+            /// The zone that borrows.
+            zone: Zone,
+            /// The rate wanted.
+            rate: Rate,
+            /// How long it is wanted.
+            life: Duration,
+        },
+        /// Asks a host of the zone not to claim a shard for a time.
+        Pledge {
+            /// The shard.
+            shard: Shard,
+            /// How long the pledge is to last.
+            life: Duration,
+        },
+    }
+
+    /// Lists the replies.
+    pub enum Reply {
+        /// Grants tokens; the life counts from before the request was sent.
+        Granted {
+            /// The tokens, possibly fewer than wanted.
+            count: Tokens,
+            /// How long they live.
+            life: Duration,
+            /// When the missing tokens are expected.
+            retry: Duration,
+        },
+        /// Lends a rate; the life counts from before the request was sent.
+        Lent {
+            /// The rate, possibly zero.
+            rate: Rate,
+            /// How long it may be used.
+            life: Duration,
+        },
+        /// Answers a request for a pledge.
+        Pledged(bool),
+        /// Reports that this host has no valid authority over the shard.
+        NotOwner,
+    }
+}
+
+domain! {
+    /// Adds the sender to a request.
+    pub struct Envelope {
+        /// The host that sends.
+        pub from: HostId,
+        /// The request.
+        pub request: Request,
+    }
+}
+
+/// Carries the messages of this crate.
+#[derive(Debug, Clone, Copy)]
+pub struct Rates;
+
+impl Exchange for Rates {
+    type Request = Envelope;
+    type Reply = Reply;
+    const NAME: &'static str = "rates";
+}
