Hand over shards with their buckets and ask other zones when short

Cause: demand was summed from maxima of short windows per host, several times the real demand for small rates, so zones refused loans; arrivals are now reported and averaged at the authority. A crashed first-ranked host left its shards without owner until membership removed it; the second-ranked host now claims.

--- a/crates/burdockslip_limits/src/account.rs
+++ b/crates/burdockslip_limits/src/account.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use burdockslip_runtime::Instant;
-use burdockslip_types::{HostId, Zone};
+use burdockslip_types::Zone;
 
 use crate::bucket::Bucket;
+use crate::demand::Demand;
 use crate::{Limit, Rate, Tokens};
 
-/// The time for which a reported demand counts.
-const DEMAND_LIFE: Duration = Duration::from_secs(2);
+/// The time over which demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Clone, Copy)]
 struct Loan {
@@ -25,7 +26,7 @@
     part: Limit,
     life: Duration,
     bucket: Bucket,
-    demands: HashMap<HostId, (Rate, Instant)>,
+    demand: Demand,
     lent: HashMap<Zone, Vec<Loan>>,
     borrowed: HashMap<Zone, Loan>,
     is_short: bool,
@@ -37,7 +38,7 @@
             part,
             life,
             bucket: Bucket::new(part.capacity(life), now),
-            demands: HashMap::new(),
+            demand: Demand::new(DEMAND_WINDOW),
             lent: HashMap::new(),
             borrowed: HashMap::new(),
             is_short: false,
@@ -57,13 +58,12 @@
     /// Grants up to `wanted` tokens and returns them with the time until the rest is there.
     pub(crate) fn grant(
         &mut self,
-        host: HostId,
         wanted: Tokens,
-        demand: Rate,
+        arrived: Tokens,
         now: Instant,
     ) -> (Tokens, Duration) {
         self.refill(now);
-        self.demands.insert(host, (demand, now + DEMAND_LIFE));
+        self.demand.note(arrived, now);
         let count = self.bucket.take(wanted);
         self.is_short = count < wanted;
         let retry = self.bucket.wait_for(wanted - count, self.rate(now));
@@ -83,7 +83,7 @@
             .filter(|(borrower, _)| **borrower != zone)
             .map(|(_, loans)| largest(loans))
             .sum();
-        let free = self.part.rate - others - self.demand(now).with_margin();
+        let free = self.part.rate - others - self.demand.rate(now).with_margin();
         let rate = rate.min(free);
         let end = now + life;
         self.lent.entry(zone).or_default().push(Loan { rate, end });
@@ -99,7 +99,7 @@
     /// Returns the rate that the zone lacks for its demand.
     pub(crate) fn lacking(&mut self, now: Instant) -> Rate {
         self.refill(now);
-        self.demand(now).with_margin() - self.part.rate
+        self.demand.rate(now).with_margin() - self.part.rate
     }
 
     /// Returns whether loans have to be taken or renewed now.
@@ -114,6 +114,17 @@
         lacking > lasting && (self.is_short || !self.borrowed.is_empty())
     }
 
+    /// Returns the tokens in the bucket.
+    pub(crate) fn level(&mut self, now: Instant) -> Tokens {
+        self.refill(now);
+        self.bucket.level()
+    }
+
+    /// Adds the tokens that the previous owner handed over.
+    pub(crate) fn inherit(&mut self, tokens: Tokens, now: Instant) {
+        self.bucket.refill(Rate::default(), tokens, now);
+    }
+
     /// Returns when the last loan to another zone ends.
     pub(crate) fn last_loan(&self) -> Option<Instant> {
         self.lent.values().flatten().map(|loan| loan.end).max()
@@ -147,20 +158,11 @@
             .sum();
         self.bucket.refill(self.own_rate(), extra, now);
         self.borrowed.retain(|_, loan| loan.end > now);
-        self.demands.retain(|_, (_, end)| *end > now);
         self.lent.retain(|_, loans| {
             loans.retain(|loan| loan.end > now);
             !loans.is_empty()
         });
     }
-
-    fn demand(&self, now: Instant) -> Rate {
-        self.demands
-            .values()
-            .filter(|(_, end)| *end > now)
-            .map(|(rate, _)| *rate)
-            .sum()
-    }
 }
 
 fn largest(loans: &[Loan]) -> Rate {
--- a/crates/burdockslip_limits/src/authority.rs
+++ b/crates/burdockslip_limits/src/authority.rs
@@ -4,14 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, Task, now, random_u64, sleep, spawn};
+use burdockslip_runtime::{Instant, Task, now, random_u64, spawn};
 use burdockslip_store::Store;
-use burdockslip_types::{HostId, Link, Organisation, Zone};
+use burdockslip_types::{Link, Organisation, Zone};
 
 use crate::account::Account;
-use crate::ownership::Ownership;
+use crate::ownership::{Owned, Ownership};
 use crate::{Directory, Envelope, Rate, Rates, Reply, Request, Settings, Shard, Tokens};
-use crate::{lease, loans};
+use crate::{handover, lease, loans};
 
 /// Holds the authority of one host over the shards for which it is ranked first in its zone.
 ///
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct Authority {
     shared: Rc<Shared>,
-    tasks: Vec<Task<()>>,
+    tasks: RefCell<Vec<Task<()>>>,
 }
 
 #[derive(Debug)]
@@ -60,7 +60,10 @@
             spawn(lease::keep_pledges(Rc::clone(&shared))),
             spawn(loans::keep_loans(Rc::clone(&shared))),
         ];
-        Self { shared, tasks }
+        Self {
+            shared,
+            tasks: RefCell::new(tasks),
+        }
     }
 
     /// Answers a request of another host or of this host's own limiter.
@@ -69,13 +72,12 @@
     /// delayed afterwards is harmless, because its life counts from before
     /// the request was sent.
     pub fn handle(&self, envelope: Envelope) -> Reply {
-        let from = envelope.from;
         match envelope.request {
             Request::Grant {
                 organisation,
                 wanted,
-                demand,
-            } => self.shared.grant(from, &organisation, wanted, demand),
+                arrived,
+            } => self.shared.grant(&organisation, wanted, arrived),
             Request::Borrow {
                 organisation,
                 zone,
@@ -87,6 +89,19 @@
                 let mut state = self.shared.state.borrow_mut();
                 Reply::Pledged(state.pledge(shard, now() + life, now()))
             }
+            Request::Offer(shard) => Reply::Accepted(self.shared.accepts(shard)),
+            Request::HandOver {
+                shard,
+                revision,
+                levels,
+            } => {
+                let is_accepted = self.shared.accepts(shard);
+                if is_accepted {
+                    let shared = Rc::clone(&self.shared);
+                    spawn(handover::take_over(shared, shard, revision, levels)).detach();
+                }
+                Reply::Accepted(is_accepted)
+            }
         }
     }
 
@@ -97,42 +112,22 @@
         state.owned.keys().copied().filter(is_valid).collect()
     }
 
-    /// Hands over all shards: stops granting, waits for loans to end and gives up the lease.
+    /// Hands over all shards with their buckets and gives up the lease.
     ///
-    /// The next owner can claim at once instead of waiting for the lease to
-    /// expire. Loans must end first, because the next owner does not know them.
-    pub async fn drain(self) {
+    /// Loans must end first, because the next owner does not know them.
+    pub async fn drain(&self) {
         self.shared.is_draining.set(true);
-        let end = {
-            let mut state = self.shared.state.borrow_mut();
-            let owned = state.owned.values_mut();
-            owned
-                .map(|owned| {
-                    owned.is_leaving = true;
-                    loans::last_end(owned)
-                })
-                .max()
-                .flatten()
-        };
-        if let Some(end) = end {
-            sleep(end.remaining()).await;
-        }
-        drop(self.tasks);
+        handover::leave_all(&self.shared).await;
+        self.tasks.take();
         lease::give_up(&self.shared).await;
     }
 }
 
 impl Shared {
-    fn grant(
-        &self,
-        from: HostId,
-        organisation: &Organisation,
-        wanted: Tokens,
-        demand: Rate,
-    ) -> Reply {
+    fn grant(&self, organisation: &Organisation, wanted: Tokens, arrived: Tokens) -> Reply {
         let life = self.token_life(organisation);
         let granted = self.with_account(organisation, |account, _| {
-            account.grant(from, wanted, demand, now())
+            account.grant(wanted, arrived, now())
         });
         match granted {
             Some((count, retry)) => Reply::Granted { count, life, retry },
@@ -145,6 +140,13 @@
     /// The next owner starts with the full rate and does not know the loans
     /// of this one, so no loan may outlive the authority.
     fn lend(&self, organisation: &Organisation, zone: Zone, rate: Rate, life: Duration) -> Reply {
+        let shard = self.settings.shard(organisation);
+        let is_leaving = |owned: &Owned| owned.is_leaving;
+        let state = self.state.borrow();
+        if state.owned.get(&shard).is_some_and(is_leaving) {
+            return Reply::NotOwner;
+        }
+        drop(state);
         let longest = life.min(self.settings.loan_life);
         let lent = self.with_account(organisation, |account, end| {
             let life = longest.min(end.remaining());
@@ -169,7 +171,7 @@
         let mut state = self.state.borrow_mut();
         let end = state.end(shard)?;
         let owned = state.valid(shard, now)?;
-        if owned.is_leaving {
+        if owned.is_stopped {
             return None;
         }
         let account = owned
--- a/crates/burdockslip_limits/src/lease.rs
+++ b/crates/burdockslip_limits/src/lease.rs
@@ -10,14 +10,19 @@
 
 use crate::authority::Shared;
 use crate::ownership::Lease;
-use crate::{Reply, Request, Shard};
+use crate::{Reply, Request, Shard, handover};
+
+/// The hosts of a zone that claim a shard without an owner, in the order of their rank.
+///
+/// The second one bridges the time until membership removes a crashed first one.
+const CLAIMANTS: usize = 2;
 
 /// Renews the lease and claims or hands over shards for ever.
 pub(crate) async fn keep_store(shared: Rc<Shared>) {
     loop {
         shared.renew().await;
         shared.claim_all().await;
-        shared.hand_over().await;
+        handover::hand_over(&shared).await;
         sleep(shared.settings.renewal).await;
     }
 }
@@ -43,7 +48,7 @@
 
 impl Shared {
     /// Runs a call to the store with its time limit.
-    async fn limited<T>(&self, call: impl Future<Output = Result<T>>) -> Option<T> {
+    pub(crate) async fn limited<T>(&self, call: impl Future<Output = Result<T>>) -> Option<T> {
         timeout(self.settings.store_timeout, call).await.ok()?.ok()
     }
 
@@ -95,7 +100,7 @@
             .map(Shard)
             .filter(|shard| match state.owned.get(shard) {
                 Some(owned) => !owned.is_recorded || state.end(*shard) <= Some(now()),
-                None => self.is_first(*shard),
+                None => self.place(*shard).is_some_and(|place| place < CLAIMANTS),
             })
             .collect()
     }
@@ -105,18 +110,22 @@
         let key = self.key(shard);
         let record = page.entries.iter().find(|entry| entry.key == key);
         let lease = self.state.borrow().lease;
-        let mine = lease.map(|lease| self.value(lease.id));
-        match record {
+        match (record, lease) {
             // An earlier claim was applied although its answer was lost.
-            Some(entry) if Some(&entry.value) == mine.as_ref() => {
-                self.take(shard, entry.revision);
+            (Some(entry), Some(lease)) if entry.value == self.value(lease.id) => {
+                self.take(shard, lease.id, entry.revision);
                 return Some(());
             }
-            Some(_) => {
-                self.state.borrow_mut().claims.remove(&shard);
+            (Some(_), _) => {
+                let mut state = self.state.borrow_mut();
+                state.claims.remove(&shard);
+                state.vacant.remove(&shard);
                 return Some(());
             }
-            None => {}
+            (None, _) => {}
+        }
+        if !self.is_due(shard) {
+            return Some(());
         }
         // From here on this host gives no pledge, and waits until its last one has expired.
         self.state.borrow_mut().claims.insert(shard);
@@ -130,24 +139,38 @@
         };
         let reply = self.limited(self.store.txn(txn)).await?;
         if reply.is_applied {
-            self.take(shard, reply.revision);
+            self.take(shard, lease, reply.revision);
         }
         Some(())
     }
 
-    fn may_claim(&self, shard: Shard) -> bool {
+    pub(crate) fn may_claim(&self, shard: Shard) -> bool {
         self.ready.is_past() && self.state.borrow().may_claim(shard, now())
     }
 
-    fn take(&self, shard: Shard, revision: Revision) {
-        if self.may_claim(shard) {
+    /// Returns whether it is this host's turn to claim a shard without a record.
+    fn is_due(&self, shard: Shard) -> bool {
+        let mut state = self.state.borrow_mut();
+        let is_owned = state.owned.contains_key(&shard);
+        // The second-ranked host claims when it finds no record twice in a row.
+        is_owned || self.is_first(shard) || (self.ready.is_past() && !state.vacant.insert(shard))
+    }
+
+    /// Records a claim that the store has confirmed under `lease`.
+    ///
+    /// Returns false if the lease was lost meanwhile or a pledge forbids it.
+    pub(crate) fn take(&self, shard: Shard, lease: LeaseId, revision: Revision) -> bool {
+        let is_current = self.state.borrow().lease.is_some_and(|l| l.id == lease);
+        let may_take = is_current && self.may_claim(shard);
+        if may_take {
             info!(event = "shard_claimed", host = %self.directory.host, shard = shard.0);
             self.state.borrow_mut().take(shard, revision, now());
         }
+        may_take
     }
 
     /// Returns the current lease, granted now if there is none.
-    async fn lease(&self) -> Option<LeaseId> {
+    pub(crate) async fn lease(&self) -> Option<LeaseId> {
         if let Some(lease) = self.state.borrow().lease {
             return Some(lease.id);
         }
@@ -155,46 +178,9 @@
         let life = self.settings.lease_life;
         let id = self.limited(self.store.grant_lease(life)).await?;
         let end = sent + life.saturating_sub(self.settings.lease_margin);
-        self.state.borrow_mut().lease = Some(Lease { id, end });
-        Some(id)
-    }
-
-    /// Gives shards to a host that is now ranked higher, once their loans have ended.
-    async fn hand_over(&self) {
-        let leaving = self.leaving();
-        for (shard, revision) in leaving {
-            let key = self.key(shard);
-            // An unanswered deletion is tried again; by then the record may be another host's.
-            let delete = Txn {
-                compares: vec![Compare::Revision(key.clone(), revision)],
-                operations: vec![Operation::Delete(key)],
-            };
-            if self.limited(self.store.txn(delete)).await.is_none() {
-                return;
-            }
-            info!(event = "shard_handed_over", host = %self.directory.host, shard = shard.0);
-            self.state.borrow_mut().owned.remove(&shard);
-        }
-    }
-
-    /// Stops granting for shards that belong elsewhere and lists those without loans.
-    fn leaving(&self) -> Vec<(Shard, Revision)> {
         let mut state = self.state.borrow_mut();
-        let healthy = now() + self.settings.lease_life / 2;
-        // During an outage of the store the next owner could not claim.
-        if state.lease.is_none_or(|lease| lease.end < healthy) {
-            return Vec::new();
-        }
-        let owned = state.owned.iter_mut();
-        let moved = owned.filter(|(shard, owned)| owned.is_recorded && !self.is_first(**shard));
-        moved
-            .filter_map(|(shard, owned)| {
-                owned.is_leaving = true;
-                let end = crate::loans::last_end(owned);
-                let is_free = end.is_none_or(burdockslip_runtime::Instant::is_past);
-                is_free.then_some((*shard, owned.revision))
-            })
-            .collect()
+        // Another task may have been faster; the lease of this one expires unused.
+        Some(state.lease.get_or_insert(Lease { id, end }).id)
     }
 
     /// Lists the owned shards whose lease was not renewed in time.
@@ -233,20 +219,24 @@
         }
     }
 
-    fn is_first(&self, shard: Shard) -> bool {
+    pub(crate) fn is_first(&self, shard: Shard) -> bool {
+        self.place(shard) == Some(0)
+    }
+
+    fn place(&self, shard: Shard) -> Option<usize> {
         let rank = (self.directory.rank)(&self.directory.zone, shard);
-        rank.first() == Some(&self.directory.host)
+        rank.iter().position(|host| *host == self.directory.host)
     }
 
     fn prefix(&self) -> String {
         format!("burdockslip/leases/{}/", self.directory.zone)
     }
 
-    fn key(&self, shard: Shard) -> String {
+    pub(crate) fn key(&self, shard: Shard) -> String {
         format!("{}{}", self.prefix(), shard.0)
     }
 
-    fn value(&self, lease: LeaseId) -> Vec<u8> {
+    pub(crate) fn value(&self, lease: LeaseId) -> Vec<u8> {
         format!("{} {:x} {}", self.directory.host, self.run, lease.0).into_bytes()
     }
 }
--- a/crates/burdockslip_limits/src/limiter.rs
+++ b/crates/burdockslip_limits/src/limiter.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use burdockslip_runtime::{Instant, now, random_range, sleep, spawn, timeout, timeout_at};
-use burdockslip_types::{ErrorKind, HostId, Link, Organisation, domain};
+use burdockslip_types::{ErrorKind, HostId, Link, Organisation, Zone, domain};
 
 use crate::pool::Pool;
 use crate::{Directory, Envelope, Permit, Rates, Reply, Request, Settings, Shard, Tokens};
 
-/// The hosts of the own zone that are asked before other zones.
+/// The hosts of a zone that are asked, by rank.
 const CANDIDATES: usize = 2;
 /// The shortest and longest time between two attempts, in microseconds.
 const RETRY_MICROS: std::ops::Range<u64> = 2_000..100_000;
@@ -67,6 +67,16 @@
     owners: RefCell<HashMap<Shard, HostId>>,
 }
 
+/// Holds what a host asks for.
+#[derive(Debug, Clone, Copy)]
+struct Need {
+    wanted: Tokens,
+    /// The tokens of requests that arrived since the last report.
+    arrived: Tokens,
+    /// Whether requests wait, as opposed to fetching in advance.
+    is_urgent: bool,
+}
+
 /// Holds granted tokens with their expiry on this host's clock.
 #[derive(Debug, Clone, Copy)]
 struct Grant {
@@ -144,9 +154,23 @@
 
 /// Asks the authority until no more tokens are wanted.
 async fn ask_while_wanted(shared: Rc<Shared>, organisation: Organisation) {
-    while let Some(request) = shared.next_request(&organisation) {
-        let grant = shared.ask(&organisation, request).await;
-        let pause = shared.settle(&organisation, grant);
+    while let Some(need) = shared.next_need(&organisation) {
+        let own = shared.ask_own(&organisation, need).await;
+        let mut pause = shared.settle(&organisation, need, own);
+        let missing = need.wanted - own.map_or(Tokens(0), |grant| grant.count);
+        if need.is_urgent && missing > Tokens(0) {
+            let rest = Need {
+                wanted: missing,
+                arrived: if own.is_some() {
+                    Tokens(0)
+                } else {
+                    need.arrived
+                },
+                ..need
+            };
+            let other = shared.ask_others(&organisation, rest, own.is_none()).await;
+            pause = shared.settle(&organisation, rest, other);
+        }
         if let Some(pause) = pause {
             sleep(pause).await;
         }
@@ -154,8 +178,8 @@
 }
 
 impl Shared {
-    /// Builds the next request, or ends the asking if nothing is wanted.
-    fn next_request(&self, organisation: &Organisation) -> Option<Request> {
+    /// Returns what to ask for next, or ends the asking if nothing is wanted.
+    fn next_need(&self, organisation: &Organisation) -> Option<Need> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(organisation)?;
         let wanted = pool.wanted(self.settings.prefetch, now());
@@ -163,67 +187,108 @@
             pool.is_asking = false;
             return None;
         }
-        Some(Request::Grant {
-            organisation: organisation.clone(),
+        Some(Need {
             wanted,
-            demand: pool.demand(now()),
+            arrived: std::mem::take(&mut pool.arrived),
+            is_urgent: pool.waiting() > 0,
         })
     }
 
-    /// Asks the hosts in turn until one of them has authority.
-    ///
-    /// Authorities of other zones are asked only when the own zone has none:
-    /// they keep the bound as well, with the part of their zone.
-    async fn ask(&self, organisation: &Organisation, request: Request) -> Option<Grant> {
+    /// Asks the hosts of the own zone in turn until one of them has authority.
+    async fn ask_own(&self, organisation: &Organisation, need: Need) -> Option<Grant> {
         let shard = self.settings.shard(organisation);
-        for host in self.candidates(shard) {
-            let envelope = Envelope {
-                from: self.directory.host.clone(),
-                request: request.clone(),
-            };
-            let sent = now();
-            let call = self.link.call(&host, envelope);
-            let reply = timeout(self.settings.peer_timeout, call).await;
-            if let Ok(Ok(Reply::Granted { count, life, retry })) = reply {
+        let mut hosts = self.ranked(&self.directory.zone, shard);
+        let last = self.owners.borrow().get(&shard).cloned();
+        if let Some(place) = hosts.iter().position(|host| Some(host) == last.as_ref()) {
+            hosts.swap(0, place);
+        }
+        for host in hosts {
+            if let Some(grant) = self.ask(&host, organisation, need).await {
                 self.owners.borrow_mut().insert(shard, host);
-                return Some(Grant {
-                    count,
-                    expiry: sent + life,
-                    retry,
-                });
+                return Some(grant);
             }
         }
         self.owners.borrow_mut().remove(&shard);
         None
     }
 
-    fn candidates(&self, shard: Shard) -> Vec<HostId> {
-        let ranked = |zone, count| (self.directory.rank)(zone, shard).into_iter().take(count);
-        let mut hosts: Vec<_> = ranked(&self.directory.zone, CANDIDATES).collect();
-        // The last owner comes first while it still belongs to the zone's candidates.
-        if let Some(owner) = self.owners.borrow().get(&shard)
-            && let Some(place) = hosts.iter().position(|host| host == owner)
-        {
-            hosts.swap(0, place);
-        }
-        for zone in self.directory.other_zones() {
-            hosts.extend(ranked(zone, 1));
+    /// Asks other zones for tokens that requests wait for, starting at a random one.
+    ///
+    /// Their authorities keep the bound as well, with the part of their zone.
+    /// One zone is asked in each round, all of them if the own zone has no
+    /// authority.
+    async fn ask_others(
+        &self,
+        organisation: &Organisation,
+        need: Need,
+        is_alone: bool,
+    ) -> Option<Grant> {
+        let shard = self.settings.shard(organisation);
+        let mut zones: Vec<_> = self.directory.other_zones().collect();
+        let count = u64::try_from(zones.len()).unwrap_or(0);
+        zones.rotate_left(usize::try_from(random_range(0..count)).unwrap_or(0));
+        zones.truncate(if is_alone { zones.len() } else { 1 });
+        for zone in zones {
+            for host in self.ranked(zone, shard) {
+                let grant = self.ask(&host, organisation, need).await;
+                if grant.is_some_and(|grant| grant.count > Tokens(0)) {
+                    return grant;
+                }
+                if grant.is_some() {
+                    break;
+                }
+            }
         }
+        None
+    }
+
+    async fn ask(&self, host: &HostId, organisation: &Organisation, need: Need) -> Option<Grant> {
+        let envelope = Envelope {
+            from: self.directory.host.clone(),
+            request: Request::Grant {
+                organisation: organisation.clone(),
+                wanted: need.wanted,
+                arrived: need.arrived,
+            },
+        };
+        let sent = now();
+        let call = self.link.call(host, envelope);
+        let reply = timeout(self.settings.peer_timeout, call).await;
+        let Ok(Ok(Reply::Granted { count, life, retry })) = reply else {
+            return None;
+        };
+        Some(Grant {
+            count,
+            expiry: sent + life,
+            retry,
+        })
+    }
+
+    fn ranked(&self, zone: &Zone, shard: Shard) -> Vec<HostId> {
+        let mut hosts = (self.directory.rank)(zone, shard);
+        hosts.truncate(CANDIDATES);
         hosts
     }
 
     /// Adds granted tokens, serves the waiters and returns how long to wait before the next request.
-    fn settle(&self, organisation: &Organisation, grant: Option<Grant>) -> Option<Duration> {
+    fn settle(
+        &self,
+        organisation: &Organisation,
+        need: Need,
+        grant: Option<Grant>,
+    ) -> Option<Duration> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(organisation)?;
         let retry = grant.map_or(self.settings.peer_timeout, |grant| grant.retry);
+        let mut is_enough = false;
         if let Some(grant) = grant {
             pool.add(grant.count, grant.expiry);
-            pool.is_short = retry > Duration::ZERO;
-            pool.retry = now() + retry;
+            is_enough = grant.count >= need.wanted;
         }
+        pool.is_short = !is_enough;
+        pool.retry = now() + retry;
         pool.serve(now());
-        if retry.is_zero() {
+        if is_enough {
             return None;
         }
         // Hosts that wait for the same bucket must not ask in step.
--- a/crates/burdockslip_limits/src/measure/fleet.rs
+++ b/crates/burdockslip_limits/src/measure/fleet.rs
@@ -248,16 +248,17 @@
 
     /// Drains a host and starts it again two seconds later.
     async fn replace(&self, host: HostId) {
-        let authority = self.network.authorities.borrow_mut().remove(&host);
+        let authority = self.network.authorities.borrow().get(&host).cloned();
         {
             let mut cuts = self.network.cuts.borrow_mut();
             // A leaving host tells all others, so it leaves the ranking at once.
             cuts.since = Instant::START;
             cuts.dead.insert(host.clone());
         }
-        if let Some(authority) = authority.and_then(Rc::into_inner) {
+        if let Some(authority) = authority {
             authority.drain().await;
         }
+        self.network.authorities.borrow_mut().remove(&host);
         burdockslip_runtime::sleep(Duration::from_secs(2)).await;
         self.network.cuts.borrow_mut().dead.remove(&host);
         self.start(&host);
--- a/crates/burdockslip_limits/src/measure/network.rs
+++ b/crates/burdockslip_limits/src/measure/network.rs
@@ -92,6 +92,7 @@
             bail!(ErrorKind::ConnectionLost);
         };
         let reply = authority.handle(envelope);
+        drop(authority);
         self.carry(to, from).await;
         Ok(reply)
     }
--- a/crates/burdockslip_limits/src/measure/report.rs
+++ b/crates/burdockslip_limits/src/measure/report.rs
@@ -226,7 +226,9 @@
 /// Sends the requests of one organisation at regular times with a jitter of half a period.
 async fn send(bench: Rc<Bench>, organisation: Organisation, limit: Limit, end: Instant) {
     let period = 100_000_000_000 / (limit.rate.0 * bench.deployment.load).max(1);
-    let mut next = now() + Duration::from_micros(random_range(0..period));
+    // Authorities exist after the pledge life, before which a new host must not claim.
+    let first = bench.fleet.settings.pledge_life + bench.fleet.settings.renewal * 2;
+    let mut next = Instant::START + first + Duration::from_micros(random_range(0..period));
     let mut number = 0;
     while next < end {
         sleep_until(next + Duration::from_micros(random_range(0..period / 2))).await;
@@ -246,7 +248,12 @@
 /// Admits one request at a host and presents the permit to the holder of the database.
 async fn one_request(bench: Rc<Bench>, host: HostId, organisation: Organisation, limit: Limit) {
     let network = &bench.fleet.network;
+    let sent = now();
     network.resume(&host).await;
+    if now() >= sent + bench.deployment.deadline {
+        // The client of a paused host gave up and connected to another one.
+        return;
+    }
     let is_counted = now() >= Instant::START + bench.deployment.warmup;
     let arrival = now();
     let deadline = arrival + bench.deployment.deadline;
--- a/crates/burdockslip_limits/src/messages.rs
+++ b/crates/burdockslip_limits/src/messages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use burdockslip_types::{Exchange, HostId, Organisation, Zone, domain};
+use burdockslip_types::{Exchange, HostId, Organisation, Revision, Zone, domain};
 
 use crate::{Rate, Tokens};
 
@@ -20,8 +20,8 @@
             organisation: Organisation,
             /// The tokens wanted.
             wanted: Tokens,
-            /// The recent arrivals at the endpoint, from which loans are sized.
-            demand: Rate,
+            /// The tokens of the requests that arrived since the last report, from which loans are sized.
+            arrived: Tokens,
         },
         /// Asks the authority of another zone for part of its rate.
         Borrow {
@@ -41,6 +41,25 @@
             /// How long the pledge is to last.
             life: Duration,
         },
+        /// Asks whether the host would take a shard over.
+        Offer(Shard),
+        /// Hands over a shard for which the sender grants nothing more.
+        HandOver {
+            /// The shard.
+            shard: Shard,
+            /// The revision of the sender's record, which the receiver replaces.
+            revision: Revision,
+            /// The buckets, valid only if the receiver replaces that record.
+            levels: Vec<Level>,
+        },
+    }
+
+    /// Holds what is left in the bucket of an organisation.
+    pub struct Level {
+        /// The organisation.
+        pub organisation: Organisation,
+        /// The tokens.
+        pub tokens: Tokens,
     }
 
     /// Lists the replies.
@@ -63,6 +82,8 @@
         },
         /// Answers a request for a pledge.
         Pledged(bool),
+        /// Answers an offer or a hand-over.
+        Accepted(bool),
         /// Reports that this host has no valid authority over the shard.
         NotOwner,
     }
--- a/crates/burdockslip_limits/src/ownership.rs
+++ b/crates/burdockslip_limits/src/ownership.rs
@@ -26,8 +26,10 @@
     pub(crate) revision: Revision,
     /// Until when every host of the zone has pledged not to claim the shard.
     pub(crate) pledged: Instant,
-    /// Whether the shard is being handed over, so that it grants nothing more.
+    /// Whether the shard is to be handed over, so that it lends nothing more.
     pub(crate) is_leaving: bool,
+    /// Whether the shard was handed over, so that it grants nothing more.
+    pub(crate) is_stopped: bool,
     pub(crate) accounts: HashMap<Organisation, Account>,
 }
 
@@ -40,6 +42,8 @@
     pledges: HashMap<Shard, Instant>,
     /// The shards that this host is claiming, for which it gives no pledges.
     pub(crate) claims: HashSet<Shard>,
+    /// The shards that had no record when this host, ranked second, last looked.
+    pub(crate) vacant: HashSet<Shard>,
 }
 
 impl Ownership {
--- a/crates/burdockslip_limits/src/pool.rs
+++ b/crates/burdockslip_limits/src/pool.rs
@@ -6,9 +6,10 @@
 use burdockslip_runtime::Instant;
 use futures::channel::oneshot;
 
-use crate::{Permit, Rate, Tokens};
+use crate::demand::Demand;
+use crate::{Permit, Tokens};
 
-/// The length of the windows in which arrivals are counted.
+/// The time over which demand is averaged for fetching in advance.
 const WINDOW: Duration = Duration::from_millis(500);
 
 #[derive(Debug)]
@@ -24,11 +25,13 @@
 }
 
 /// Holds batches in the order of their expiry, waiters in the order of their arrival.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     batches: VecDeque<Batch>,
     waiters: VecDeque<Waiter>,
-    arrivals: Arrivals,
+    demand: Demand,
+    /// The tokens of requests that arrived since the last report to an authority.
+    pub(crate) arrived: Tokens,
     /// Whether a task asks the authority for this organisation.
     pub(crate) is_asking: bool,
     /// Whether the last grant was smaller than wanted; fetching in advance would starve other hosts.
@@ -37,42 +40,25 @@
     pub(crate) retry: Instant,
 }
 
-/// Counts arrivals in the current and the previous window.
-#[derive(Debug, Default)]
-struct Arrivals {
-    start: Instant,
-    current: Tokens,
-    previous: Tokens,
-}
-
-impl Arrivals {
-    fn advance(&mut self, now: Instant) {
-        let age = now.since(self.start);
-        if age >= WINDOW * 2 {
-            (self.previous, self.current, self.start) = (Tokens(0), Tokens(0), now);
-        } else if age >= WINDOW {
-            self.previous = std::mem::take(&mut self.current);
-            self.start = self.start + WINDOW;
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            batches: VecDeque::new(),
+            waiters: VecDeque::new(),
+            demand: Demand::new(WINDOW),
+            arrived: Tokens::default(),
+            is_asking: false,
+            is_short: false,
+            retry: Instant::START,
         }
     }
-
-    fn rate(&self) -> Rate {
-        let tokens = self.current.max(self.previous);
-        Rate(tokens.0 / u64::try_from(WINDOW.as_micros()).unwrap_or(u64::MAX))
-    }
 }
 
 impl Pool {
     /// Counts an arriving request, whether or not it is admitted.
     pub(crate) fn note_arrival(&mut self, cost: Tokens, now: Instant) {
-        self.arrivals.advance(now);
-        self.arrivals.current += cost;
-    }
-
-    /// Returns the recent arrivals per second.
-    pub(crate) fn demand(&mut self, now: Instant) -> Rate {
-        self.arrivals.advance(now);
-        self.arrivals.rate()
+        self.demand.note(cost, now);
+        self.arrived += cost;
     }
 
     /// Adds tokens that may be used before `expiry`.
@@ -130,7 +116,7 @@
         self.waiting();
         let waiting: Tokens = self.waiters.iter().map(|waiter| waiter.cost).sum();
         let level = self.level(now);
-        let target = self.demand(now).over(prefetch).floor();
+        let target = self.demand.rate(now).over(prefetch).floor();
         let is_low = level.0 <= target.0 / 2 && target > Tokens(0);
         if !is_low || (self.is_short && now < self.retry) {
             return waiting - level;
