Check at the holder that a request's rate permission has not expired

Cause: an endpoint that is paused between taking a token and sending the request could present it after the authority had granted it again. The permission now carries a proof that refers to the holder's own clock. A stamp is fetched once for each run of a holder; sending one with every answer was ruled out, since an old stamp is as good as a new one.

--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use burdockslip_catalogue::ClassEntry;
+use burdockslip_limits::Permit;
 use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Result};
 use burdockslip_wire as wire;
@@ -27,6 +28,8 @@
     pub(super) run: Run,
     pub(super) class: Rc<ClassEntry>,
     pub(super) deadline: Instant,
+    /// The share of the organisation's rate that the request uses.
+    pub(super) permit: Option<Permit>,
 }
 
 /// Judges a unit by the configuration in force.
@@ -53,6 +56,7 @@
         group: route.group.clone(),
         member,
         access,
+        proof: None,
         priority: u8::try_from(class.priority).unwrap_or(u8::MAX),
         floor: state.floors.get(&route.group).copied(),
         zone: host.options.zone.clone(),
@@ -68,6 +72,7 @@
         run,
         class: Rc::clone(class),
         deadline: now() + class.deadline,
+        permit: None,
     })
 }
 
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use burdockslip_runtime::{Instant, now, sleep, timeout, timeout_at};
-use burdockslip_types::{ErrorKind, GroupName, Mark, Result};
+use burdockslip_types::{ErrorKind, GroupName, HostId, Mark, Result};
 use burdockslip_wire::{
     ClientStream, StatementNames, TransactionState, Unit, UnitKind, Verb, classify,
     command_complete, error_response, parameter_status, ready,
@@ -19,7 +19,7 @@
 use super::request::{self, Prepared, Request};
 use super::startup::State;
 use crate::conversation::Conversation;
-use crate::exchange::{Access, Done, Event, Failed, Run};
+use crate::exchange::{Access, Done, EXPIRED, Event, Failed, Run};
 use crate::host::Host;
 
 /// Time within which the rest of a unit must follow its first byte.
@@ -236,7 +236,7 @@
     /// Admits a request, runs it and ends its answer.
     async fn serve_request(&mut self, mut request: Request) -> Result<()> {
         let start = now();
-        let admitted = self.admit(&request).await;
+        let admitted = self.admit(&mut request).await;
         let outcome = match admitted {
             Ok(()) => self.carry_out(&mut request).await?,
             Err(failed) => Err(failed),
@@ -258,7 +258,7 @@
 
     /// Waits for the organisation's rate, and checks that the configuration is
     /// recent enough for the class.
-    async fn admit(&self, request: &Request) -> Result<(), Failed> {
+    async fn admit(&self, request: &mut Request) -> Result<(), Failed> {
         let hooks = &self.host.hooks;
         if (hooks.config_age)() > request.class.offline_limit {
             return Err(Failed::not_sent(
@@ -267,10 +267,12 @@
             ));
         }
         let admitted = (hooks.admit)(request.run.organisation.clone(), request.deadline);
-        admitted.await.map_err(|report| {
+        let permit = admitted.await.map_err(|report| {
             let detail = report.downcast_ref::<String>().cloned().unwrap_or_default();
             Failed::not_sent(*report.current_context(), detail)
-        })
+        })?;
+        request.permit = Some(permit);
+        Ok(())
     }
 
     /// Runs a request, again if that is safe, until its deadline.
@@ -283,6 +285,14 @@
                 Ok(done) => return Ok(Ok(done)),
                 Err(attempt) => attempt,
             };
+            if attempt.failed.detail == EXPIRED && request.permit.take().is_some() {
+                // A request waits for new tokens once: its own may have expired
+                // in a queue, or the holder may have started anew.
+                match self.admit(request).await {
+                    Ok(()) => continue,
+                    Err(failed) => return Ok(Err(failed)),
+                }
+            }
             if !self.may_retry(request, &attempt) {
                 return Ok(Err(attempt.failed));
             }
@@ -341,7 +351,7 @@
                 Ok(()) => Ok(conversation),
                 Err(report) => Err(report),
             },
-            None => self.open(&request.run).await,
+            None => self.open(request).await,
         };
         let mut conversation = match conversation {
             Ok(conversation) => conversation,
@@ -413,7 +423,8 @@
     }
 
     /// Opens a conversation with the holder of the member and sends the unit.
-    async fn open(&self, run: &Run) -> Result<Conversation> {
+    async fn open(&self, request: &Request) -> Result<Conversation> {
+        let mut run = request.run.clone();
         let in_force = self.host.in_force();
         let zone = in_force
             .catalogue
@@ -422,9 +433,11 @@
             .map(|member| member.zone.clone())
             .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
         let holder = self.host.holder_host(&run.member, &zone);
+        let stamps = &self.host.stamps;
         if holder != self.host.options.host {
-            let opened = Conversation::remote(&self.host, &holder, run).await;
+            let opened = self.open_remote(&holder, request, run).await;
             if opened.is_err() {
+                stamps.forget(&holder);
                 self.host.suspect(&holder);
             }
             return opened;
@@ -433,11 +446,26 @@
             .host
             .holder(&run.group, &run.member)
             .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
+        run.proof = request.permit.as_ref().map(|p| stamps.prove_here(p));
         let mut conversation = Conversation::local(local);
-        conversation.send(run.clone()).await?;
+        conversation.send(run).await?;
         Ok(conversation)
     }
 
+    async fn open_remote(
+        &self,
+        holder: &HostId,
+        request: &Request,
+        mut run: Run,
+    ) -> Result<Conversation> {
+        if let Some(permit) = &request.permit {
+            let stamps = &self.host.stamps;
+            let proof = stamps.prove_to(&self.host.peers, holder, permit).await?;
+            run.proof = Some(proof);
+        }
+        Conversation::remote(&self.host, holder, &run).await
+    }
+
     /// Writes to the client, which has to keep reading.
     async fn write(&mut self, bytes: Bytes) -> Result<()> {
         timeout(WRITE_TIMEOUT, self.client.write(bytes))
--- a/crates/burdockslip_proxy/src/exchange.rs
+++ b/crates/burdockslip_proxy/src/exchange.rs
@@ -9,9 +9,14 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::stamp::HolderProof;
+
 /// Names the stream on which units are executed.
 pub(crate) const EXECUTE: &str = "execute";
 
+/// Detail of a rejection because the permission had expired on arrival.
+pub(crate) const EXPIRED: &str = "permission expired on the way to the database";
+
 domain! {
     /// Says what a unit may do and so which members may run it.
     #[derive(Copy)]
@@ -34,6 +39,9 @@
         pub(crate) member: MemberName,
         /// Whether the unit writes.
         pub(crate) access: Access,
+        /// The proof that the organisation's rate allows the request; none
+        /// inside a transaction that another unit has opened.
+        pub(crate) proof: Option<HolderProof>,
         /// The class's priority, higher first.
         pub(crate) priority: u8,
         /// The confirmed mark that a read must include; `None` for a new session.
--- a/crates/burdockslip_proxy/src/holder/execute.rs
+++ b/crates/burdockslip_proxy/src/holder/execute.rs
@@ -11,7 +11,7 @@
 use super::pool::Pooled;
 use super::release::Release;
 use super::route::{self, Check};
-use crate::exchange::{Done, Event, Failed, Run};
+use crate::exchange::{Done, EXPIRED, Event, Failed, Run};
 
 /// Runs `run` and passes its answer on.
 ///
@@ -24,6 +24,7 @@
     events: &mut mpsc::Sender<Event>,
 ) -> Result<Done, Failed> {
     let deadline = now() + run.remaining;
+    check_rate(holder, &run, pinned.is_some())?;
     let mut check = if pinned.is_some() {
         route::check_pinned(holder)?
     } else {
@@ -60,6 +61,22 @@
     Ok(Done { mark, state })
 }
 
+/// Checks on arrival that the permission of the request has not expired.
+///
+/// A host that resumes after a pause would otherwise spend tokens that the
+/// authority has granted again since.
+fn check_rate(holder: &Holder, run: &Run, is_pinned: bool) -> Result<(), Failed> {
+    let is_valid = match &run.proof {
+        Some(proof) => holder.stamps.is_valid(proof),
+        None => is_pinned,
+    };
+    if is_valid {
+        Ok(())
+    } else {
+        Err(Failed::not_sent(ErrorKind::RateExceeded, EXPIRED))
+    }
+}
+
 /// Takes a connection from the pool.
 async fn take(holder: &Holder, deadline: Instant) -> Result<Pooled, Failed> {
     let taken = holder.pool.take(deadline).await;
--- a/crates/burdockslip_proxy/src/holder/mod.rs
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::exchange::{Event, Run};
 use crate::options::Options;
+use crate::stamp::Stamps;
 use gate::Gate;
 pub(crate) use member::member;
 use pool::Pool;
@@ -29,6 +30,7 @@
     member: MemberName,
     group: Group,
     control: Member,
+    stamps: Rc<Stamps>,
     gate: Gate,
     pool: Pool,
     options: Rc<Options>,
@@ -39,8 +41,8 @@
     pub(crate) fn open(
         member: &MemberName,
         watch: Group,
-        group: &GroupEntry,
-        database: &MemberEntry,
+        (group, database): (&GroupEntry, &MemberEntry),
+        stamps: &Rc<Stamps>,
         options: &Rc<Options>,
     ) -> Rc<Self> {
         let connections = pool::share(database.connections as usize);
@@ -49,6 +51,7 @@
             member: member.clone(),
             group: watch,
             control: member::member(member, group, database, options),
+            stamps: Rc::clone(stamps),
             gate: Gate::new(slots.min(connections).max(1)),
             pool: Pool::open(group, database, connections, options),
             options: Rc::clone(options),
--- a/crates/burdockslip_proxy/src/hooks.rs
+++ b/crates/burdockslip_proxy/src/hooks.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use burdockslip_limits::{Permit, Tokens};
 use burdockslip_runtime::Instant;
 use burdockslip_types::{ClassName, ErrorKind, Organisation, Result};
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 
 /// Waits for a request's share of its organisation's rate, until a deadline.
-pub type Admit = dyn Fn(Organisation, Instant) -> LocalBoxFuture<'static, Result<()>>;
+pub type Admit = dyn Fn(Organisation, Instant) -> LocalBoxFuture<'static, Result<Permit>>;
 /// Returns how long ago the configuration was last known to be current.
 pub type ConfigAge = dyn Fn() -> Duration;
 /// Takes note of the end of a request and of its latency.
@@ -31,7 +32,13 @@
     /// Admits everything and records nothing, for tests of other parts.
     fn default() -> Self {
         Self {
-            admit: Rc::new(|_, _| async { Ok(()) }.boxed_local()),
+            admit: Rc::new(|_, deadline| {
+                let permit = Permit {
+                    cost: Tokens::ONE,
+                    expiry: deadline,
+                };
+                async move { Ok(permit) }.boxed_local()
+            }),
             config_age: Rc::new(|| Duration::ZERO),
             finished: Rc::new(|_, _, _, _| {}),
         }
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -19,6 +19,7 @@
 use crate::hooks::Hooks;
 use crate::in_force::InForce;
 use crate::options::Options;
+use crate::stamp::Stamps;
 
 /// Time for which a host is avoided after it could not be reached.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
@@ -31,6 +32,7 @@
     pub(crate) sessions: Sessions,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) hooks: Hooks,
+    pub(crate) stamps: Rc<Stamps>,
     suspects: RefCell<HashMap<HostId, Instant>>,
     in_force: RefCell<Rc<InForce>>,
     holders: RefCell<HashMap<MemberName, Rc<Holder>>>,
@@ -53,6 +55,7 @@
             sessions: Sessions::default(),
             is_draining: Cell::new(false),
             hooks,
+            stamps: Rc::new(Stamps::new()),
             suspects: RefCell::default(),
             in_force: RefCell::new(in_force),
             holders: RefCell::default(),
@@ -80,7 +83,13 @@
         let entry = in_force.catalogue.group(group.as_str())?;
         let database = entry.members.get(member)?;
         let watch = self.watch(group, entry);
-        let holder = Holder::open(member, watch, entry, database, &self.options);
+        let holder = Holder::open(
+            member,
+            watch,
+            (entry, database),
+            &self.stamps,
+            &self.options,
+        );
         self.holders
             .borrow_mut()
             .insert(member.clone(), Rc::clone(&holder));
--- a/crates/burdockslip_proxy/src/lib.rs
+++ b/crates/burdockslip_proxy/src/lib.rs
@@ -12,6 +12,7 @@
 mod in_force;
 mod options;
 mod proxy;
+mod stamp;
 
 pub use hooks::{Admit, ConfigAge, Finished, Hooks};
 pub use in_force::{HostEntry, InForce};
--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -17,6 +17,7 @@
 use crate::host::Host;
 use crate::in_force::InForce;
 use crate::options::Options;
+use crate::stamp::StampExchange;
 
 /// How often a drain looks whether sessions remain.
 const DRAIN_CHECK: std::time::Duration = std::time::Duration::from_millis(10);
@@ -118,6 +119,7 @@
     let cancelling = Rc::clone(host);
     let executing = Rc::clone(host);
     let watching = Rc::clone(host);
+    let stamps = Rc::clone(&host.stamps);
     Router::default()
         .on_stream(EXECUTE, move |receiver, sender| {
             // The stream's own task ends with its connection, so nothing is
@@ -127,6 +129,7 @@
         .on(Watch, move |_, request| {
             ready(Ok(watching.answer_watcher(request)))
         })
+        .on(StampExchange, move |_, ()| ready(Ok(stamps.own())))
         .on(CancelExchange, move |_, request| {
             ready(Ok(endpoint::cancel(&cancelling, &request)))
         })
