Add membership by gossip with rendezvous ranks

Cause: roles are taken by rank, so all hosts must agree on who lives.

Each host pings three peers a second. Messages carry at most 20 changes and a checksum; tables are compared by 32 buckets when the checksums differ, at most every 2 s. A silent host is suspected after 3 s and may object; it is removed after 6 s of silence. The platform's list only names candidates and hosts that get no new work, since it lags.

--- /dev/null
+++ b/crates/burdockslip_membership/src/membership.rs
@@ -0,0 +1,401 @@
+//! Pings peers, exchanges changes and offers the view.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, Task, now, random_range, random_u64, sleep, spawn, timeout};
+use burdockslip_types::{HostId, Link};
+use futures::channel::mpsc;
+use futures::future::join_all;
+use serde::Serialize;
+use tracing::debug;
+
+use crate::table::Table;
+use crate::{Gossip, Listed, Peer, Ping, Reply, Request, State, View};
+
+/// Spaces the pings, three a second.
+const PING_PERIOD: Duration = Duration::from_millis(333);
+
+/// Bounds the wait for an answer; it exceeds the round trip between regions.
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reports a gap between two rounds that only a pause of this host explains.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Spaces the comparisons of tables, which cost up to 4 KB each.
+const SYNC_PERIOD: Duration = Duration::from_secs(2);
+
+/// Bounds the replies that a host with an empty table takes in a row.
+const SYNC_ROUNDS: usize = 32;
+
+/// Sends every ninth ping to a host that may exist although it is not live.
+const MISSING_SHARE: u64 = 9;
+
+/// Counts the messages of the gossip and their encoded size.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages sent, requests and replies.
+    pub sent: u64,
+    /// Bytes sent.
+    pub bytes_sent: u64,
+    /// Messages received, requests and replies.
+    pub received: u64,
+    /// Bytes received.
+    pub bytes_received: u64,
+}
+
+/// Takes part in the gossip until the last clone is dropped.
+#[derive(Clone)]
+pub struct Membership {
+    shared: Rc<Shared>,
+    _task: Rc<Option<Task<()>>>,
+}
+
+struct Shared {
+    own: Peer,
+    seeds: Vec<SocketAddr>,
+    link: Option<Link<Gossip>>,
+    table: RefCell<Table>,
+    view: RefCell<(u64, Rc<View>)>,
+    traffic: Cell<Traffic>,
+    listeners: RefCell<Vec<mpsc::Sender<()>>>,
+    ring: RefCell<Vec<HostId>>,
+    synced: Cell<Option<Instant>>,
+}
+
+impl Membership {
+    /// Joins the gossip as `own`, over hosts at the `seeds` or in the
+    /// platform's list.
+    pub fn spawn(own: Peer, seeds: Vec<SocketAddr>, link: Link<Gossip>) -> Self {
+        let shared = Rc::new(Shared::new(own, seeds, Some(link)));
+        let task = spawn(run(Rc::clone(&shared)));
+        Self {
+            shared,
+            _task: Rc::new(Some(task)),
+        }
+    }
+
+    /// Holds a list of hosts that only [`set_peers`](Self::set_peers) changes,
+    /// for tests of what builds on it.
+    pub fn fixed(own: Peer, peers: &[Peer]) -> Self {
+        let membership = Self {
+            shared: Rc::new(Shared::new(own, Vec::new(), None)),
+            _task: Rc::new(None),
+        };
+        membership.set_peers(peers);
+        membership
+    }
+
+    /// Replaces the hosts of a fixed list.
+    pub fn set_peers(&self, peers: &[Peer]) {
+        let mut zones = self.view().known_zones().clone();
+        zones.extend(peers.iter().map(|peer| peer.zone.clone()));
+        let view = View::build(peers.iter().map(|peer| (peer, State::Live)), zones);
+        let version = self.shared.table.borrow().version();
+        self.shared.view.replace((version, Rc::new(view)));
+        self.shared.notify();
+    }
+
+    /// Returns this host.
+    pub fn own(&self) -> &Peer {
+        &self.shared.own
+    }
+
+    /// Returns the current state of the host list.
+    pub fn view(&self) -> Rc<View> {
+        self.shared.view()
+    }
+
+    /// Returns a channel that gets an item after changes of the view.
+    pub fn changes(&self) -> mpsc::Receiver<()> {
+        let (sender, receiver) = mpsc::channel(0);
+        self.shared.listeners.borrow_mut().push(sender);
+        receiver
+    }
+
+    /// Returns the counters of the gossip.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.traffic.get()
+    }
+
+    /// Returns the address of a host for the connections to it.
+    ///
+    /// Seeds are pinged under their address as name, since their names are
+    /// not known; such a name resolves to the address.
+    pub fn resolve(&self, host: &HostId) -> Option<SocketAddr> {
+        let table = self.shared.table.borrow();
+        let known = table.peer(host).map(|peer| peer.address);
+        known
+            .or_else(|| self.view().address(host))
+            .or_else(|| host.as_str().parse().ok())
+    }
+
+    /// Takes in the platform's list, which replaces the one before.
+    pub fn set_listed(&self, listed: Vec<Listed>) {
+        self.shared.table.borrow_mut().set_listed(listed);
+        self.shared.notify();
+    }
+
+    /// Answers a request from another host.
+    pub fn handle(&self, request: Request) -> Reply {
+        self.shared.count_received(&request);
+        let reply = self.shared.answer(request);
+        self.shared.count_sent(&reply);
+        reply
+    }
+
+    /// Takes this host out of the rankings and tells all hosts at once.
+    pub async fn leave(&self) {
+        let record = self.shared.table.borrow_mut().leave();
+        self.shared.notify();
+        let Some(link) = &self.shared.link else {
+            return;
+        };
+        let hosts = self.shared.table.borrow().ping_targets();
+        let calls = hosts.iter().map(|host| async {
+            let request = Request::Leaving(record.clone());
+            self.shared.count_sent(&request);
+            // A host that does not answer hears of it by gossip.
+            let _ = timeout(PING_TIMEOUT, link.call(host, request)).await;
+        });
+        join_all(calls).await;
+    }
+}
+
+impl Shared {
+    fn new(own: Peer, seeds: Vec<SocketAddr>, link: Option<Link<Gossip>>) -> Self {
+        let table = Table::new(own.clone());
+        let view = build(&table);
+        Self {
+            own,
+            seeds,
+            link,
+            view: RefCell::new((table.version(), Rc::new(view))),
+            table: RefCell::new(table),
+            traffic: Cell::default(),
+            listeners: RefCell::default(),
+            ring: RefCell::default(),
+            synced: Cell::default(),
+        }
+    }
+
+    fn view(&self) -> Rc<View> {
+        let table = self.table.borrow();
+        let mut view = self.view.borrow_mut();
+        if view.0 != table.version() {
+            *view = (table.version(), Rc::new(build(&table)));
+        }
+        Rc::clone(&view.1)
+    }
+
+    fn notify(&self) {
+        let mut listeners = self.listeners.borrow_mut();
+        listeners.retain_mut(|listener| {
+            // A full channel already holds the notice of an earlier change.
+            !matches!(listener.try_send(()), Err(error) if error.is_disconnected())
+        });
+    }
+
+    /// Runs `change` on the table and tells listeners if the view changed.
+    fn update<T>(&self, change: impl FnOnce(&mut Table) -> T) -> T {
+        let mut table = self.table.borrow_mut();
+        let before = table.version();
+        let output = change(&mut table);
+        let has_changed = table.version() != before;
+        drop(table);
+        if has_changed {
+            self.notify();
+        }
+        output
+    }
+
+    fn ping(&self, to: Option<&HostId>) -> Ping {
+        let mut table = self.table.borrow_mut();
+        Ping {
+            rumors: table.take_rumors(to),
+            from: table.own_record().clone(),
+            sum: table.sum(),
+        }
+    }
+
+    fn take(&self, ping: Ping) {
+        self.update(|table| {
+            table.hear(ping.from);
+            for rumor in ping.rumors {
+                table.merge(rumor);
+            }
+        });
+    }
+
+    fn answer(&self, request: Request) -> Reply {
+        match request {
+            Request::Ping(ping) => {
+                let host = ping.from.peer.host.clone();
+                self.take(ping);
+                Reply::Pong(self.ping(Some(&host)))
+            }
+            Request::Sync(sync) => {
+                let (rumors, has_more) = self.table.borrow().differences(&sync);
+                Reply::Records(rumors, has_more)
+            }
+            Request::Leaving(record) => {
+                self.update(|table| table.hear(record));
+                Reply::Done
+            }
+        }
+    }
+
+    /// Returns the next host to ping: all in turn, in an order drawn anew for
+    /// each turn, so that none waits much longer than the others.
+    fn next_target(&self) -> Option<HostId> {
+        let table = self.table.borrow();
+        let mut ring = self.ring.borrow_mut();
+        if random_range(0..MISSING_SHARE) == 0 || !table.has_targets() {
+            let mut missing = table.missing_hosts();
+            missing.extend(self.unknown_seeds(&table));
+            if let Some(host) = pick(&missing) {
+                return Some(host);
+            }
+        }
+        loop {
+            match ring.pop() {
+                Some(host) if table.record(&host).is_some_and(|r| r.state != State::Gone) => {
+                    return Some(host);
+                }
+                Some(_) => {}
+                None => break,
+            }
+        }
+        *ring = table.ping_targets();
+        shuffle(&mut ring);
+        ring.pop()
+    }
+
+    /// Returns the seeds that no known host has as its address.
+    fn unknown_seeds(&self, table: &Table) -> Vec<HostId> {
+        let is_known = |seed: &SocketAddr| table.records().any(|r| r.peer.address == *seed);
+        let seeds = self.seeds.iter().filter(|seed| !is_known(seed));
+        seeds.map(|seed| HostId::from(seed.to_string())).collect()
+    }
+
+    fn count_sent(&self, message: &impl Serialize) {
+        let mut traffic = self.traffic.get();
+        traffic.sent += 1;
+        traffic.bytes_sent += size_of(message);
+        self.traffic.set(traffic);
+    }
+
+    fn count_received(&self, message: &impl Serialize) {
+        let mut traffic = self.traffic.get();
+        traffic.received += 1;
+        traffic.bytes_received += size_of(message);
+        self.traffic.set(traffic);
+    }
+
+    async fn call(&self, host: &HostId, request: Request) -> Option<Reply> {
+        let link = self.link.as_ref()?;
+        self.count_sent(&request);
+        let reply = timeout(PING_TIMEOUT, link.call(host, request)).await;
+        let reply = reply.ok()?.ok()?;
+        self.count_received(&reply);
+        Some(reply)
+    }
+}
+
+fn build(table: &Table) -> View {
+    View::build(table.states(), table.zones().clone())
+}
+
+fn size_of(message: &impl Serialize) -> u64 {
+    let config = bincode::config::standard();
+    let size = bincode::serde::encode_into_std_write(message, &mut std::io::sink(), config);
+    size.map_or(0, |size| size as u64)
+}
+
+fn pick(hosts: &[HostId]) -> Option<HostId> {
+    let index = random_range(0..hosts.len() as u64);
+    hosts.get(usize::try_from(index).ok()?).cloned()
+}
+
+fn shuffle(hosts: &mut [HostId]) {
+    for last in (1..hosts.len()).rev() {
+        let other = random_range(0..last as u64 + 1);
+        hosts.swap(last, usize::try_from(other).unwrap_or(last));
+    }
+}
+
+/// Pings one host each period, and one silent host again.
+async fn run(shared: Rc<Shared>) {
+    // Hosts that start together do not ping together.
+    let period = u64::try_from(PING_PERIOD.as_millis()).unwrap_or(0);
+    sleep(Duration::from_millis(random_range(0..period))).await;
+    let mut last = now();
+    loop {
+        if last.elapsed() > PING_PERIOD + PAUSE_LIMIT {
+            shared.table.borrow_mut().excuse();
+        }
+        last = now();
+        shared.update(Table::advance);
+        if let Some(host) = shared.next_target() {
+            spawn(check(Rc::clone(&shared), host)).detach();
+        }
+        let silent = shared.table.borrow().silent_hosts();
+        if let Some(host) = pick(&silent) {
+            spawn(check(Rc::clone(&shared), host)).detach();
+        }
+        sleep(PING_PERIOD).await;
+    }
+}
+
+async fn check(shared: Rc<Shared>, host: HostId) {
+    let sent = now();
+    let request = Request::Ping(shared.ping(Some(&host)));
+    let Some(Reply::Pong(pong)) = shared.call(&host, request).await else {
+        shared.table.borrow_mut().miss(&host, sent);
+        debug!(%host, "ping unanswered");
+        return;
+    };
+    let (sum, from) = (pong.sum, pong.from.peer.host.clone());
+    shared.take(pong);
+    let is_equal = sum == shared.table.borrow().sum();
+    let is_recent = shared
+        .synced
+        .get()
+        .is_some_and(|at| at.elapsed() < SYNC_PERIOD);
+    if !is_equal && !is_recent {
+        shared.synced.set(Some(now()));
+        compare(&shared, &from).await;
+    }
+}
+
+/// Takes in the records that differ at `host`; goes on at once only while new
+/// hosts appear, which is so after a start.
+async fn compare(shared: &Rc<Shared>, host: &HostId) {
+    for _ in 0..SYNC_ROUNDS {
+        let request = shared.table.borrow().sync_request(random_u64());
+        let Some(Reply::Records(rumors, has_more)) =
+            shared.call(host, Request::Sync(request)).await
+        else {
+            return;
+        };
+        let before = shared.table.borrow().records().count();
+        shared.update(|table| {
+            for rumor in rumors {
+                table.learn(rumor);
+            }
+        });
+        let is_growing = shared.table.borrow().records().count() > before;
+        if !has_more || !is_growing {
+            return;
+        }
+    }
+}
+
+impl fmt::Debug for Membership {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Membership").field(&self.shared.own).finish()
+    }
+}
