--- a/crates/burdockslip_proxy/src/endpoint/cancel.rs
+++ b/crates/burdockslip_proxy/src/endpoint/cancel.rs
@@ -39,12 +39,12 @@
     }
     let request = Cancel { process, secret };
     let prefix = prefix_of(process);
-    let peers: Vec<_> = host
-        .in_force()
-        .hosts
-        .keys()
-        .filter(|peer| **peer != host.options.host && host_prefix(peer) == prefix)
-        .cloned()
+    let view = host.placement.view();
+    let peers: Vec<_> = view
+        .live()
+        .chain(view.leaving())
+        .map(|peer| peer.host.clone())
+        .filter(|peer| *peer != host.options.host && host_prefix(peer) == prefix)
         .collect();
     for peer in peers {
         let call = host.peers.call::<CancelExchange>(&peer, &request);
--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -30,6 +30,8 @@
     pub(super) deadline: Instant,
     /// The share of the organisation's rate that the request uses.
     pub(super) permit: Option<Permit>,
+    /// Whether the permit was replaced, which happens once at most.
+    pub(super) is_renewed: bool,
 }
 
 /// Judges a unit by the configuration in force.
@@ -73,6 +75,7 @@
         class: Rc::clone(class),
         deadline: now() + class.deadline,
         permit: None,
+        is_renewed: false,
     })
 }
 
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -285,9 +285,11 @@
                 Ok(done) => return Ok(Ok(done)),
                 Err(attempt) => attempt,
             };
-            if attempt.failed.detail == EXPIRED && request.permit.take().is_some() {
-                // A request waits for new tokens once: its own may have expired
-                // in a queue, or the holder may have started anew.
+            if attempt.failed.detail == EXPIRED && !request.is_renewed {
+                // Either the request was late, or the holder has started anew
+                // and with it the clock of its stamps.
+                request.is_renewed = true;
+                self.host.stamps.forget_all();
                 match self.admit(request).await {
                     Ok(()) => continue,
                     Err(failed) => return Ok(Err(failed)),
@@ -438,7 +440,7 @@
             let opened = self.open_remote(&holder, request, run).await;
             if opened.is_err() {
                 stamps.forget(&holder);
-                self.host.suspect(&holder);
+                self.host.placement.suspect(&holder);
             }
             return opened;
         }
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -4,26 +4,21 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
-use std::time::Duration;
 
 use burdockslip_catalogue::GroupEntry;
 use burdockslip_group::{Group, ReadPolicy, Settings, Timing, WatchReply, WatchRequest, Watcher};
 use burdockslip_keys::TokenSecrets;
 use burdockslip_peer::PeerPool;
-use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{GroupName, HostId, MemberName, Zone};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::endpoint::Sessions;
 use crate::holder::{self, Holder};
 use crate::hooks::Hooks;
 use crate::in_force::InForce;
 use crate::options::Options;
+use crate::placement::Placement;
 use crate::stamp::Stamps;
 
-/// Time for which a host is avoided after it could not be reached.
-const SUSPECT_TIME: Duration = Duration::from_secs(1);
-
 /// Holds the state that all sessions of a host share.
 pub(crate) struct Host {
     pub(crate) options: Rc<Options>,
@@ -33,7 +28,7 @@
     pub(crate) is_draining: Cell<bool>,
     pub(crate) hooks: Hooks,
     pub(crate) stamps: Rc<Stamps>,
-    suspects: RefCell<HashMap<HostId, Instant>>,
+    pub(crate) placement: Placement,
     in_force: RefCell<Rc<InForce>>,
     holders: RefCell<HashMap<MemberName, Rc<Holder>>>,
     groups: RefCell<HashMap<GroupName, Group>>,
@@ -46,6 +41,7 @@
         secrets: TokenSecrets,
         peers: PeerPool,
         hooks: Hooks,
+        placement: Placement,
         in_force: Rc<InForce>,
     ) -> Self {
         Self {
@@ -56,7 +52,7 @@
             is_draining: Cell::new(false),
             hooks,
             stamps: Rc::new(Stamps::new()),
-            suspects: RefCell::default(),
+            placement,
             in_force: RefCell::new(in_force),
             holders: RefCell::default(),
             groups: RefCell::default(),
@@ -132,8 +128,8 @@
     }
 
     fn zone_of(&self, host: &HostId) -> Option<Zone> {
-        let in_force = self.in_force();
-        in_force.hosts.get(host).map(|entry| entry.zone.clone())
+        let view = self.placement.view();
+        view.peer(host).map(|peer| peer.zone.clone())
     }
 
     /// Starts, adjusts and stops holders and watchers after a change.
@@ -178,24 +174,7 @@
         if self.options.is_direct {
             return self.options.host.clone();
         }
-        let in_force = self.in_force();
-        let suspects = self.suspects.borrow();
-        let is_usable = |host: &HostId| suspects.get(host).is_none_or(|until| until.is_past());
-        let is_in_zone = in_force.hosts.values().any(|entry| entry.zone == *zone);
-        in_force
-            .hosts
-            .iter()
-            .filter(|(_, entry)| !is_in_zone || entry.zone == *zone)
-            .map(|(host, _)| host)
-            .max_by_key(|host| (is_usable(host), rank(member, host)))
-            .unwrap_or(&self.options.host)
-            .clone()
-    }
-
-    /// Avoids a host that could not be reached, until membership has judged it.
-    pub(crate) fn suspect(&self, host: &HostId) {
-        let until = now() + SUSPECT_TIME;
-        self.suspects.borrow_mut().insert(host.clone(), until);
+        self.placement.holder(member, zone)
     }
 
     /// Returns the member that was last known as the group's primary.
@@ -218,12 +197,6 @@
     }
 }
 
-/// Returns the weight of a host for a member in rendezvous hashing.
-fn rank(member: &MemberName, host: &HostId) -> u64 {
-    let seed = xxh3_64_with_seed(member.as_str().as_bytes(), 0);
-    xxh3_64_with_seed(host.as_str().as_bytes(), seed)
-}
-
 impl fmt::Debug for Host {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_tuple("Host").field(&self.options.host).finish()
--- a/crates/burdockslip_proxy/src/lib.rs
+++ b/crates/burdockslip_proxy/src/lib.rs
@@ -11,10 +11,11 @@
 mod host;
 mod in_force;
 mod options;
+mod placement;
 mod proxy;
 mod stamp;
 
 pub use hooks::{Admit, ConfigAge, Finished, Hooks};
-pub use in_force::{HostEntry, InForce};
+pub use in_force::InForce;
 pub use options::Options;
 pub use proxy::Proxy;
--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -4,9 +4,12 @@
 
 use burdockslip_group::Watch;
 use burdockslip_keys::TokenSecrets;
+use burdockslip_membership::Membership;
 use burdockslip_peer::{PeerPool, PeerServer, Router};
-use burdockslip_runtime::{Task, sleep};
-use burdockslip_types::{HostId, Result};
+use burdockslip_runtime::{Task, sleep, spawn};
+use burdockslip_types::Result;
+use futures::StreamExt;
+use futures::channel::mpsc;
 use futures::future::ready;
 use tracing::{info, warn};
 
@@ -17,6 +20,7 @@
 use crate::host::Host;
 use crate::in_force::InForce;
 use crate::options::Options;
+use crate::placement::Placement;
 use crate::stamp::StampExchange;
 
 /// How often a drain looks whether sessions remain.
@@ -27,63 +31,51 @@
 pub struct Proxy {
     host: Rc<Host>,
     _server: PeerServer,
+    _following: Task<()>,
     listener: Task<()>,
     client_address: std::net::SocketAddr,
 }
 
 impl Proxy {
-    /// Starts a host with the configuration that is in force now.
+    /// Starts to serve clients and peers with the configuration that is in force now.
     ///
-    /// # Errors
-    ///
-    /// Returns `InvalidInput` if an address cannot be bound or a secret is too short.
-    pub fn bind(options: Options, in_force: InForce) -> Result<Self> {
-        Self::bind_with(options, in_force, Hooks::default(), |_, router| router)
-    }
-
-    /// Starts a host whose other parts make decisions and serve exchanges of their own.
-    ///
-    /// `extend` gets the connections to other hosts and adds to what is served to them.
+    /// `peers` and `membership` are shared with the other parts of the host;
+    /// `router` serves their exchanges.
     ///
     /// # Errors
     ///
-    /// As [`Proxy::bind`].
-    pub fn bind_with(
+    /// Returns `InvalidInput` if an address cannot be bound or a secret is too short.
+    pub fn bind(
         options: Options,
         in_force: InForce,
+        membership: &Membership,
+        peers: PeerPool,
         hooks: Hooks,
-        extend: impl FnOnce(&PeerPool, Router) -> Router,
+        router: Router,
     ) -> Result<Self> {
         let options = Rc::new(options);
         let secrets = TokenSecrets::new(&options.token_secret, options.older_secret.as_deref())?;
-        let host = Rc::new_cyclic(|weak: &std::rc::Weak<Host>| {
-            let weak = weak.clone();
-            let resolve = move |peer: &HostId| {
-                let host = weak.upgrade()?;
-                host.in_force().hosts.get(peer).map(|entry| entry.address)
-            };
-            let peers = PeerPool::new(options.host.clone(), resolve);
-            Host::new(
-                Rc::clone(&options),
-                secrets,
-                peers,
-                hooks,
-                Rc::new(in_force),
-            )
-        });
+        let host = Rc::new(Host::new(
+            Rc::clone(&options),
+            secrets,
+            peers,
+            hooks,
+            Placement::new(membership.clone()),
+            Rc::new(in_force),
+        ));
         host.refresh();
-        let router = extend(&host.peers, router(&host));
-        let server = PeerServer::bind(options.peer_address, router)?;
+        let server = PeerServer::bind(options.peer_address, serve_peers(&host, router))?;
         let (listener, client_address) = endpoint::bind(&host)?;
+        let following = spawn(follow(membership.changes(), Rc::clone(&host)));
         info!(host = %options.host, zone = %options.zone, clients = %client_address, "host started");
         Ok(Self {
             host,
             _server: server,
+            _following: following,
             listener,
             client_address,
         })
     }
-
     /// Returns the address for clients.
     pub fn client_address(&self) -> std::net::SocketAddr {
         self.client_address
@@ -115,12 +107,20 @@
     }
 }
 
-fn router(host: &Rc<Host>) -> Router {
+/// Moves holders and watchers when hosts come and go.
+async fn follow(mut changes: mpsc::Receiver<()>, host: Rc<Host>) {
+    while changes.next().await.is_some() {
+        host.refresh();
+    }
+}
+
+/// Adds the exchanges of this crate to those of the other parts of the host.
+fn serve_peers(host: &Rc<Host>, router: Router) -> Router {
     let cancelling = Rc::clone(host);
     let executing = Rc::clone(host);
     let watching = Rc::clone(host);
     let stamps = Rc::clone(&host.stamps);
-    Router::default()
+    router
         .on_stream(EXECUTE, move |receiver, sender| {
             // The stream's own task ends with its connection, so nothing is
             // left running for an endpoint that is gone.
--- a/crates/burdockslip_proxy/src/stamp.rs
+++ b/crates/burdockslip_proxy/src/stamp.rs
@@ -21,7 +21,7 @@
 domain! {
     /// Tells the clock of one run of a host.
     #[derive(Copy)]
-    pub struct Stamp {
+    pub(crate) struct Stamp {
         /// A random number that differs between runs, whose clocks start anew.
         pub(crate) instance: u64,
         /// The clock reading in microseconds.
@@ -107,6 +107,11 @@
         Ok(prove(permit, stamp, received))
     }
 
+    /// Forgets all stamps after a proof was refused.
+    pub(crate) fn forget_all(&self) {
+        self.known.borrow_mut().clear();
+    }
+
     /// Forgets the stamp of a host that may have started anew.
     pub(crate) fn forget(&self, holder: &HostId) {
         self.known.borrow_mut().remove(holder);
--- a/crates/burdockslip_proxy/tests/support/mod.rs
+++ b/crates/burdockslip_proxy/tests/support/mod.rs
@@ -3,7 +3,6 @@
 // Each test program uses another part of this module.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -12,7 +11,9 @@
 
 use burdockslip_catalogue::Catalogue;
 use burdockslip_keys::{Key, KeyPath, KeyRecord, KeyRing};
-use burdockslip_proxy::{HostEntry, InForce, Options, Proxy};
+use burdockslip_membership::{Membership, Peer};
+use burdockslip_peer::{PeerPool, Router};
+use burdockslip_proxy::{Hooks, InForce, Options, Proxy};
 use burdockslip_runtime::{block_on, spawn};
 use burdockslip_testkit::database::{DatabaseGroup, MemberOptions};
 use futures::StreamExt;
@@ -138,21 +139,18 @@
     for (path, record) in records {
         ring.put(path, &record.render()).expect("record is valid");
     }
-    let hosts: BTreeMap<_, _> = ZONES
+    let peers: Vec<Peer> = ZONES
         .iter()
         .enumerate()
-        .map(|(index, zone)| {
-            let entry = HostEntry {
-                zone: (*zone).into(),
-                address: address(prefix, index, 7432),
-            };
-            (format!("host-{zone}").as_str().into(), entry)
+        .map(|(index, zone)| Peer {
+            host: format!("host-{zone}").into(),
+            zone: (*zone).into(),
+            address: address(prefix, index, 7432),
         })
         .collect();
     let in_force = InForce {
         catalogue: Rc::new(catalogue(&members)),
         keys: Rc::new(ring),
-        hosts: Rc::new(hosts),
     };
     let group = DatabaseGroup::bind(members).expect("members start");
     let proxies = ZONES
@@ -166,7 +164,7 @@
                 address(prefix, index, 7432),
             );
             options.token_secret = vec![7; 32];
-            Some(Proxy::bind(options, in_force.clone()).expect("host starts"))
+            Some(bind_host(options, &in_force, &peers, index))
         })
         .collect();
     Site {
@@ -177,6 +175,21 @@
     }
 }
 
+fn bind_host(options: Options, in_force: &InForce, peers: &[Peer], index: usize) -> Proxy {
+    let membership = Membership::fixed(peers[index].clone(), peers);
+    let resolver = membership.clone();
+    let pool = PeerPool::new(options.host.clone(), move |host| resolver.resolve(host));
+    Proxy::bind(
+        options,
+        in_force.clone(),
+        &membership,
+        pool,
+        Hooks::default(),
+        Router::default(),
+    )
+    .expect("host starts")
+}
+
 impl Running {
     /// Runs a command in the thread of the site and returns its result.
     pub(crate) fn with<T: Send + 'static>(
