Let a planned stop wait for requests of other hosts

Cause, found by reading: a drain waited for its own clients only, while endpoints on other hosts may have units and transactions under way on its database connections. Conversations are counted now, new ones are refused as not run, and the endpoint turns to the next host in the ranking.

--- a/crates/burdockslip_catalogue/src/catalogue.rs
+++ b/crates/burdockslip_catalogue/src/catalogue.rs
@@ -24,6 +24,8 @@
     /// Holds all entries of a catalogue that passed the checks.
     ///
     /// Entries are shared, so a session keeps the one with which it started.
+    /// The default holds none; a host has it until it knows a real one.
+    #[derive(Default)]
     pub struct Catalogue {
         /// The schema version.
         pub version: u32,
@@ -98,6 +100,11 @@
         self.groups.get(name)
     }
 
+    /// Lists all availability zones in the order of their names.
+    pub fn zones(&self) -> impl Iterator<Item = &Zone> {
+        self.zones.keys()
+    }
+
     /// Lists all database groups.
     pub fn groups(&self) -> impl Iterator<Item = (&GroupName, &Rc<GroupEntry>)> {
         self.groups.iter()
--- a/crates/burdockslip_proxy/src/conversation.rs
+++ b/crates/burdockslip_proxy/src/conversation.rs
@@ -10,7 +10,7 @@
 use futures::StreamExt;
 use futures::channel::mpsc;
 
-use crate::exchange::{EXECUTE, Event, Run};
+use crate::exchange::{EXECUTE, Event, Failed, Run};
 use crate::holder::{self, Holder};
 use crate::host::Host;
 
@@ -103,9 +103,17 @@
     let Ok(Some(first)) = receiver.next().await else {
         return;
     };
+    if host.is_draining.get() {
+        let failed = Failed::not_sent(ErrorKind::Draining, "holder is shutting down");
+        // The endpoint may be gone.
+        let _ = sender.send(&Event::Failed(failed)).await;
+        let _ = sender.close();
+        return;
+    }
     let Some(holder) = host.holder(&first.group, &first.member) else {
         return;
     };
+    let _counted = host.conversations.count();
     let mut conversation = Conversation::local(holder);
     let mut run = Some(first);
     while let Some(unit) = run.take() {
--- a/crates/burdockslip_proxy/src/endpoint/listener.rs
+++ b/crates/burdockslip_proxy/src/endpoint/listener.rs
@@ -10,7 +10,6 @@
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use tracing::debug;
 
-use super::registry::Counted;
 use super::startup;
 use super::{cancel, session};
 use crate::host::Host;
@@ -47,7 +46,7 @@
 }
 
 async fn serve(io: TcpStream, host: Rc<Host>) {
-    let _counted = Counted::new(&host);
+    let _counted = host.sessions.count();
     let mut client = ClientStream::new(io, host.options.unit_limit);
     if host.sessions.len() > host.options.client_limit {
         refuse(client, ErrorKind::QueueFull).await;
--- a/crates/burdockslip_proxy/src/endpoint/registry.rs
+++ b/crates/burdockslip_proxy/src/endpoint/registry.rs
@@ -8,6 +8,8 @@
 use burdockslip_types::HostId;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::counter::{Counted, Counter};
+
 /// Number of bits of a process number that count the sessions of a host.
 ///
 /// The bits above name the host, so that any host can pass a cancel request on.
@@ -18,7 +20,7 @@
 pub(crate) struct Sessions {
     entries: RefCell<HashMap<i32, Rc<Entry>>>,
     next: Cell<u16>,
-    count: Cell<usize>,
+    count: Counter,
     signal: Rc<Signal>,
 }
 
@@ -33,31 +35,17 @@
     pub(super) cancelled: Signal,
 }
 
-/// Counts one connection until dropped.
-#[derive(Debug)]
-pub(super) struct Counted(Rc<super::super::host::Host>);
-
-impl Counted {
-    pub(super) fn new(host: &Rc<super::super::host::Host>) -> Self {
-        let count = &host.sessions.count;
-        count.set(count.get() + 1);
-        Self(Rc::clone(host))
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        let count = &self.0.sessions.count;
-        count.set(count.get() - 1);
-    }
-}
-
 impl Sessions {
     /// Returns the number of connected clients.
     pub(crate) fn len(&self) -> usize {
         self.count.get()
     }
 
+    /// Counts one more client.
+    pub(super) fn count(&self) -> Counted {
+        self.count.count()
+    }
+
     /// Makes all sessions look at the configuration and at the drain state.
     pub(crate) fn notify_all(&self) {
         self.signal.notify();
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -298,7 +298,9 @@
             if !self.may_retry(request, &attempt) {
                 return Ok(Err(attempt.failed));
             }
-            if let Some(member) = attempt.failed.redirect {
+            if attempt.failed.kind == ErrorKind::Draining {
+                self.avoid_holder(&request.run);
+            } else if let Some(member) = attempt.failed.redirect {
                 if request.run.access == Access::Write {
                     self.host.set_primary(&request.run.group, member.clone());
                 }
@@ -310,6 +312,14 @@
         }
     }
 
+    /// Turns to the next host in the ranking for the member.
+    fn avoid_holder(&self, run: &Run) {
+        if let Some(zone) = self.host.member_zone(&run.group, &run.member) {
+            let holder = self.host.holder_host(&run.member, &zone);
+            self.host.placement.suspect(&holder);
+        }
+    }
+
     /// Turns to another member of the group, whose holder knows where to go.
     fn ask_next_member(&self, run: &mut Run) {
         let in_force = self.host.in_force();
@@ -334,7 +344,10 @@
         let is_transient = failed.kind == ErrorKind::OutcomeUnknown
             || matches!(
                 failed.kind,
-                ErrorKind::ConnectionLost | ErrorKind::NoPrimary | ErrorKind::NoFreshData
+                ErrorKind::ConnectionLost
+                    | ErrorKind::Draining
+                    | ErrorKind::NoPrimary
+                    | ErrorKind::NoFreshData
             );
         !has_output
             && is_safe
@@ -427,12 +440,9 @@
     /// Opens a conversation with the holder of the member and sends the unit.
     async fn open(&self, request: &Request) -> Result<Conversation> {
         let mut run = request.run.clone();
-        let in_force = self.host.in_force();
-        let zone = in_force
-            .catalogue
-            .group(run.group.as_str())
-            .and_then(|group| group.members.get(&run.member))
-            .map(|member| member.zone.clone())
+        let zone = self
+            .host
+            .member_zone(&run.group, &run.member)
             .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
         let holder = self.host.holder_host(&run.member, &zone);
         let stamps = &self.host.stamps;
--- a/crates/burdockslip_proxy/src/endpoint/startup.rs
+++ b/crates/burdockslip_proxy/src/endpoint/startup.rs
@@ -55,6 +55,9 @@
     if host.is_draining.get() {
         bail!(ErrorKind::Draining);
     }
+    if !(host.hooks.is_ready)() {
+        bail!(ErrorKind::ConfigMissing);
+    }
     let user = parameters.get("user").map_or("", String::as_str);
     let route = parameters.get("database").map_or(user, String::as_str);
     client.write(auth_cleartext()).await?;
--- a/crates/burdockslip_proxy/src/hooks.rs
+++ b/crates/burdockslip_proxy/src/hooks.rs
@@ -14,12 +14,16 @@
 pub type Admit = dyn Fn(Organisation, Instant) -> LocalBoxFuture<'static, Result<Permit>>;
 /// Returns how long ago the configuration was last known to be current.
 pub type ConfigAge = dyn Fn() -> Duration;
+/// Returns whether the host knows a configuration at all.
+pub type IsReady = dyn Fn() -> bool;
 /// Takes note of the end of a request and of its latency.
 pub type Finished = dyn Fn(&Organisation, &ClassName, Result<(), ErrorKind>, Duration);
 
 /// Holds the decisions that other parts of a host make for its endpoint.
 #[derive(Clone)]
 pub struct Hooks {
+    /// Tells whether clients are accepted.
+    pub is_ready: Rc<IsReady>,
     /// Admits a request or rejects it as not run.
     pub admit: Rc<Admit>,
     /// Tells the age of the configuration.
@@ -32,6 +36,7 @@
     /// Admits everything and records nothing, for tests of other parts.
     fn default() -> Self {
         Self {
+            is_ready: Rc::new(|| true),
             admit: Rc::new(|_, deadline| {
                 let permit = Permit {
                     cost: Tokens::ONE,
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -11,6 +11,7 @@
 use burdockslip_peer::PeerPool;
 use burdockslip_types::{GroupName, HostId, MemberName, Zone};
 
+use crate::counter::Counter;
 use crate::endpoint::Sessions;
 use crate::holder::{self, Holder};
 use crate::hooks::Hooks;
@@ -25,6 +26,8 @@
     pub(crate) secrets: TokenSecrets,
     pub(crate) peers: PeerPool,
     pub(crate) sessions: Sessions,
+    /// Counts the conversations that other hosts have opened.
+    pub(crate) conversations: Counter,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) hooks: Hooks,
     pub(crate) stamps: Rc<Stamps>,
@@ -49,6 +52,7 @@
             secrets,
             peers,
             sessions: Sessions::default(),
+            conversations: Counter::default(),
             is_draining: Cell::new(false),
             hooks,
             stamps: Rc::new(Stamps::new()),
@@ -177,6 +181,13 @@
         self.placement.holder(member, zone)
     }
 
+    /// Returns the availability zone of a member.
+    pub(crate) fn member_zone(&self, group: &GroupName, member: &MemberName) -> Option<Zone> {
+        let in_force = self.in_force();
+        let entry = in_force.catalogue.group(group.as_str())?;
+        entry.members.get(member).map(|entry| entry.zone.clone())
+    }
+
     /// Returns the member that was last known as the group's primary.
     pub(crate) fn primary(&self, group: &GroupName) -> Option<MemberName> {
         let watched = self.groups.borrow().get(group).cloned();
--- a/crates/burdockslip_proxy/src/in_force.rs
+++ b/crates/burdockslip_proxy/src/in_force.rs
@@ -6,7 +6,7 @@
 use burdockslip_keys::KeyRing;
 
 /// Holds one state of the configuration; a change replaces it as a whole.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct InForce {
     /// The catalogue.
     pub catalogue: Rc<Catalogue>,
--- a/crates/burdockslip_proxy/src/lib.rs
+++ b/crates/burdockslip_proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! see `docs/design.md`, section 2.
 
 mod conversation;
+mod counter;
 mod endpoint;
 mod exchange;
 mod holder;
@@ -15,7 +16,7 @@
 mod proxy;
 mod stamp;
 
-pub use hooks::{Admit, ConfigAge, Finished, Hooks};
+pub use hooks::{Admit, ConfigAge, Finished, Hooks, IsReady};
 pub use in_force::InForce;
 pub use options::Options;
 pub use proxy::Proxy;
--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -81,6 +81,16 @@
         self.client_address
     }
 
+    /// Returns the number of connected clients.
+    pub fn sessions(&self) -> usize {
+        self.host.sessions.len()
+    }
+
+    /// Returns the configuration in force.
+    pub fn in_force(&self) -> Rc<InForce> {
+        self.host.in_force()
+    }
+
     /// Puts another configuration in force.
     pub fn set_in_force(&self, in_force: InForce) {
         self.host.set_in_force(Rc::new(in_force));
@@ -88,18 +98,26 @@
         self.host.sessions.notify_all();
     }
 
-    /// Stops without cutting a request in flight; returns the sessions left at the deadline.
+    /// Stops without cutting a request in flight, neither of own clients nor of
+    /// other hosts; returns how many sessions and conversations were left at
+    /// the deadline.
     pub async fn drain(&self) -> usize {
         self.host.is_draining.set(true);
         self.listener.abort();
         self.host.sessions.notify_all();
         let deadline = burdockslip_runtime::now() + self.host.options.drain_timeout;
-        while self.host.sessions.len() > 0 && !deadline.is_past() {
+        let under_way = || self.host.sessions.len() + self.host.conversations.get();
+        while under_way() > 0 && !deadline.is_past() {
             sleep(DRAIN_CHECK).await;
         }
-        let left = self.host.sessions.len();
+        let left = under_way();
         if left > 0 {
-            warn!(host = %self.host.options.host, sessions = left, "drain deadline reached");
+            warn!(
+                host = %self.host.options.host,
+                sessions = self.host.sessions.len(),
+                conversations = self.host.conversations.get(),
+                "drain deadline reached"
+            );
         } else {
             info!(host = %self.host.options.host, "host drained");
         }
