Cancel abandoned statements at the database

Cause, found by reading: a request that was cancelled or whose endpoint died closed its connection, but the database worked on and kept one of its two or three slots busy. The pool now sends a cancel request when it drops a connection on which a unit runs.

--- a/crates/burdockslip_proxy/src/holder/converse.rs
+++ b/crates/burdockslip_proxy/src/holder/converse.rs
@@ -46,6 +46,7 @@
         run.names.as_slice()
     };
     let has_own = marker.is_some() && !is_pinned;
+    connection.is_busy = true;
     connection
         .write(compose(holder, run, marker.as_deref(), names, has_own))
         .await?;
@@ -67,6 +68,7 @@
         skip_answer(connection).await?;
     }
     let status = status::read(&holder.member, &connection.read_outcome().await?)?;
+    connection.is_busy = false;
     if state == TransactionState::Idle {
         close_names(connection).await?;
     }
--- a/crates/burdockslip_proxy/src/holder/pool.rs
+++ b/crates/burdockslip_proxy/src/holder/pool.rs
@@ -5,9 +5,10 @@
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
+use std::time::Duration;
 
 use burdockslip_catalogue::{GroupEntry, MemberEntry};
-use burdockslip_runtime::{Instant, timeout_at};
+use burdockslip_runtime::{Instant, spawn, timeout, timeout_at};
 use burdockslip_types::{ErrorKind, Result};
 use burdockslip_wire::UpstreamStream;
 use error_stack::Report;
@@ -21,6 +22,9 @@
 /// the holder (`docs/design.md`, section 2).
 const HOLDER_PERCENT: usize = 70;
 
+/// Time within which an abandoned statement is cancelled.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Returns how many connections a holder may open to a database with the given limit.
 pub(super) fn share(connections: usize) -> usize {
     (connections * HOLDER_PERCENT / 100).max(1)
@@ -51,6 +55,9 @@
     stream: Option<UpstreamStream>,
     /// The prepared statements that a transaction has left on the connection.
     pub(super) names: BTreeSet<String>,
+    /// Whether the database works on a unit, so that closing the connection
+    /// would leave it running.
+    pub(super) is_busy: bool,
 }
 
 impl Pool {
@@ -115,6 +122,7 @@
             shared: Rc::clone(&self.shared),
             stream: Some(stream),
             names: BTreeSet::new(),
+            is_busy: false,
         }
     }
 
@@ -126,6 +134,7 @@
             shared: Rc::clone(shared),
             stream: None,
             names: BTreeSet::new(),
+            is_busy: false,
         };
         let stream = timeout_at(
             deadline,
@@ -173,6 +182,13 @@
 
 impl Drop for Pooled {
     fn drop(&mut self) {
+        if self.is_busy
+            && let Some(key) = self.stream.as_ref().and_then(UpstreamStream::cancel_key)
+        {
+            // An abandoned statement would go on to occupy one of the
+            // database's slots. If this fails, it runs to its end.
+            spawn(async move { timeout(CANCEL_TIMEOUT, key.cancel()).await }).detach();
+        }
         self.shared.release();
     }
 }
--- a/crates/burdockslip_proxy/tests/failure.rs
+++ b/crates/burdockslip_proxy/tests/failure.rs
@@ -199,3 +199,21 @@
         .expect_err("statement was cancelled");
     assert_eq!(sqlstate(&error), "57014");
 }
+
+/// Guards the slots of a database against statements whose client has gone.
+#[test]
+fn abandoned_statement_is_cancelled_upstream() {
+    let site = start();
+    let mut client = site.connect(0);
+    let token = client.cancel_token();
+    let running = std::thread::spawn(move || client.simple_query("SELECT pg_sleep(3600)").is_err());
+    while !site.with(|site| {
+        let texts = site.group.received_texts();
+        texts.iter().any(|text| text.contains("pg_sleep"))
+    }) {}
+    assert!(site.with(|site| site.group.busy_slots().iter().sum::<usize>()) > 0);
+    token.cancel_query(postgres::NoTls).expect("cancel is sent");
+    assert!(running.join().expect("client thread"));
+    // Ends only when the database has stopped the statement.
+    while site.with(|site| site.group.busy_slots().iter().sum::<usize>()) > 0 {}
+}
--- a/crates/burdockslip_testkit/src/database/group.rs
+++ b/crates/burdockslip_testkit/src/database/group.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
+use burdockslip_runtime::{Instant, Signal, Task, now, sleep, spawn};
 use burdockslip_types::{Mark, MemberName, Result, Term, Zone};
 use futures::channel::oneshot;
 
@@ -74,6 +74,10 @@
     pub(super) open: Cell<usize>,
     pub(super) slots: Slots,
     pub(super) texts: RefCell<Vec<String>>,
+    pub(super) keys: Cell<i32>,
+    /// Wakes the sessions when one of them is to stop its statement.
+    pub(super) cancelled: Signal,
+    pub(super) cancel_key: Cell<i32>,
 }
 
 impl DatabaseGroup {
@@ -142,6 +146,14 @@
             .collect()
     }
 
+    /// Returns, for each member, how many statements run now.
+    pub fn busy_slots(&self) -> Vec<usize> {
+        self.members
+            .iter()
+            .map(|member| member.options.slots - member.slots.free.get())
+            .collect()
+    }
+
     /// Returns the number of open connections of a member.
     pub fn connections(&self, index: usize) -> usize {
         self.members[index].open.get()
@@ -199,6 +211,9 @@
             open: Cell::new(0),
             slots,
             texts: RefCell::default(),
+            keys: Cell::new(0),
+            cancelled: Signal::default(),
+            cancel_key: Cell::new(0),
         };
         if is_primary {
             // The first entry of a term lets its mark be confirmed before any write.
@@ -207,6 +222,18 @@
         member
     }
 
+    /// Returns the process number, also used as secret, of the next session.
+    pub(super) fn next_key(&self) -> i32 {
+        self.keys.set(self.keys.get() + 1);
+        self.keys.get()
+    }
+
+    /// Stops the statement of a session.
+    pub(super) fn cancel(&self, key: i32) {
+        self.cancel_key.set(key);
+        self.cancelled.notify();
+    }
+
     /// Appends a transaction to the log of a primary.
     pub(super) fn commit(&self, changes: Vec<Change>) -> Result<(), super::log::UniqueViolation> {
         let term = self.promised.get();
--- a/crates/burdockslip_testkit/src/database/server.rs
+++ b/crates/burdockslip_testkit/src/database/server.rs
@@ -23,10 +23,11 @@
             continue;
         }
         let inner = Rc::clone(&member);
+        let key = member.next_key();
         let session = spawn(async move {
             inner.open.set(inner.open.get() + 1);
             // An error ends the connection; the client sees it closed.
-            let _ = session::serve(io, &inner).await;
+            let _ = session::serve(io, &inner, key).await;
             inner.open.set(inner.open.get().saturating_sub(1));
         });
         let mut sessions = member.sessions.borrow_mut();
--- a/crates/burdockslip_testkit/src/database/session.rs
+++ b/crates/burdockslip_testkit/src/database/session.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::sleep;
+use burdockslip_runtime::{now, sleep, timeout_at};
 use burdockslip_types::{ErrorKind, Result, Term};
 use burdockslip_wire::{
     Connection, Field, Frame, TransactionState, auth_ok, backend_key, command_complete, data_row,
@@ -13,6 +13,7 @@
 use bytes::{Bytes, BytesMut};
 use error_stack::{Report, ResultExt, bail};
 use monoio::net::TcpStream;
+use pgwire::messages::cancel::CancelRequest;
 use pgwire::messages::data::{NoData, ParameterDescription};
 use pgwire::messages::extendedquery::{
     Bind, BindComplete, Close, CloseComplete, Describe, Execute, Parse, ParseComplete,
@@ -42,6 +43,7 @@
     statements: HashMap<String, String>,
     portals: HashMap<String, Portal>,
     is_skipping: bool,
+    key: i32,
 }
 
 struct Portal {
@@ -57,7 +59,7 @@
 }
 
 /// Serves a connection until it ends.
-pub(super) async fn serve(io: TcpStream, member: &Rc<Member>) -> Result<()> {
+pub(super) async fn serve(io: TcpStream, member: &Rc<Member>, key: i32) -> Result<()> {
     let mut session = Session {
         connection: Connection::new(io, MESSAGE_LIMIT),
         member,
@@ -66,8 +68,11 @@
         statements: HashMap::new(),
         portals: HashMap::new(),
         is_skipping: false,
+        key,
     };
-    session.start().await?;
+    if !session.start().await? {
+        return Ok(());
+    }
     while let Some(frame) = session.connection.read_frame().await? {
         session.wait_while_frozen().await;
         if frame.tag() == b'X' {
@@ -79,8 +84,19 @@
 }
 
 impl Session<'_> {
-    async fn start(&mut self) -> Result<()> {
+    /// Greets the client; returns whether it asked for a session.
+    async fn start(&mut self) -> Result<bool> {
         let bytes = self.connection.read_untagged(10_000).await?;
+        if CancelRequest::is_cancel_request_packet(&bytes) {
+            let mut buf = BytesMut::from(bytes);
+            let request = CancelRequest::decode(&mut buf, &DecodeContext::default());
+            if let Ok(Some(request)) = request
+                && request.secret_key.as_i32() == Some(request.pid)
+            {
+                self.member.cancel(request.pid);
+            }
+            return Ok(false);
+        }
         let startup = Startup::decode(
             &mut BytesMut::from(bytes),
             &DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
@@ -94,19 +110,21 @@
         sleep(self.member.options.connect_cost).await;
         if self.member.open.get() > self.member.options.connection_limit {
             let failure = ("53300", "too many connections".to_owned());
-            return self.connection.write(error(&failure)).await;
+            self.connection.write(error(&failure)).await?;
+            return Ok(false);
         }
         let mut buf = BytesMut::new();
         for part in [
             auth_ok(),
             parameter_status("server_version", "15.0"),
             parameter_status("client_encoding", "UTF8"),
-            backend_key(1, 1),
+            backend_key(self.key, self.key),
             ready(TransactionState::Idle),
         ] {
             buf.extend_from_slice(&part);
         }
-        self.connection.write(buf.freeze()).await
+        self.connection.write(buf.freeze()).await?;
+        Ok(true)
     }
 
     fn record(&self, text: String) {
@@ -279,7 +297,7 @@
             Some(slot)
         };
         if let Sql::Sleep(millis) = statement {
-            sleep(Duration::from_millis(millis)).await;
+            self.sleep(Duration::from_millis(millis)).await?;
         }
         self.wait_while_frozen().await;
         let tag_ends = matches!(statement, Sql::Commit | Sql::Rollback);
@@ -289,6 +307,21 @@
         self.evaluate(statement)
     }
 
+    /// Sleeps unless the statement is cancelled.
+    async fn sleep(&self, span: Duration) -> Result<(), Failure> {
+        let end = now() + span;
+        loop {
+            let epoch = self.member.cancelled.epoch();
+            let cancelled = self.member.cancelled.changed(epoch);
+            if timeout_at(end, cancelled).await.is_err() {
+                return Ok(());
+            }
+            if self.member.cancel_key.get() == self.key {
+                return Err(("57014", "statement was cancelled".to_owned()));
+            }
+        }
+    }
+
     fn evaluate(&mut self, statement: Sql) -> Result<Answer, Failure> {
         let columns = sql::columns(&statement);
         let one = |value: String| vec![vec![Some(value)]];
--- a/crates/burdockslip_wire/src/lib.rs
+++ b/crates/burdockslip_wire/src/lib.rs
@@ -24,5 +24,6 @@
 pub use statement::{Access, Comment, Statement, Verb, classify};
 pub use unit::{Unit, UnitKind};
 pub use upstream::{
-    Outcome, TransactionState, UpstreamStream, close_statements, decode_error, decode_state,
+    CancelKey, Outcome, TransactionState, UpstreamStream, close_statements, decode_error,
+    decode_state,
 };
--- a/crates/burdockslip_wire/src/upstream.rs
+++ b/crates/burdockslip_wire/src/upstream.rs
@@ -7,16 +7,22 @@
 use error_stack::{Report, ResultExt, bail};
 use futures::FutureExt;
 use pgwire::messages::PgWireFrontendMessage as Frontend;
+use pgwire::messages::cancel::CancelRequest;
 use pgwire::messages::data::DataRow;
 use pgwire::messages::extendedquery::Close;
 use pgwire::messages::response::{CommandComplete, ErrorResponse};
-use pgwire::messages::startup::{Password, PasswordMessageFamily, Startup};
+use pgwire::messages::startup::{
+    BackendKeyData, Password, PasswordMessageFamily, SecretKey, Startup,
+};
 use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
 
 use crate::connection::Connection;
 use crate::frame::Frame;
 use crate::message;
 
+/// Limit of messages on a connection that only cancels, in bytes.
+const CANCEL_LIMIT: usize = 1_000;
+
 /// Reports the transaction state of a connection between two units.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum TransactionState {
@@ -41,10 +47,39 @@
     pub state: TransactionState,
 }
 
+/// Proves the right to cancel the statements of one database connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CancelKey {
+    address: SocketAddr,
+    process: i32,
+    secret: i32,
+}
+
+impl CancelKey {
+    /// Asks the database to stop the statement that runs now, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` if the database cannot be reached; there is no
+    /// other answer.
+    pub async fn cancel(self) -> Result<()> {
+        let mut connection = Connection::connect(self.address, CANCEL_LIMIT).await?;
+        let request = CancelRequest::new(self.process, SecretKey::I32(self.secret));
+        let mut buf = BytesMut::new();
+        request
+            .encode(&mut buf)
+            .change_context(ErrorKind::Internal)?;
+        connection.write(buf.freeze()).await?;
+        connection.shutdown().await;
+        Ok(())
+    }
+}
+
 /// Holds one connection to a database.
 #[derive(Debug)]
 pub struct UpstreamStream {
     connection: Connection,
+    cancel_key: Option<CancelKey>,
 }
 
 impl UpstreamStream {
@@ -75,12 +110,15 @@
             .encode(&mut buf)
             .change_context(ErrorKind::Internal)?;
         connection.write(buf.freeze()).await?;
-        let mut stream = Self { connection };
-        stream.authenticate(password).await?;
+        let mut stream = Self {
+            connection,
+            cancel_key: None,
+        };
+        stream.authenticate(address, password).await?;
         Ok(stream)
     }
 
-    async fn authenticate(&mut self, password: &str) -> Result<()> {
+    async fn authenticate(&mut self, address: SocketAddr, password: &str) -> Result<()> {
         loop {
             let frame = self.read_frame().await?;
             match frame.tag() {
@@ -94,12 +132,25 @@
                     return Err(Report::new(ErrorKind::ConnectionLost)
                         .attach(format!("database refused the connection: {code} {text}")));
                 }
+                b'K' => {
+                    let data: BackendKeyData = decode(&frame)?;
+                    self.cancel_key = data.secret_key.as_i32().map(|secret| CancelKey {
+                        address,
+                        process: data.pid,
+                        secret,
+                    });
+                }
                 b'Z' => return Ok(()),
                 _ => {}
             }
         }
     }
 
+    /// Returns what cancels the statements of this connection, if the database told it.
+    pub fn cancel_key(&self) -> Option<CancelKey> {
+        self.cancel_key
+    }
+
     async fn send_password(&mut self, password: &str) -> Result<()> {
         let message = Frontend::PasswordMessageFamily(PasswordMessageFamily::Password(
             Password::new(password.to_owned()),
