--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use burdockslip_catalogue::ClassEntry;
+use burdockslip_limits::Permit;
 use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Result};
 use burdockslip_wire as wire;
@@ -27,6 +28,10 @@
     pub(super) run: Run,
     pub(super) class: Rc<ClassEntry>,
     pub(super) deadline: Instant,
+    /// The share of the organisation's rate that the request uses.
+    pub(super) permit: Option<Permit>,
+    /// Whether the permit was replaced, which happens once at most.
+    pub(super) is_renewed: bool,
 }
 
 /// Judges a unit by the configuration in force.
@@ -45,6 +50,7 @@
     let Some(member) = choose_member(host, &route.group, access) else {
         bail!(ErrorKind::NoPrimary);
     };
+    let may_stream = access == Access::Read && !prepared.statement.has_control;
     let request = request_id(prepared.statement, access)?;
     let run = Run {
         organisation: state.organisation.clone(),
@@ -52,12 +58,14 @@
         group: route.group.clone(),
         member,
         access,
+        proof: None,
         priority: u8::try_from(class.priority).unwrap_or(u8::MAX),
         floor: state.floors.get(&route.group).copied(),
         zone: host.options.zone.clone(),
         max_age: class.max_age,
         remaining: class.deadline,
         request,
+        may_stream,
         frames: prepared.frames,
         injected: prepared.injected,
         names: prepared.names,
@@ -66,6 +74,8 @@
         run,
         class: Rc::clone(class),
         deadline: now() + class.deadline,
+        permit: None,
+        is_renewed: false,
     })
 }
 
--- a/crates/burdockslip_proxy/src/holder/mod.rs
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -1,22 +1,25 @@
 //! Owns the connections and the queue of one database.
 
+mod converse;
 mod execute;
 mod gate;
 mod member;
 mod pool;
+mod release;
 mod route;
 mod status;
 
 use std::rc::Rc;
 
 use burdockslip_catalogue::{GroupEntry, MemberEntry};
-use burdockslip_group::Group;
+use burdockslip_group::{Group, Member};
 use burdockslip_types::MemberName;
 use futures::channel::mpsc;
 use futures::{SinkExt, StreamExt};
 
 use crate::exchange::{Event, Run};
 use crate::options::Options;
+use crate::stamp::Stamps;
 use gate::Gate;
 pub(crate) use member::member;
 use pool::Pool;
@@ -26,6 +29,8 @@
 pub(crate) struct Holder {
     member: MemberName,
     group: Group,
+    control: Member,
+    stamps: Rc<Stamps>,
     gate: Gate,
     pool: Pool,
     options: Rc<Options>,
@@ -36,8 +41,8 @@
     pub(crate) fn open(
         member: &MemberName,
         watch: Group,
-        group: &GroupEntry,
-        database: &MemberEntry,
+        (group, database): (&GroupEntry, &MemberEntry),
+        stamps: &Rc<Stamps>,
         options: &Rc<Options>,
     ) -> Rc<Self> {
         let connections = pool::share(database.connections as usize);
@@ -45,6 +50,8 @@
         Rc::new(Self {
             member: member.clone(),
             group: watch,
+            control: member::member(member, group, database, options),
+            stamps: Rc::clone(stamps),
             gate: Gate::new(slots.min(connections).max(1)),
             pool: Pool::open(group, database, connections, options),
             options: Rc::clone(options),
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -4,24 +4,21 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
-use std::time::Duration;
 
 use burdockslip_catalogue::GroupEntry;
 use burdockslip_group::{Group, ReadPolicy, Settings, Timing, WatchReply, WatchRequest, Watcher};
 use burdockslip_keys::TokenSecrets;
 use burdockslip_peer::PeerPool;
-use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{GroupName, HostId, MemberName, Zone};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::counter::Counter;
 use crate::endpoint::Sessions;
 use crate::holder::{self, Holder};
 use crate::hooks::Hooks;
 use crate::in_force::InForce;
 use crate::options::Options;
-
-/// Time for which a host is avoided after it could not be reached.
-const SUSPECT_TIME: Duration = Duration::from_secs(1);
+use crate::placement::Placement;
+use crate::stamp::Stamps;
 
 /// Holds the state that all sessions of a host share.
 pub(crate) struct Host {
@@ -29,9 +26,12 @@
     pub(crate) secrets: TokenSecrets,
     pub(crate) peers: PeerPool,
     pub(crate) sessions: Sessions,
+    /// Counts the conversations that other hosts have opened.
+    pub(crate) conversations: Counter,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) hooks: Hooks,
-    suspects: RefCell<HashMap<HostId, Instant>>,
+    pub(crate) stamps: Rc<Stamps>,
+    pub(crate) placement: Placement,
     in_force: RefCell<Rc<InForce>>,
     holders: RefCell<HashMap<MemberName, Rc<Holder>>>,
     groups: RefCell<HashMap<GroupName, Group>>,
@@ -44,6 +44,7 @@
         secrets: TokenSecrets,
         peers: PeerPool,
         hooks: Hooks,
+        placement: Placement,
         in_force: Rc<InForce>,
     ) -> Self {
         Self {
@@ -51,9 +52,11 @@
             secrets,
             peers,
             sessions: Sessions::default(),
+            conversations: Counter::default(),
             is_draining: Cell::new(false),
             hooks,
-            suspects: RefCell::default(),
+            stamps: Rc::new(Stamps::new()),
+            placement,
             in_force: RefCell::new(in_force),
             holders: RefCell::default(),
             groups: RefCell::default(),
@@ -80,7 +83,13 @@
         let entry = in_force.catalogue.group(group.as_str())?;
         let database = entry.members.get(member)?;
         let watch = self.watch(group, entry);
-        let holder = Holder::open(member, watch, entry, database, &self.options);
+        let holder = Holder::open(
+            member,
+            watch,
+            (entry, database),
+            &self.stamps,
+            &self.options,
+        );
         self.holders
             .borrow_mut()
             .insert(member.clone(), Rc::clone(&holder));
@@ -123,8 +132,8 @@
     }
 
     fn zone_of(&self, host: &HostId) -> Option<Zone> {
-        let in_force = self.in_force();
-        in_force.hosts.get(host).map(|entry| entry.zone.clone())
+        let view = self.placement.view();
+        view.peer(host).map(|peer| peer.zone.clone())
     }
 
     /// Starts, adjusts and stops holders and watchers after a change.
@@ -169,24 +178,14 @@
         if self.options.is_direct {
             return self.options.host.clone();
         }
-        let in_force = self.in_force();
-        let suspects = self.suspects.borrow();
-        let is_usable = |host: &HostId| suspects.get(host).is_none_or(|until| until.is_past());
-        let is_in_zone = in_force.hosts.values().any(|entry| entry.zone == *zone);
-        in_force
-            .hosts
-            .iter()
-            .filter(|(_, entry)| !is_in_zone || entry.zone == *zone)
-            .map(|(host, _)| host)
-            .max_by_key(|host| (is_usable(host), rank(member, host)))
-            .unwrap_or(&self.options.host)
-            .clone()
+        self.placement.holder(member, zone)
     }
 
-    /// Avoids a host that could not be reached, until membership has judged it.
-    pub(crate) fn suspect(&self, host: &HostId) {
-        let until = now() + SUSPECT_TIME;
-        self.suspects.borrow_mut().insert(host.clone(), until);
+    /// Returns the availability zone of a member.
+    pub(crate) fn member_zone(&self, group: &GroupName, member: &MemberName) -> Option<Zone> {
+        let in_force = self.in_force();
+        let entry = in_force.catalogue.group(group.as_str())?;
+        entry.members.get(member).map(|entry| entry.zone.clone())
     }
 
     /// Returns the member that was last known as the group's primary.
@@ -209,12 +208,6 @@
     }
 }
 
-/// Returns the weight of a host for a member in rendezvous hashing.
-fn rank(member: &MemberName, host: &HostId) -> u64 {
-    let seed = xxh3_64_with_seed(member.as_str().as_bytes(), 0);
-    xxh3_64_with_seed(host.as_str().as_bytes(), seed)
-}
-
 impl fmt::Debug for Host {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_tuple("Host").field(&self.options.host).finish()
--- a/crates/burdockslip_proxy/src/lib.rs
+++ b/crates/burdockslip_proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! see `docs/design.md`, section 2.
 
 mod conversation;
+mod counter;
 mod endpoint;
 mod exchange;
 mod holder;
@@ -11,9 +12,11 @@
 mod host;
 mod in_force;
 mod options;
+mod placement;
 mod proxy;
+mod stamp;
 
-pub use hooks::{Admit, ConfigAge, Finished, Hooks};
-pub use in_force::{HostEntry, InForce};
+pub use hooks::{Admit, ConfigAge, Finished, Hooks, IsReady};
+pub use in_force::InForce;
 pub use options::Options;
 pub use proxy::Proxy;
