Read the host list with the membership crate

Cause: burdockslipctl had its own reading of platform/hosts/, and the membership crate landed another one whose field for the state is status. The platform has one format, so the program now uses the membership crate and reads only the optional admin address itself.

Checked: cargo test -p burdockslipctl (59 tests pass).

--- a/crates/burdockslipctl/src/hosts.rs
+++ b/crates/burdockslipctl/src/hosts.rs
@@ -4,17 +4,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use burdockslip_membership::{LISTED_PREFIX, Listed};
 use burdockslip_store::Store;
 use burdockslip_telemetry::HostStatus;
-use burdockslip_types::{HostId, Result, Revision, Zone, domain};
+use burdockslip_types::{HostId, Result, Revision, domain};
 use futures::future::LocalBoxFuture;
 use futures::stream::{self, StreamExt};
 
 use crate::retry;
 
-/// Starts the store keys of the platform's host list (`docs/design.md`, section 3.3).
-pub const HOSTS_PREFIX: &str = "platform/hosts/";
-
 /// Gives the port of the admin endpoint of a host that lists no other.
 pub const DEFAULT_ADMIN_PORT: u16 = 7401;
 
@@ -25,26 +23,10 @@
 pub type Fetch = Rc<dyn Fn(SocketAddr) -> LocalBoxFuture<'static, Result<String>>>;
 
 domain! {
-    /// Says whether a host takes new work.
-    #[derive(Copy)]
-    #[serde(rename_all = "lowercase")]
-    pub enum HostState {
-        /// The host works.
-        Live,
-        /// The host is about to stop.
-        Leaving,
-    }
-
-    /// Holds what the platform lists of a host.
-    pub struct HostRecord {
-        /// The availability zone.
-        pub zone: Zone,
-        /// The address for other hosts.
-        pub address: SocketAddr,
+    /// Holds the part of a host's entry that only this program reads.
+    struct AdminEntry {
         /// The address of the admin endpoint, if it differs from the default port.
-        pub admin: Option<SocketAddr>,
-        /// Whether the host takes new work.
-        pub state: HostState,
+        admin: Option<SocketAddr>,
     }
 
     /// Holds what the program learned about a host.
@@ -52,7 +34,7 @@
         /// The name of the host.
         pub host: HostId,
         /// What the platform lists, if it could be read.
-        pub record: Option<HostRecord>,
+        pub listed: Option<Listed>,
         /// What the host says, or `None` if it cannot be reached.
         pub status: Option<HostStatus>,
         /// Why the host cannot be reached.
@@ -70,12 +52,9 @@
 impl fmt::Display for HostView {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.host)?;
-        if let Some(record) = &self.record {
-            let state = match record.state {
-                HostState::Live => "live",
-                HostState::Leaving => "leaving",
-            };
-            write!(f, " zone {} {state}", record.zone)?;
+        if let Some(listed) = &self.listed {
+            let state = if listed.is_leaving { "leaving" } else { "live" };
+            write!(f, " zone {} {state}", listed.peer.zone)?;
         }
         if let Some(revision) = self.revision() {
             write!(f, " revision {revision}")?;
@@ -93,12 +72,10 @@
 ///
 /// Returns `StoreUnavailable` if the list cannot be read.
 pub async fn poll(store: &Store, fetch: &Fetch, port: u16) -> Result<Vec<HostView>> {
-    let page = retry::range(store, HOSTS_PREFIX).await?;
+    let page = retry::range(store, LISTED_PREFIX).await?;
     let asked = page.entries.into_iter().map(|entry| {
-        let host = entry.key.strip_prefix(HOSTS_PREFIX).unwrap_or_default();
-        let host = HostId::from(host);
         let fetch = Rc::clone(fetch);
-        async move { ask(host, &entry.value, &fetch, port).await }
+        async move { ask(&entry.key, &entry.value, &fetch, port).await }
     });
     let mut views: Vec<_> = stream::iter(asked)
         .buffer_unordered(CONCURRENCY)
@@ -108,23 +85,22 @@
     Ok(views)
 }
 
-async fn ask(host: HostId, value: &[u8], fetch: &Fetch, port: u16) -> HostView {
+async fn ask(key: &str, value: &[u8], fetch: &Fetch, port: u16) -> HostView {
     let mut view = HostView {
-        host,
-        record: None,
+        host: HostId::from(key.strip_prefix(LISTED_PREFIX).unwrap_or_default()),
+        listed: None,
         status: None,
         error: None,
     };
-    let record: HostRecord = match serde_json::from_slice(value) {
-        Ok(record) => record,
-        Err(error) => {
-            view.error = Some(format!("the platform's entry is malformed: {error}"));
-            return view;
-        }
+    let listed = Listed::parse(key, value);
+    let entry = serde_json::from_slice::<AdminEntry>(value);
+    let (Ok(listed), Ok(entry)) = (listed, entry) else {
+        view.error = Some("the platform's entry is malformed".to_owned());
+        return view;
     };
-    let default = SocketAddr::new(record.address.ip(), port);
-    let address = record.admin.unwrap_or(default);
-    view.record = Some(record);
+    let default = SocketAddr::new(listed.peer.address.ip(), port);
+    let address = entry.admin.unwrap_or(default);
+    view.listed = Some(listed);
     match fetch(address).await {
         Ok(body) => match serde_json::from_str(&body) {
             Ok(status) => view.status = Some(status),
--- a/crates/burdockslipctl/src/lib.rs
+++ b/crates/burdockslipctl/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use document::{ApplyId, CATALOGUE_KEY, MAX_APPLIES, StoredDocument};
 pub use exit::ExitStatus;
-pub use hosts::{DEFAULT_ADMIN_PORT, Fetch, HOSTS_PREFIX, HostRecord, HostState, HostView, poll};
+pub use hosts::{DEFAULT_ADMIN_PORT, Fetch, HostView, poll};
 pub use outcome::Outcome;
 pub use run::run;
--- a/crates/burdockslipctl/tests/commands/hosts.rs
+++ b/crates/burdockslipctl/tests/commands/hosts.rs
@@ -42,9 +42,9 @@
     })
 }
 
-fn host(store: &MemoryStore, name: &str, admin: &str, state: &str) {
+fn host(store: &MemoryStore, name: &str, admin: &str, status: &str) {
     let value = format!(
-        "{{\"zone\":\"a\",\"address\":\"10.0.0.1:7400\",\"admin\":{admin},\"state\":\"{state}\"}}"
+        "{{\"zone\":\"a\",\"address\":\"10.0.0.1:7400\",\"admin\":{admin},\"status\":\"{status}\"}}"
     );
     store.put(&format!("platform/hosts/{name}"), value.as_bytes());
 }
@@ -107,7 +107,10 @@
                 "h3 zone a live unreachable: connection lost before start, not run at 10.0.0.3:80",
             ]
         );
-        assert!(lines[3].starts_with("h4 unreachable: the platform's entry is malformed"));
+        assert_eq!(
+            lines[3],
+            "h4 unreachable: the platform's entry is malformed"
+        );
         assert_eq!(outcome.json["hosts"]["unreachable"][0]["host"], "h3");
     });
 }
--- a/crates/burdockslipctl/tests/loopback.rs
+++ b/crates/burdockslipctl/tests/loopback.rs
@@ -44,7 +44,7 @@
     };
     let admin = serve_admin(any_port(), admin).expect("a port is free");
     let value = format!(
-        "{{\"zone\":\"a\",\"address\":\"127.0.0.1:1\",\"admin\":\"{}\",\"state\":\"live\"}}",
+        "{{\"zone\":\"a\",\"address\":\"127.0.0.1:1\",\"admin\":\"{}\",\"status\":\"live\"}}",
         admin.address()
     );
     let key = format!("platform/hosts/{name}");
