--- a/crates/burdockslip_settings/src/read.rs
+++ b/crates/burdockslip_settings/src/read.rs
@@ -70,6 +70,10 @@
         log_filter: log_filter(&object.get("log_filter")),
     };
     distinct_addresses(&settings, root);
+    let peer = root.descend(&["peer_address"]);
+    if settings.peer_address.ip().is_unspecified() && !peer.has_fault() {
+        peer.fault("the address by which other hosts reach this one");
+    }
     settings
 }
 
--- a/crates/burdockslip_settings/tests/faults.rs
+++ b/crates/burdockslip_settings/tests/faults.rs
@@ -19,6 +19,7 @@
     zone = { "\"zone\": \"a\"", "\"zone\": 1", "zone: seen 1" },
     host_name = { "\"10.0.1.11:5432\"", "\"localhost:5432\"", "client_address: seen \"localhost:5432\", wanted an IP address" },
     same_address = { "\"10.0.1.11:7401\"", "\"10.0.1.11:7400\"", "admin_address: seen \"10.0.1.11:7400\", wanted an address other than peer_address" },
+    any_address = { "\"10.0.1.11:7400\"", "\"0.0.0.0:7400\"", "peer_address: seen \"0.0.0.0:7400\", wanted the address by which other hosts" },
     no_endpoint = { "[\"10.0.1.5:2379\", \"10.0.2.5:2379\", \"10.0.3.5:2379\"]", "[]", "store.endpoints: seen a list of 0, wanted at least one address" },
     endpoint_twice = { "\"10.0.2.5:2379\"", "\"10.0.1.5:2379\"", "store.endpoints[1]: seen \"10.0.1.5:2379\", wanted each address once" },
     store_timeout = { "\"timeout\": \"1s\"", "\"timeout\": \"0s\"", "store.timeout: seen \"0s\"" },
--- a/crates/burdockslip_telemetry/tests/admin.rs
+++ b/crates/burdockslip_telemetry/tests/admin.rs
@@ -6,10 +6,11 @@
 
 use burdockslip_runtime::{block_on, now, paused};
 use burdockslip_telemetry::{
-    Admin, EXCHANGE_DEADLINE, HostStatus, MAX_REQUEST, Metrics, answer_connection, fetch,
-    serve_admin,
+    Admin, EXCHANGE_DEADLINE, HostStatus, MAX_CONNECTIONS, MAX_REQUEST, Metrics, answer_connection,
+    fetch, serve_admin,
 };
 use burdockslip_types::{ErrorKind, Revision};
+use monoio::net::TcpStream;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use support::Peer;
@@ -131,6 +132,31 @@
     });
 }
 
+/// Guards against idle connections that use up the file descriptors of a host.
+#[test]
+fn connections_are_bounded() {
+    block_on(async {
+        let span = Duration::from_secs(5);
+        let any = "127.0.0.1:0".parse().expect("it is an address");
+        let server = serve_admin(any, admin(true)).expect("a port is free");
+        let address = server.address();
+        let mut idle = Vec::new();
+        for _ in 0..MAX_CONNECTIONS {
+            idle.push(TcpStream::connect(address).await.expect("it is accepted"));
+        }
+        assert!(fetch(address, "/health", span).await.is_err());
+        drop(idle);
+        // The server sees the closed connections at its next turns.
+        for _ in 0..1000 {
+            if fetch(address, "/health", span).await.is_ok() {
+                return;
+            }
+            burdockslip_runtime::yield_now().await;
+        }
+        panic!("closed connections still count");
+    });
+}
+
 /// Guards against readiness that is read once and not for each request.
 #[test]
 fn readiness_is_read_for_each_request() {
