--- a/crates/burdockslip_group/src/group.rs
+++ b/crates/burdockslip_group/src/group.rs
@@ -7,6 +7,7 @@
 use burdockslip_types::{ErrorKind, Link, Mark, MemberName, Result, Term};
 use error_stack::bail;
 
+use crate::promotion::PromotionTimes;
 use crate::samples::Sample;
 use crate::shared::Shared;
 use crate::view::View;
@@ -165,6 +166,11 @@
         self.shared.counters.get()
     }
 
+    /// Returns when the steps of the last promotion by this host ended.
+    pub fn last_promotion(&self) -> Option<PromotionTimes> {
+        self.shared.promotion.get()
+    }
+
     /// Answers a request of another watcher.
     pub fn handle(&self, request: WatchRequest) -> WatchReply {
         self.shared.handle(request)
--- a/crates/burdockslip_group/src/promotion.rs
+++ b/crates/burdockslip_group/src/promotion.rs
@@ -1,6 +1,6 @@
 //! Makes a member the primary of a new term.
 
-use burdockslip_runtime::{now, sleep_until, timeout};
+use burdockslip_runtime::{Instant, now, sleep_until, timeout};
 use burdockslip_types::{ErrorKind, Mark, Result, Term};
 use error_stack::bail;
 use futures::StreamExt;
@@ -10,6 +10,17 @@
 use crate::shared::Shared;
 use crate::{Primary, Status, WatchRequest};
 
+/// Holds when the steps of a completed promotion ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromotionTimes {
+    /// When the promotion started.
+    pub started: Instant,
+    /// When a majority had granted the term.
+    pub fenced: Instant,
+    /// When a majority held the first entry of the term.
+    pub confirmed: Instant,
+}
+
 /// Holds the reports of the members that granted a term.
 type Grants = Vec<(usize, Status)>;
 
@@ -21,8 +32,10 @@
     /// promoter then uses a higher term.
     pub(crate) async fn promote(&self, preferred: Option<usize>) -> Result<Primary> {
         self.counters.update(|c| c.attempts += 1);
+        let started = now();
         let term = self.view.borrow().highest_term().next();
         let grants = self.fence_majority(term).await?;
+        let fenced = now();
         let index = choose_target(&grants, preferred);
         let mark = self.promote_member(index, term).await?;
         self.confirm(mark, now() + self.settings.timing.entry_timeout)
@@ -30,6 +43,11 @@
         self.view.borrow_mut().confirm(mark);
         self.changed.notify();
         self.counters.update(|c| c.promotions += 1);
+        self.promotion.set(Some(PromotionTimes {
+            started,
+            fenced,
+            confirmed: now(),
+        }));
         let primary = Primary {
             member: self.members[index].name.clone(),
             term,
@@ -39,23 +57,40 @@
         Ok(primary)
     }
 
+    /// Asks all members once, so that a primary that another watcher has just
+    /// promoted is seen before it is replaced for no reason.
+    pub(crate) async fn survey(&self) {
+        let ask = async |index| self.ask(index).await.then_some(());
+        self.collect((0..self.members.len()).map(ask)).await;
+    }
+
     async fn fence_majority(&self, term: Term) -> Result<Grants> {
+        let fence = |index| self.fence_member(index, term);
+        let grants = self.collect((0..self.members.len()).map(fence)).await;
+        if grants.len() < self.view.borrow().majority() {
+            bail!(ErrorKind::NoPrimary);
+        }
+        Ok(grants)
+    }
+
+    /// Collects the answers of all members, or of a majority and those that
+    /// come within the grace after it.
+    async fn collect<F, T>(&self, calls: impl Iterator<Item = F>) -> Vec<T>
+    where
+        F: Future<Output = Option<T>>,
+    {
         let timing = self.settings.timing;
-        let calls = (0..self.members.len()).map(|index| self.fence_member(index, term));
-        let mut calls: FuturesUnordered<_> = calls.collect();
-        let mut grants = Grants::new();
         let majority = self.view.borrow().majority();
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        let mut answers = Vec::new();
         let mut until = now() + timing.step_timeout;
-        while let Either::Left((Some(grant), _)) = select(calls.next(), sleep_until(until)).await {
-            grants.extend(grant);
-            if grants.len() >= majority {
+        while let Either::Left((Some(answer), _)) = select(calls.next(), sleep_until(until)).await {
+            answers.extend(answer);
+            if answers.len() >= majority {
                 until = until.min(now() + timing.grant_grace);
             }
         }
-        if grants.len() < majority {
-            bail!(ErrorKind::NoPrimary);
-        }
-        Ok(grants)
+        answers
     }
 
     async fn fence_member(&self, index: usize, term: Term) -> Option<(usize, Status)> {
--- a/crates/burdockslip_group/src/read.rs
+++ b/crates/burdockslip_group/src/read.rs
@@ -34,12 +34,14 @@
     pub mark: Mark,
     /// The age of the data at the moment of the choice.
     pub age: Duration,
-    /// The moment by which the read must be sent; later a new choice is needed.
+    /// The moment at which the data becomes older than the class allows. A read
+    /// that the primary answers later is confirmed once more.
     pub fresh_until: Instant,
 }
 
 impl Shared {
     pub(crate) async fn choose_read(&self, need: &ReadNeed) -> Result<ReadChoice> {
+        let started = now();
         let replica_until = match self.settings.policy {
             ReadPolicy::PrimaryOnly => now(),
             _ => need.deadline.min(now() + self.settings.timing.replica_wait),
@@ -50,7 +52,7 @@
                 return Ok(choice);
             }
             let is_waiting = !replica_until.is_past();
-            if !is_waiting && let Some(choice) = self.pick_primary(need) {
+            if !is_waiting && let Some(choice) = self.pick_primary(need, started) {
                 return Ok(choice);
             }
             if need.deadline.is_past() {
@@ -151,13 +153,17 @@
     }
 
     /// Picks the primary if a majority confirmed its term recently enough.
-    fn pick_primary(&self, need: &ReadNeed) -> Option<ReadChoice> {
+    ///
+    /// A confirmation asked for since the read arrived is enough for every
+    /// class: the primary then holds all that was acknowledged before.
+    fn pick_primary(&self, need: &ReadNeed, started: Instant) -> Option<ReadChoice> {
         let view = self.view.borrow();
         let (index, term) = view.primary()?;
         let fresh_at = view.samples().term_at(term)?;
         let age = fresh_at.elapsed();
         let is_leaving = view.report(index).is_none_or(|r| r.status.is_leaving);
-        if is_leaving || need.floor.term > term || age > need.max_age {
+        let is_fresh = age <= need.max_age || fresh_at >= started;
+        if is_leaving || need.floor.term > term || !is_fresh {
             return None;
         }
         let first = Mark {
--- a/crates/burdockslip_group/src/shared.rs
+++ b/crates/burdockslip_group/src/shared.rs
@@ -8,6 +8,7 @@
 
 use crate::confirm::Waiters;
 use crate::counts::Counters;
+use crate::promotion::PromotionTimes;
 use crate::signal::Signal;
 use crate::view::View;
 use crate::{Member, Settings, Status, Watch, WatchReply, WatchRequest, Watcher};
@@ -30,6 +31,8 @@
     pub(crate) link: Link<Watch>,
     /// Whether a planned switchover runs here, which stops new writes.
     pub(crate) is_switching: Cell<bool>,
+    /// The last promotion that this watcher completed.
+    pub(crate) promotion: Cell<Option<PromotionTimes>>,
     ticket: Cell<u64>,
 }
 
@@ -49,6 +52,7 @@
             counters: Counters::default(),
             link,
             is_switching: Cell::new(false),
+            promotion: Cell::new(None),
             ticket: Cell::new(0),
         }
     }
--- a/crates/burdockslip_group/src/suspicion.rs
+++ b/crates/burdockslip_group/src/suspicion.rs
@@ -36,11 +36,12 @@
         sleep(timing.watch_interval).await;
         let backoff = timing.rank_backoff;
         if let Some(span) = suspected.update(shared.is_suspicious()) {
-            if let Some(rank) = shared.supported_rank().await
-                && span >= backoff * rank
-                && shared.is_suspicious()
-            {
-                shared.try_promotion(None).await;
+            let rank = shared.supported_rank().await;
+            if rank.is_some_and(|rank| span >= backoff * rank) {
+                shared.survey().await;
+                if shared.is_suspicious() {
+                    shared.try_promotion(None).await;
+                }
             }
             continue;
         }
