--- /dev/null
+++ b/crates/burdockslip_measure/examples/measure/throughput.rs
@@ -0,0 +1,128 @@
+//! Measures how many statements a host serves per second of processor time.
+
+use std::time::Duration;
+
+use burdockslip_measure::{
+    Curve, Figure, Limit, Load, LoadReport, Outcome, Pace, Site, SiteOptions, in_thread, run_load,
+};
+use burdockslip_types::Result;
+
+/// Time for which one load runs.
+const SPAN: Duration = Duration::from_secs(3);
+/// Bounds the statements of one client.
+const COUNT: usize = 200_000;
+/// Clients of each load.
+const CLIENTS: [usize; 5] = [1, 4, 16, 64, 128];
+/// The number of clients whose figure is compared with the target.
+const JUDGED: usize = 64;
+/// Rates of the paced loads, in statements a second.
+const RATES: [u32; 4] = [1_000, 2_000, 4_000, 8_000];
+/// The target, in statements a second per core.
+const TARGET: f64 = 40_000.0;
+/// The statement, which reads one record.
+const READ: &str = "SELECT value FROM records WHERE key = 'k1'";
+
+/// Holds a load's report with the processor time of the host.
+struct Run {
+    report: LoadReport,
+    busy: Duration,
+}
+
+/// Sends statements as fast as answers come.
+pub(crate) fn run() -> Result<Outcome> {
+    let site = Site::start(&SiteOptions::default())?;
+    let mut outcome = Outcome::default();
+    let mut points = Vec::new();
+    load(&site, JUDGED, Pace::Closed, Duration::from_millis(500))?;
+    for clients in CLIENTS {
+        let run = load(&site, clients, Pace::Closed, SPAN)?;
+        let per_core = count(&run) / run.busy.as_secs_f64();
+        let per_second = count(&run) / run.report.elapsed.as_secs_f64();
+        let limit = if clients == JUDGED {
+            Limit::AtLeast(TARGET)
+        } else {
+            Limit::None
+        };
+        points.push((number(clients), per_core));
+        outcome.figures.extend([
+            Figure::new(format!("{clients}/per_core"), per_core, "statements/s").limited(limit),
+            Figure::new(format!("{clients}/rate"), per_second, "statements/s"),
+            Figure::new(
+                format!("{clients}/busy"),
+                100.0 * run.busy.as_secs_f64() / run.report.elapsed.as_secs_f64(),
+                "% of a core",
+            ),
+            Figure::new(format!("{clients}/p50"), quantile(&run, 0.5), "us"),
+            failures(format!("{clients}/failed"), &run),
+        ]);
+    }
+    outcome.curves.push(Curve {
+        name: "per-core".to_owned(),
+        across: "clients",
+        upward: "statements/s per core",
+        points,
+    });
+    Ok(outcome)
+}
+
+/// Sends statements at fixed rates.
+pub(crate) fn run_paced() -> Result<Outcome> {
+    let site = Site::start(&SiteOptions::default())?;
+    let mut outcome = Outcome::default();
+    let mut points = Vec::new();
+    load(&site, JUDGED, Pace::Closed, Duration::from_millis(500))?;
+    for rate in RATES {
+        let run = load(&site, JUDGED, Pace::Open(f64::from(rate)), SPAN)?;
+        points.push((f64::from(rate), quantile(&run, 0.99)));
+        outcome.figures.extend([
+            Figure::new(format!("{rate}/p50"), quantile(&run, 0.5), "us"),
+            Figure::new(format!("{rate}/p99"), quantile(&run, 0.99), "us"),
+            Figure::new(
+                format!("{rate}/busy"),
+                100.0 * run.busy.as_secs_f64() / run.report.elapsed.as_secs_f64(),
+                "% of a core",
+            ),
+            failures(format!("{rate}/failed"), &run),
+        ]);
+    }
+    outcome.curves.push(Curve {
+        name: "p99".to_owned(),
+        across: "statements/s",
+        upward: "p99 in us",
+        points,
+    });
+    Ok(outcome)
+}
+
+fn load(site: &Site, clients: usize, pace: Pace, span: Duration) -> Result<Run> {
+    let load = Load {
+        target: site.host(1),
+        clients,
+        pace,
+        count: COUNT,
+        span,
+        sql: READ.to_owned(),
+    };
+    let before = site.host_time(1)?;
+    let report = in_thread(move || run_load(load))?;
+    let busy = site.host_time(1)?.saturating_sub(before);
+    Ok(Run { report, busy })
+}
+
+fn failures(name: String, run: &Run) -> Figure {
+    let failed = u32::try_from(run.report.failed).unwrap_or(u32::MAX);
+    Figure::new(name, f64::from(failed), "statements").limited(Limit::AtMost(0.0))
+}
+
+fn count(run: &Run) -> f64 {
+    f64::from(u32::try_from(run.report.times.len()).unwrap_or(u32::MAX))
+}
+
+fn number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn quantile(run: &Run, quantile: f64) -> f64 {
+    let nanos = run.report.times.value_at_quantile(quantile);
+    Duration::from_nanos(nanos).as_secs_f64() * 1e6
+}
