Match the settings to what the proxy takes

Cause: the proxy's options landed with values that no setting gave (password of database users, longest request, time of an idle transaction) and with a marker statement that has one placeholder.

A route without classes no longer panics when a class is looked up; only a catalogue that skipped the checks could have one.

Checked: cargo test -p burdockslip_settings -p burdockslip_catalogue -p burdockslipctl.

--- a/crates/burdockslip_catalogue/src/catalogue.rs
+++ b/crates/burdockslip_catalogue/src/catalogue.rs
@@ -147,7 +147,7 @@
     ) -> Result<(&'a ClassName, &'a Rc<ClassEntry>)> {
         let unknown = || Report::new(ErrorKind::UnknownClass);
         let name = match class {
-            None => route.default_class(),
+            None => route.default_class().ok_or_else(unknown)?,
             Some(class) => {
                 let mut names = route.classes.iter();
                 names
--- a/crates/burdockslip_catalogue/src/entries.rs
+++ b/crates/burdockslip_catalogue/src/entries.rs
@@ -101,8 +101,8 @@
 }
 
 impl RouteEntry {
-    /// Returns the class of requests that name none.
-    pub fn default_class(&self) -> &ClassName {
-        &self.classes[0]
+    /// Returns the class of requests that name none; a checked route has one.
+    pub fn default_class(&self) -> Option<&ClassName> {
+        self.classes.first()
     }
 }
--- a/crates/burdockslip_settings/src/lib.rs
+++ b/crates/burdockslip_settings/src/lib.rs
@@ -11,4 +11,5 @@
 pub use secret::Secret;
 pub use settings::{
     Limits, Mode, Settings, Statements, StoreSettings, Timeouts, Tls, TokenSettings,
+    UpstreamSettings,
 };
--- a/crates/burdockslip_settings/src/read.rs
+++ b/crates/burdockslip_settings/src/read.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Limits, Mode, Secret, Settings, Statements, StoreSettings, Timeouts, Tls, TokenSettings,
+    UpstreamSettings,
 };
 
 /// Gives the least bytes of a token secret: the security level of HMAC-SHA-256.
@@ -18,8 +19,11 @@
 /// about 8,800, and a host must take over from others.
 const MAX_CONNECTIONS: u64 = 200_000;
 
-/// Bounds a client message: the limit of messages between hosts.
-const MAX_MESSAGE: u64 = 1 << 20;
+/// Bounds a message of a client or database, which is held in memory as a whole.
+const MAX_MESSAGE: u64 = 64 << 20;
+
+/// Bounds a request: it and its envelope fit into a message between hosts of 1 MiB.
+const MAX_UNIT: u64 = 1_000_000;
 
 /// Bounds queues.
 const MAX_QUEUE: u64 = 1_000_000;
@@ -150,19 +154,26 @@
     }
 }
 
-fn upstreams(field: &Field<'_>) -> Mode {
-    if !field.is_present() {
-        return Mode::Pooled;
+fn upstreams(field: &Field<'_>) -> UpstreamSettings {
+    if field.is_present() {
+        let _ = field.object(&["mode", "password"]);
     }
-    let object = field.object(&["mode"]);
     let modes = [("pooled", Mode::Pooled), ("direct", Mode::Direct)];
-    object.get("mode").choice(&modes)
+    let mode = field.descend(&["mode"]);
+    let password = field.descend(&["password"]);
+    UpstreamSettings {
+        mode: mode
+            .optional(|mode| mode.choice(&modes))
+            .unwrap_or(Mode::Pooled),
+        password: password.optional(|password| Secret::new(password.secret(1))),
+    }
 }
 
 fn limits(field: &Field<'_>) -> Limits {
     let names = [
         "connections",
         "message_bytes",
+        "unit_bytes",
         "queue_length",
         "organisation_queue",
     ];
@@ -176,10 +187,18 @@
     };
     let limits = Limits {
         connections: bound("connections", 20_000, 1, MAX_CONNECTIONS),
-        message_bytes: bound("message_bytes", MAX_MESSAGE, 1024, MAX_MESSAGE),
+        message_bytes: bound("message_bytes", 16 << 20, 1024, MAX_MESSAGE),
+        unit_bytes: bound("unit_bytes", 900_000, 1024, MAX_UNIT),
         queue_length: bound("queue_length", 4096, 1, MAX_QUEUE),
         organisation_queue: bound("organisation_queue", 1024, 1, MAX_QUEUE),
     };
+    let unit = field.descend(&["unit_bytes"]);
+    if limits.unit_bytes > limits.message_bytes && !field.has_fault() {
+        unit.fault_seen(
+            limits.unit_bytes.to_string(),
+            format!("at most message_bytes, which is {}", limits.message_bytes),
+        );
+    }
     let share = field.descend(&["organisation_queue"]);
     if limits.organisation_queue > limits.queue_length && !field.has_fault() {
         share.fault_seen(
@@ -192,13 +211,14 @@
 
 fn timeouts(field: &Field<'_>) -> Timeouts {
     if field.is_present() {
-        let _ = field.object(&["connect", "handshake", "idle", "peer"]);
+        let _ = field.object(&["connect", "handshake", "idle", "transaction", "peer"]);
     }
     let value = |name, default, most| span(&field.descend(&[name]), default, most);
     Timeouts {
         connect: value("connect", Duration::from_secs(1), MAX_TIMEOUT),
         handshake: value("handshake", Duration::from_secs(10), MAX_TIMEOUT),
         idle: value("idle", Duration::from_hours(1), MAX_IDLE),
+        transaction: value("transaction", Duration::from_mins(1), MAX_IDLE),
         peer: value("peer", Duration::from_secs(1), MAX_TIMEOUT),
     }
 }
@@ -224,7 +244,7 @@
         status: text("status", &[]),
         fence: text("fence", &["{term}"]),
         promote: text("promote", &["{term}"]),
-        marker: text("marker", &["{organisation}", "{request}"]),
+        marker: text("marker", &["{request}"]),
     }
 }
 
--- a/crates/burdockslip_settings/src/settings.rs
+++ b/crates/burdockslip_settings/src/settings.rs
@@ -34,7 +34,7 @@
     /// What signs session tokens.
     pub tokens: TokenSettings,
     /// How databases are reached.
-    pub upstreams: Mode,
+    pub upstreams: UpstreamSettings,
     /// The bounds on what the host holds in memory.
     pub limits: Limits,
     /// The times after which the host gives up.
@@ -81,6 +81,15 @@
     pub older: Option<Secret>,
 }
 
+/// Says how databases are reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamSettings {
+    /// Who connects.
+    pub mode: Mode,
+    /// The password of the database users that the catalogue names, if they have one.
+    pub password: Option<Secret>,
+}
+
 /// Says who connects to databases.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -95,8 +104,10 @@
 pub struct Limits {
     /// The client connections that may be open.
     pub connections: usize,
-    /// The bytes of one client message.
+    /// The bytes of one message of a client or database.
     pub message_bytes: usize,
+    /// The bytes of one complete request, which travels in one message between hosts.
+    pub unit_bytes: usize,
     /// The requests that wait for one database.
     pub queue_length: usize,
     /// The requests of one organisation that wait for one database.
@@ -112,6 +123,8 @@
     pub handshake: Duration,
     /// The time after which an idle client connection is closed.
     pub idle: Duration,
+    /// The time after which a transaction without a request is rolled back.
+    pub transaction: Duration,
     /// The time in which a host must answer a control message.
     pub peer: Duration,
 }
@@ -127,7 +140,8 @@
     pub fence: String,
     /// Makes the member primary of `{term}`.
     pub promote: String,
-    /// Inserts the marker of `{organisation}` and `{request}`, unique together.
+    /// Inserts the marker `{request}`, which names organisation and request, and
+    /// fails if it is there.
     pub marker: String,
 }
 
