Adapt the measurements to hosts placed by membership

Cause: the proxy's host list moved from the configuration to membership while the measurement program was written. Proxy::bind_fixed starts a host with a given list, for tests and measurements.

--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -4,7 +4,7 @@
 
 use burdockslip_group::Watch;
 use burdockslip_keys::TokenSecrets;
-use burdockslip_membership::Membership;
+use burdockslip_membership::{Membership, Peer};
 use burdockslip_peer::{PeerPool, PeerServer, Router};
 use burdockslip_runtime::{Task, sleep, spawn};
 use burdockslip_types::Result;
@@ -76,6 +76,31 @@
             client_address,
         })
     }
+    /// Starts a host whose host list and configuration are given, for tests
+    /// and measurements of what does not need the rest.
+    ///
+    /// # Errors
+    ///
+    /// As [`Proxy::bind`].
+    pub fn bind_fixed(options: Options, in_force: InForce, hosts: &[Peer]) -> Result<Self> {
+        let own = Peer {
+            host: options.host.clone(),
+            zone: options.zone.clone(),
+            address: options.peer_address,
+        };
+        let membership = Membership::fixed(own, hosts);
+        let resolver = membership.clone();
+        let peers = PeerPool::new(options.host.clone(), move |host| resolver.resolve(host));
+        Self::bind(
+            options,
+            in_force,
+            &membership,
+            peers,
+            Hooks::default(),
+            Router::default(),
+        )
+    }
+
     /// Returns the address for clients.
     pub fn client_address(&self) -> std::net::SocketAddr {
         self.client_address
--- a/crates/burdockslip_proxy/tests/support/mod.rs
+++ b/crates/burdockslip_proxy/tests/support/mod.rs
@@ -11,9 +11,8 @@
 
 use burdockslip_catalogue::Catalogue;
 use burdockslip_keys::{Key, KeyPath, KeyRecord, KeyRing};
-use burdockslip_membership::{Membership, Peer};
-use burdockslip_peer::{PeerPool, Router};
-use burdockslip_proxy::{Hooks, InForce, Options, Proxy};
+use burdockslip_membership::Peer;
+use burdockslip_proxy::{InForce, Options, Proxy};
 use burdockslip_runtime::{block_on, spawn};
 use burdockslip_testkit::database::{DatabaseGroup, MemberOptions};
 use futures::StreamExt;
@@ -164,7 +163,7 @@
                 address(prefix, index, 7432),
             );
             options.token_secret = vec![7; 32];
-            Some(bind_host(options, &in_force, &peers, index))
+            Some(Proxy::bind_fixed(options, in_force.clone(), &peers).expect("host starts"))
         })
         .collect();
     Site {
@@ -175,21 +174,6 @@
     }
 }
 
-fn bind_host(options: Options, in_force: &InForce, peers: &[Peer], index: usize) -> Proxy {
-    let membership = Membership::fixed(peers[index].clone(), peers);
-    let resolver = membership.clone();
-    let pool = PeerPool::new(options.host.clone(), move |host| resolver.resolve(host));
-    Proxy::bind(
-        options,
-        in_force.clone(),
-        &membership,
-        pool,
-        Hooks::default(),
-        Router::default(),
-    )
-    .expect("host starts")
-}
-
 impl Running {
     /// Runs a command in the thread of the site and returns its result.
     pub(crate) fn with<T: Send + 'static>(
