--- a/crates/burdockslip_limits/src/authority.rs
+++ b/crates/burdockslip_limits/src/authority.rs
@@ -118,11 +118,13 @@
         }
     }
 
-    /// Lists the shards that this host has authority over now.
+    /// Lists the shards for which this host grants tokens now.
     pub fn shards(&self) -> Vec<Shard> {
         let state = self.shared.state.borrow();
         let is_valid = |shard: &Shard| state.end(*shard).is_some_and(|end| !end.is_past());
-        state.owned.keys().copied().filter(is_valid).collect()
+        let granting = state.owned.iter().filter(|(_, owned)| !owned.is_stopped);
+        let shards = granting.map(|(shard, _)| *shard);
+        shards.filter(is_valid).collect()
     }
 
     /// Hands over all shards with their buckets and gives up the lease.
