Guard reads, repeated requests and evidence in database groups

Cause: a read released by a replica whose holder reaches only other watchers waited for a confirmation that it could not get, although the mark was known to be confirmed. Reads now also accept a confirmation learned from others; writes still need members queried after the commit.

A request that meets its marker row is told that it has run only after the marker is confirmed; otherwise the row can be discarded with the write. The checker names that case, with a fixture.

--- a/crates/burdockslip_group/src/counts.rs
+++ b/crates/burdockslip_group/src/counts.rs
@@ -2,16 +2,16 @@
 
 use std::cell::Cell;
 
-/// Holds the number of messages sent and commits confirmed since the start.
+/// Holds the number of messages sent and marks confirmed since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
     /// Polls sent to members.
     pub polls: u64,
     /// Queries sent to members to confirm commits.
     pub queries: u64,
-    /// Commits confirmed.
+    /// Marks confirmed for commits and reads.
     pub confirmed: u64,
-    /// Commits whose outcome stayed unknown.
+    /// Marks that were not confirmed in time.
     pub unknown: u64,
     /// Messages sent to other watchers.
     pub messages: u64,
--- a/crates/burdockslip_group/src/fake/session.rs
+++ b/crates/burdockslip_group/src/fake/session.rs
@@ -10,7 +10,7 @@
 use super::database::ReadReply;
 use super::node::Record;
 use crate::history::{Access, Operation, Outcome, Recorder};
-use crate::{Group, ReadChoice, ReadNeed};
+use crate::{Group, Primary, ReadChoice, ReadNeed};
 
 /// The time after which a read is repeated at another member.
 const READ_ATTEMPT: Duration = Duration::from_millis(500);
@@ -116,12 +116,36 @@
                     // The member refused, so the write did not run and can be retried.
                     ErrorKind::NoPrimary if !deadline.is_past() => {}
                     ErrorKind::ConnectionLost => bail!(ErrorKind::OutcomeUnknown),
+                    ErrorKind::AlreadyRun => {
+                        self.confirm_marker(&group, &primary, record.key, deadline)
+                            .await?;
+                        return Err(report);
+                    }
                     _ => return Err(report),
                 },
             }
         }
     }
 
+    /// Confirms the marker row that a repeated request has met, since a marker
+    /// that no majority holds can still be discarded together with the write.
+    async fn confirm_marker(
+        &self,
+        group: &Group,
+        primary: &Primary,
+        key: u64,
+        deadline: Instant,
+    ) -> Result<()> {
+        let host = host_name(self.host);
+        let read = self.cluster.database.read(&host, &primary.member, key);
+        match timeout_at(deadline, read).await {
+            Ok(Ok(reply)) if reply.mark.term == primary.term => {
+                group.confirm(reply.mark, deadline).await
+            }
+            _ => bail!(ErrorKind::OutcomeUnknown),
+        }
+    }
+
     async fn run_read(&self, key: u64, max_age: Duration, deadline: Instant) -> Result<Served> {
         let group = self.group()?;
         loop {
--- a/crates/burdockslip_group/src/group.rs
+++ b/crates/burdockslip_group/src/group.rs
@@ -12,8 +12,8 @@
 use crate::shared::Shared;
 use crate::view::View;
 use crate::{
-    Counts, Member, ReadChoice, ReadNeed, Settings, Watch, WatchReply, WatchRequest, Watcher,
-    confirm, exchange, poll, suspicion,
+    Counts, Member, Observation, ReadChoice, ReadNeed, Settings, Watch, WatchReply, WatchRequest,
+    Watcher, confirm, exchange, poll, suspicion,
 };
 
 /// Names the primary of a group and its term.
@@ -161,6 +161,11 @@
         self.shared.view.borrow().confirmed().newest()
     }
 
+    /// Lists what this watcher knows about the members, for operators.
+    pub fn observations(&self) -> Vec<Observation> {
+        self.shared.view.borrow().observations()
+    }
+
     /// Returns the number of messages sent so far.
     pub fn counts(&self) -> Counts {
         self.shared.counters.get()
--- a/crates/burdockslip_group/src/history/check.rs
+++ b/crates/burdockslip_group/src/history/check.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use burdockslip_types::domain;
+use burdockslip_types::{ErrorKind, domain};
 
 use super::record::{Access, History, Operation, Outcome};
 use crate::fake::Applied;
@@ -18,7 +18,8 @@
         OwnWriteMissed,
         /// A read returned older data than an earlier read of its session.
         ReadWentBack,
-        /// An acknowledged write is not in the final log.
+        /// An acknowledged write, or the write of a request that was reported as
+        /// already run, is not in the final log.
         WriteLost,
         /// An acknowledged write is in the final log under another mark, so
         /// the member that acknowledged it had been replaced.
@@ -52,7 +53,7 @@
     let mut violations = Vec::new();
     for (index, operation) in history.operations.iter().enumerate() {
         let kinds = match operation.access {
-            Access::Write { value, .. } => check_write(operation, value, &places),
+            Access::Write { value, request } => check_write(operation, value, request, &places),
             Access::Read { max_age } => check_read(history, index, max_age, &seen),
         };
         violations.extend(kinds.into_iter().map(|kind| Violation { kind, index }));
@@ -87,14 +88,21 @@
     }
 }
 
-fn check_write(operation: &Operation, value: u64, places: &Places) -> Vec<ViolationKind> {
+fn check_write(
+    operation: &Operation,
+    value: u64,
+    request: Option<u64>,
+    places: &Places,
+) -> Vec<ViolationKind> {
     let place = places.find(value);
+    let has_run = || places.0.values().any(|(_, a)| a.record.request == request);
     let kind = match (operation.outcome, place) {
         (Outcome::Acknowledged, None) => Some(ViolationKind::WriteLost),
         (Outcome::Acknowledged, Some((_, applied))) => operation
             .mark
             .is_some_and(|mark| mark != applied.mark)
             .then_some(ViolationKind::MarkReplaced),
+        (Outcome::Failed(ErrorKind::AlreadyRun), _) if !has_run() => Some(ViolationKind::WriteLost),
         (Outcome::Failed(kind), Some(_)) if kind.is_not_run() => Some(ViolationKind::RanAnyway),
         _ => None,
     };
--- a/crates/burdockslip_group/src/measure/failover.rs
+++ b/crates/burdockslip_group/src/measure/failover.rs
@@ -27,6 +27,8 @@
         Cut,
         /// The primary is paused and does not resume.
         Freeze,
+        /// The primary announces that it is leaving, and keeps running.
+        Leave,
     }
 
     /// Holds the size of the group and its delays.
@@ -82,6 +84,7 @@
         FailoverFault::Kill => cluster.database.kill(&primary),
         FailoverFault::Cut => cluster.isolate_zone(0),
         FailoverFault::Freeze => cluster.database.freeze(&primary),
+        FailoverFault::Leave => cluster.database.set_leaving(&primary, true),
     }
     let is_served = || acknowledged.iter().all(|a| a.borrow().is_some());
     while !is_served() && fault.elapsed() < RUN_TIME {
--- a/crates/burdockslip_group/src/read.rs
+++ b/crates/burdockslip_group/src/read.rs
@@ -1,10 +1,12 @@
 //! Chooses the member that serves a read and checks the read afterwards.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use burdockslip_runtime::{Instant, now, random_range, timeout_at};
 use burdockslip_types::{ErrorKind, Mark, MemberName, Position, Result, Zone};
 use error_stack::bail;
+use futures::future::{Either, select};
 
 use crate::ReadPolicy;
 use crate::shared::Shared;
@@ -87,7 +89,26 @@
         }
         // Asks a majority after the read. For a late read at the primary this
         // also proves that no other primary acknowledged a write before it.
-        self.confirm(after, deadline).await
+        let confirm = pin!(self.confirm(after, deadline));
+        if is_late {
+            return confirm.await;
+        }
+        match select(confirm, pin!(self.learn_confirmed(after))).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((), _)) => Ok(()),
+        }
+    }
+
+    /// Waits until `mark` is known to be confirmed, also through other watchers.
+    async fn learn_confirmed(&self, mark: Mark) {
+        loop {
+            let changed = self.changed.listen();
+            if self.view.borrow().confirmed().contains(mark) {
+                return;
+            }
+            // The sender lives as long as this watcher.
+            let _ = changed.await;
+        }
     }
 
     fn read_refusal(&self) -> ErrorKind {
--- a/crates/burdockslip_group/src/settings.rs
+++ b/crates/burdockslip_group/src/settings.rs
@@ -76,7 +76,8 @@
     /// The time after which members left behind in a higher term by a failed
     /// promotion are joined again by a promotion of the same primary.
     pub repair_after: Duration,
-    /// The time that units in flight get when a leaving primary is replaced.
+    /// The time that units in flight get when a leaving primary is replaced:
+    /// two poll intervals, after which every watcher knows that it is leaving.
     pub drain_wait: Duration,
     /// The first and shortest wait before a query for confirmation is repeated.
     pub query_backoff: Duration,
@@ -106,7 +107,7 @@
             grant_grace: Duration::from_millis(10),
             entry_timeout: Duration::from_secs(1),
             repair_after: Duration::from_secs(1),
-            drain_wait: Duration::from_millis(300),
+            drain_wait: Duration::from_millis(200),
             query_backoff: Duration::from_millis(1),
             query_limit: Duration::from_millis(16),
             poll_gap: Duration::from_millis(5),
--- a/crates/burdockslip_group/src/suspicion.rs
+++ b/crates/burdockslip_group/src/suspicion.rs
@@ -48,13 +48,12 @@
         let rank = shared.rank();
         let is_divided = divided.update(shared.is_divided());
         if is_divided.is_some_and(|span| span >= timing.repair_after + backoff * rank) {
-            let primary = shared.view.borrow().primary();
-            shared.try_promotion(primary.map(|(index, _)| index)).await;
+            shared.repair().await;
         }
-        if leaving
-            .update(shared.is_primary_leaving())
-            .is_some_and(|s| s >= backoff * rank)
-        {
+        // The first watcher drains before it acts, so the next one waits for that.
+        let step = backoff + timing.drain_wait;
+        let is_leaving = leaving.update(shared.is_primary_leaving());
+        if is_leaving.is_some_and(|span| span >= step * rank) {
             let deadline = now() + timing.drain_wait + timing.entry_timeout;
             // A failure leaves the primary leaving, so the next round repeats it.
             let _ = shared
@@ -128,6 +127,16 @@
         is_enough.then(|| rank_of(&self.settings.host, hosts))
     }
 
+    /// Promotes the same primary in a higher term, so that members left behind
+    /// in a term above its own accept its entries again.
+    async fn repair(&self) {
+        self.survey().await;
+        let primary = self.view.borrow().primary();
+        if self.is_divided() {
+            self.try_promotion(primary.map(|(index, _)| index)).await;
+        }
+    }
+
     /// Runs a promotion, and after a failure waits a random time, so that
     /// concurrent promoters do not collide again.
     async fn try_promotion(&self, preferred: Option<usize>) {
--- a/crates/burdockslip_group/src/switchover.rs
+++ b/crates/burdockslip_group/src/switchover.rs
@@ -31,6 +31,10 @@
         // Units that outlast the deadline learn from the fence that they failed.
         let _ = timeout_at(deadline, drained).await;
         loop {
+            // Another watcher may have replaced the primary meanwhile.
+            if let Some(primary) = self.successor(old) {
+                return Ok(primary);
+            }
             let target = self.caught_up(old, target, deadline).await?;
             let primary = self.promote(Some(target)).await?;
             // A write that came through another host may have kept the old
@@ -44,6 +48,15 @@
         }
     }
 
+    /// Returns the primary if it is another member than `old`.
+    fn successor(&self, old: usize) -> Option<Primary> {
+        let (index, term) = self.view.borrow().primary()?;
+        (index != old).then(|| Primary {
+            member: self.members[index].name.clone(),
+            term,
+        })
+    }
+
     /// Waits until the target, or any other member, holds the primary's log.
     async fn caught_up(
         &self,
--- a/crates/burdockslip_group/tests/failover.rs
+++ b/crates/burdockslip_group/tests/failover.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use burdockslip_group::fake::Session;
-use burdockslip_group::history::{History, Recorder, check};
-use burdockslip_runtime::{random_range, sleep, spawn};
+use burdockslip_group::history::{History, Operation, Outcome, Recorder, check};
+use burdockslip_runtime::{now, random_range, sleep, spawn};
 use burdockslip_types::{ErrorKind, Term};
 use support::{
     assert_clean, attempts, cluster, each_seed, finish, lag_one, member, ms, run_sessions,
@@ -175,6 +175,16 @@
         sleep(ms(random_range(20..200))).await;
         cluster.isolate_zone(0);
         sleep(ms(1500)).await;
+        // The old primary returns as a replica that its hosts reach before the
+        // new primary does.
+        cluster.database.kill(&member(0));
+        cluster.database.restart(&member(0));
+        for host in ["host-0", "host-1", "host-2"] {
+            cluster.network.heal(host, "member-0");
+            cluster.network.heal("host-0", "member-1");
+            cluster.network.heal("host-0", "member-2");
+        }
+        sleep(ms(500)).await;
         cluster.network.heal_all();
         futures::future::join_all(readers).await;
         let history = finish(&cluster, &recorder).await;
@@ -228,3 +238,52 @@
         assert_eq!(check(&finish(&cluster, &recorder).await), [], "seed {seed}");
     });
 }
+
+/// Guards against requests that run twice, or are reported as already run and
+/// lost, when clients repeat them on other hosts during a failover.
+#[yare::parameterized(kill = { true }, cut = { false })]
+fn repeated_requests_run_once(is_kill: bool) {
+    each_seed(move |seed| async move {
+        let cluster = cluster().await;
+        lag_one(&cluster);
+        let recorder = Recorder::default();
+        let clients: Vec<_> = (0..6)
+            .map(|id| spawn(repeat_requests(Session::open(&cluster, &recorder, id, 0))))
+            .collect();
+        sleep(ms(random_range(200..500))).await;
+        if is_kill {
+            cluster.database.kill(&member(0));
+        } else {
+            cluster.isolate_zone(0);
+        }
+        sleep(ms(random_range(1000..2000))).await;
+        cluster.database.restart(&member(0));
+        cluster.network.heal_all();
+        futures::future::join_all(clients).await;
+        let history = finish(&cluster, &recorder).await;
+        assert_clean(&history, seed);
+        let is_repeat = |o: &Operation| o.outcome == Outcome::Failed(ErrorKind::AlreadyRun);
+        assert!(history.operations.iter().any(is_repeat), "seed {seed}");
+    });
+}
+
+/// Sends requests for 3 s and repeats each one whose outcome is unknown.
+async fn repeat_requests(mut session: Session) {
+    let end = now() + ms(3000);
+    let mut count = 0;
+    while !end.is_past() {
+        count += 1;
+        let request = session.id * 1_000_000 + count * 100;
+        for attempt in 0..100 {
+            // Short patience and slow confirmation leave many outcomes unknown.
+            session.patience = ms(random_range(5..60));
+            session.host = usize::try_from(random_range(0..3)).unwrap_or_default();
+            let result = session.write(1, request + attempt, Some(request)).await;
+            sleep(ms(random_range(1..20))).await;
+            let kind = result.map_err(|report| *report.current_context());
+            if matches!(kind, Ok(_) | Err(ErrorKind::AlreadyRun)) {
+                break;
+            }
+        }
+    }
+}
--- a/crates/burdockslip_group/tests/history.rs
+++ b/crates/burdockslip_group/tests/history.rs
@@ -7,7 +7,7 @@
 use burdockslip_group::history::{History, Violation, ViolationKind, check};
 
 /// The number of fixture files, so that a missing one is noticed.
-const FIXTURE_COUNT: usize = 18;
+const FIXTURE_COUNT: usize = 19;
 
 /// Holds a recorded history and the violations that it contains.
 #[derive(Debug, serde::Deserialize)]
--- a/crates/burdockslip_group/tests/measure.rs
+++ b/crates/burdockslip_group/tests/measure.rs
@@ -16,6 +16,7 @@
     kill = { FailoverFault::Kill },
     cut = { FailoverFault::Cut },
     freeze = { FailoverFault::Freeze },
+    leave = { FailoverFault::Leave },
 )]
 fn write_gap_stays_below_target(fault: FailoverFault) {
     let mut worst = Duration::ZERO;
@@ -30,7 +31,7 @@
         println!("seed={seed} {phases:?}");
         worst = worst.max(phases.total);
     }
-    println!("worst={worst:?}");
+    println!("{fault:?} worst={worst:?}");
     assert!(worst <= GAP_LIMIT, "{worst:?}");
 }
 
--- a/crates/burdockslip_group/tests/promotion.rs
+++ b/crates/burdockslip_group/tests/promotion.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_group::Timing;
 use burdockslip_group::fake::{Cluster, ClusterSettings, Session};
 use burdockslip_group::history::{Recorder, check};
+use burdockslip_group::{Timing, WatchReply, WatchRequest};
 use burdockslip_runtime::{now, random_range, sleep};
 use burdockslip_types::{MemberName, Term};
 use support::{
@@ -161,6 +161,35 @@
     }
 }
 
+/// Guards against a promoter that is paused after fencing and goes on when
+/// another one has already promoted a member in a higher term.
+#[test]
+fn paused_promoter_gains_nothing() {
+    each_seed(|seed| async move {
+        let cluster = cluster().await;
+        let members = cluster.database.members(&"host-0".into());
+        for index in [1, 2] {
+            (members[index].fence)(Term(2))
+                .await
+                .expect("the term is new");
+        }
+        let fault = async {
+            sleep(ms(random_range(1000..2000))).await;
+            let (before, index) = (primaries(&cluster), random_range(1..3));
+            let member = &members[usize::try_from(index).unwrap_or(1)];
+            let result = (member.promote)(Term(2)).await;
+            assert!(result.is_err(), "seed {seed}");
+            assert_eq!(primaries(&cluster), before, "seed {seed}");
+            assert!(
+                before.iter().any(|(_, term)| *term > Term(2)),
+                "seed {seed}"
+            );
+        };
+        let history = run_sessions(&cluster, ms(3000), fault).await;
+        assert_clean(&history, seed);
+    });
+}
+
 /// Guards against a member that stays without entries because a promotion
 /// that failed left it in a higher term than the primary's.
 #[test]
@@ -243,3 +272,39 @@
         assert_eq!(check(&finish(&cluster, &recorder).await), [], "seed {seed}");
     });
 }
+
+/// Guards against writes to a leaving primary for which there is no successor.
+#[test]
+fn leaving_primary_gets_no_writes() {
+    each_seed(|seed| async move {
+        let cluster = cluster().await;
+        let group = cluster.group(0).expect("the host runs");
+        assert!(group.primary().is_ok(), "seed {seed}");
+        for index in 0..3 {
+            cluster.database.set_leaving(&member(index), true);
+        }
+        sleep(ms(200)).await;
+        assert!(group.primary().is_err(), "seed {seed}");
+    });
+}
+
+/// Guards against evidence from a watcher that hears no member, as after a
+/// pause of its host: the silence there says nothing about the primary.
+#[test]
+fn deaf_watcher_gives_no_evidence() {
+    each_seed(|seed| async move {
+        let cluster = cluster().await;
+        for name in ["member-0", "member-1", "member-2"] {
+            cluster.network.cut("host-1", name);
+        }
+        sleep(ms(2000)).await;
+        let group = cluster.group(1).expect("the host runs");
+        let request = WatchRequest::View {
+            group: "group".into(),
+        };
+        let WatchReply::View { silence, .. } = group.handle(request) else {
+            panic!("seed {seed}: a view is answered by a view");
+        };
+        assert_eq!(silence, Duration::ZERO, "seed {seed}");
+    });
+}
