--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout, timeout_at};
-use burdockslip_types::{ErrorKind, GroupName, Mark, Result};
+use burdockslip_runtime::{Instant, now, sleep, timeout, timeout_at};
+use burdockslip_types::{ErrorKind, GroupName, HostId, Mark, Result};
 use burdockslip_wire::{
     ClientStream, StatementNames, TransactionState, Unit, UnitKind, Verb, classify,
     command_complete, error_response, parameter_status, ready,
@@ -19,11 +19,14 @@
 use super::request::{self, Prepared, Request};
 use super::startup::State;
 use crate::conversation::Conversation;
-use crate::exchange::{Access, Done, Event, Failed, Run};
+use crate::exchange::{Access, Done, EXPIRED, Event, Failed, Run};
 use crate::host::Host;
 
 /// Time within which the rest of a unit must follow its first byte.
 const UNIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time within which a client has to take a part of its answer; a client that
+/// reads more slowly would hold memory for as long as it likes.
+const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Pause before a request is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -77,7 +80,7 @@
         state,
         names: StatementNames::default(),
         transaction: Transaction::default(),
-        served_at: Instant::START,
+        served_at: now(),
     };
     if let Err(report) = session.serve().await {
         let kind = *report.current_context();
@@ -134,27 +137,45 @@
         loop {
             let epoch = signal.epoch();
             request::check_key(&self.host.in_force(), &self.state)?;
-            let is_leaving = self.is_leaving();
-            if is_leaving && (self.served_at + DRAIN_GRACE).is_past() {
-                bail!(ErrorKind::Draining);
+            let limit = self.waiting_limit();
+            if limit.is_past() {
+                self.give_up()?;
+                continue;
             }
             if self.client.has_unread() {
                 return Ok(());
             }
             let readable = std::pin::pin!(self.client.readable());
-            let woken = std::pin::pin!(async {
-                if is_leaving {
-                    sleep_until(self.served_at + DRAIN_GRACE).await;
-                } else {
-                    signal.changed(epoch).await;
-                }
-            });
-            if let Either::Left((result, _)) = select(readable, woken).await {
+            let changed = std::pin::pin!(timeout_at(limit, signal.changed(epoch)));
+            if let Either::Left((result, _)) = select(readable, changed).await {
                 return result;
             }
         }
     }
 
+    /// Returns until when the session waits for its client.
+    fn waiting_limit(&self) -> Instant {
+        let options = &self.host.options;
+        if self.is_leaving() {
+            self.served_at + DRAIN_GRACE
+        } else if self.transaction.conversation.is_some() {
+            self.served_at + options.transaction_timeout
+        } else {
+            self.served_at + options.idle_timeout
+        }
+    }
+
+    /// Rolls an abandoned transaction back, or ends an idle session.
+    fn give_up(&mut self) -> Result<()> {
+        if self.transaction.conversation.take().is_some() {
+            self.transaction.is_failed = true;
+            self.transaction.names.clear();
+            self.served_at = now();
+            return Ok(());
+        }
+        bail!(ErrorKind::Draining)
+    }
+
     async fn handle(&mut self, unit: Unit) -> Result<()> {
         let is_simple = matches!(unit.kind, UnitKind::Simple(_));
         let prepared = match self.prepare(&unit) {
@@ -176,7 +197,7 @@
             Some(Ok(answer)) => self.finish(answer).await,
             Some(Err(report)) => self.refuse_report(&report).await,
             None => match request::judge(&self.host, &self.state, prepared) {
-                Ok(request) => self.carry_out(request).await,
+                Ok(request) => self.serve_request(request).await,
                 Err(report) => self.refuse_report(&report).await,
             },
         }
@@ -212,19 +233,74 @@
             .await
     }
 
+    /// Admits a request, runs it and ends its answer.
+    async fn serve_request(&mut self, mut request: Request) -> Result<()> {
+        let start = now();
+        let admitted = self.admit(&mut request).await;
+        let outcome = match admitted {
+            Ok(()) => self.carry_out(&mut request).await?,
+            Err(failed) => Err(failed),
+        };
+        let finished = Rc::clone(&self.host.hooks.finished);
+        let verdict = outcome.as_ref().map(|_| ()).map_err(|failed| failed.kind);
+        let Run {
+            organisation,
+            class,
+            group,
+            ..
+        } = &request.run;
+        finished(organisation, class, verdict, start.elapsed());
+        match outcome {
+            Ok(done) => self.complete(group, done).await,
+            Err(Failed { kind, detail, .. }) => self.refuse(kind, &detail).await,
+        }
+    }
+
+    /// Waits for the organisation's rate, and checks that the configuration is
+    /// recent enough for the class.
+    async fn admit(&self, request: &mut Request) -> Result<(), Failed> {
+        let hooks = &self.host.hooks;
+        if (hooks.config_age)() > request.class.offline_limit {
+            return Err(Failed::not_sent(
+                ErrorKind::ConfigMissing,
+                "the configuration was not confirmed for too long",
+            ));
+        }
+        let admitted = (hooks.admit)(request.run.organisation.clone(), request.deadline);
+        let permit = admitted.await.map_err(|report| {
+            let detail = report.downcast_ref::<String>().cloned().unwrap_or_default();
+            Failed::not_sent(*report.current_context(), detail)
+        })?;
+        request.permit = Some(permit);
+        Ok(())
+    }
+
     /// Runs a request, again if that is safe, until its deadline.
-    async fn carry_out(&mut self, mut request: Request) -> Result<()> {
+    ///
+    /// The outer error means that the client is gone.
+    async fn carry_out(&mut self, request: &mut Request) -> Result<Result<Done, Failed>> {
         loop {
             request.run.remaining = request.deadline.remaining();
-            let attempt = match self.attempt(&request).await? {
-                Ok(done) => return self.complete(&request.run.group, done).await,
+            let attempt = match self.attempt(request).await? {
+                Ok(done) => return Ok(Ok(done)),
                 Err(attempt) => attempt,
             };
-            if !self.may_retry(&request, &attempt) {
-                let Failed { kind, detail, .. } = attempt.failed;
-                return self.refuse(kind, &detail).await;
+            if attempt.failed.detail == EXPIRED && !request.is_renewed {
+                // Either the request was late, or the holder has started anew
+                // and with it the clock of its stamps.
+                request.is_renewed = true;
+                self.host.stamps.forget_all();
+                match self.admit(request).await {
+                    Ok(()) => continue,
+                    Err(failed) => return Ok(Err(failed)),
+                }
             }
-            if let Some(member) = attempt.failed.redirect {
+            if !self.may_retry(request, &attempt) {
+                return Ok(Err(attempt.failed));
+            }
+            if attempt.failed.kind == ErrorKind::Draining {
+                self.avoid_holder(&request.run);
+            } else if let Some(member) = attempt.failed.redirect {
                 if request.run.access == Access::Write {
                     self.host.set_primary(&request.run.group, member.clone());
                 }
@@ -236,6 +312,14 @@
         }
     }
 
+    /// Turns to the next host in the ranking for the member.
+    fn avoid_holder(&self, run: &Run) {
+        if let Some(zone) = self.host.member_zone(&run.group, &run.member) {
+            let holder = self.host.holder_host(&run.member, &zone);
+            self.host.placement.suspect(&holder);
+        }
+    }
+
     /// Turns to another member of the group, whose holder knows where to go.
     fn ask_next_member(&self, run: &mut Run) {
         let in_force = self.host.in_force();
@@ -257,10 +341,13 @@
     fn may_retry(&self, request: &Request, attempt: &Attempt) -> bool {
         let Attempt { failed, has_output } = attempt;
         let is_safe = !failed.is_sent || request.class.repeatable;
-        let is_transient = failed.is_sent
+        let is_transient = failed.kind == ErrorKind::OutcomeUnknown
             || matches!(
                 failed.kind,
-                ErrorKind::ConnectionLost | ErrorKind::NoPrimary | ErrorKind::NoFreshData
+                ErrorKind::ConnectionLost
+                    | ErrorKind::Draining
+                    | ErrorKind::NoPrimary
+                    | ErrorKind::NoFreshData
             );
         !has_output
             && is_safe
@@ -279,7 +366,7 @@
                 Ok(()) => Ok(conversation),
                 Err(report) => Err(report),
             },
-            None => self.open(&request.run).await,
+            None => self.open(request).await,
         };
         let mut conversation = match conversation {
             Ok(conversation) => conversation,
@@ -296,7 +383,7 @@
             match self.next_event(&mut conversation, request).await {
                 Ok(Event::Part(bytes)) => {
                     has_output = true;
-                    self.client.write(bytes).await?;
+                    self.write(bytes).await?;
                 }
                 Ok(Event::Done(done)) => break Ok(done),
                 Ok(Event::Failed(failed)) | Err(failed) => break Err(failed),
@@ -351,27 +438,53 @@
     }
 
     /// Opens a conversation with the holder of the member and sends the unit.
-    async fn open(&self, run: &Run) -> Result<Conversation> {
-        let in_force = self.host.in_force();
-        let zone = in_force
-            .catalogue
-            .group(run.group.as_str())
-            .and_then(|group| group.members.get(&run.member))
-            .map(|member| member.zone.clone())
+    async fn open(&self, request: &Request) -> Result<Conversation> {
+        let mut run = request.run.clone();
+        let zone = self
+            .host
+            .member_zone(&run.group, &run.member)
             .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
         let holder = self.host.holder_host(&run.member, &zone);
+        let stamps = &self.host.stamps;
         if holder != self.host.options.host {
-            return Conversation::remote(&self.host, &holder, run).await;
+            let opened = self.open_remote(&holder, request, run).await;
+            if opened.is_err() {
+                stamps.forget(&holder);
+                self.host.placement.suspect(&holder);
+            }
+            return opened;
         }
         let local = self
             .host
             .holder(&run.group, &run.member)
             .ok_or_else(|| Report::new(ErrorKind::NoPrimary))?;
+        run.proof = request.permit.as_ref().map(|p| stamps.prove_here(p));
         let mut conversation = Conversation::local(local);
-        conversation.send(run.clone()).await?;
+        conversation.send(run).await?;
         Ok(conversation)
     }
 
+    async fn open_remote(
+        &self,
+        holder: &HostId,
+        request: &Request,
+        mut run: Run,
+    ) -> Result<Conversation> {
+        if let Some(permit) = &request.permit {
+            let stamps = &self.host.stamps;
+            let proof = stamps.prove_to(&self.host.peers, holder, permit).await?;
+            run.proof = Some(proof);
+        }
+        Conversation::remote(&self.host, holder, &run).await
+    }
+
+    /// Writes to the client, which has to keep reading.
+    async fn write(&mut self, bytes: Bytes) -> Result<()> {
+        timeout(WRITE_TIMEOUT, self.client.write(bytes))
+            .await
+            .map_err(|_| Report::new(ErrorKind::ConnectionLost))?
+    }
+
     /// Raises the session's floor and ends the answer.
     async fn complete(&mut self, group: &GroupName, done: Done) -> Result<()> {
         let mut buf = BytesMut::new();
@@ -388,7 +501,7 @@
             }
         }
         buf.extend_from_slice(&ready(self.transaction.state()));
-        self.client.write(buf.freeze()).await
+        self.write(buf.freeze()).await
     }
 
     fn raise_floor(&mut self, group: &GroupName, mark: Mark) -> bool {
@@ -419,6 +532,6 @@
     async fn finish(&mut self, answer: Bytes) -> Result<()> {
         let mut buf = BytesMut::from(answer.as_ref());
         buf.extend_from_slice(&ready(self.transaction.state()));
-        self.client.write(buf.freeze()).await
+        self.write(buf.freeze()).await
     }
 }
