Ask the operating system whether a connection is readable

Cause: the wait for a client's next unit used the readiness that the runtime remembers, which stays set after the bytes were read. An idle session therefore looked as if a unit had begun: it held a read buffer, no longer noticed drains and revocations, and was closed after the 30 s that a unit may take. Found through the memory of idle clients.

Seen to fail: a client of a started site that runs one statement, waits 35 s and runs another got 'connection lost'.

--- a/crates/burdockslip_measure/src/site.rs
+++ b/crates/burdockslip_measure/src/site.rs
@@ -1,6 +1,5 @@
 //! Starts a database group and its hosts, each in a thread of its own.
 
-use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -10,7 +9,9 @@
 
 use burdockslip_catalogue::Catalogue;
 use burdockslip_keys::{Key, KeyPath, KeyRecord, KeyRing};
-use burdockslip_proxy::{HostEntry, InForce, Options, Proxy};
+use burdockslip_membership::{Membership, Peer};
+use burdockslip_peer::{PeerPool, Router};
+use burdockslip_proxy::{Hooks, InForce, Options, Proxy};
 use burdockslip_runtime::block_on;
 use burdockslip_testkit::database::{DatabaseGroup, MemberOptions};
 use burdockslip_types::{ErrorKind, Result};
@@ -124,8 +125,13 @@
             let (text, given, revealed) = (text.clone(), options.clone(), key.reveal());
             hosts.push(Running::start(move || {
                 let key = Key::parse(revealed.as_bytes())?;
-                let in_force = in_force(&text, &key, addresses)?;
-                Proxy::bind(host_options(&given, addresses, zone), in_force)
+                let in_force = in_force(&text, &key)?;
+                bind_host(
+                    host_options(&given, addresses, zone),
+                    in_force,
+                    addresses,
+                    zone,
+                )
             })?);
         }
         Ok(Self {
@@ -251,7 +257,35 @@
     }
 }
 
-fn in_force(text: &str, key: &Key, addresses: Addresses) -> Result<InForce> {
+fn bind_host(
+    options: Options,
+    in_force: InForce,
+    addresses: Addresses,
+    zone: usize,
+) -> Result<Proxy> {
+    let peers: Vec<Peer> = ZONES
+        .iter()
+        .enumerate()
+        .map(|(index, zone)| Peer {
+            host: format!("host-{zone}").into(),
+            zone: (*zone).into(),
+            address: addresses.peer(index),
+        })
+        .collect();
+    let membership = Membership::fixed(peers[zone].clone(), &peers);
+    let resolver = membership.clone();
+    let pool = PeerPool::new(options.host.clone(), move |host| resolver.resolve(host));
+    Proxy::bind(
+        options,
+        in_force,
+        &membership,
+        pool,
+        Hooks::default(),
+        Router::default(),
+    )
+}
+
+fn in_force(text: &str, key: &Key) -> Result<InForce> {
     let catalogue = Catalogue::parse(text)
         .map_err(|faults| Report::new(ErrorKind::InvalidInput).attach(faults.to_string()))?;
     let path = KeyPath {
@@ -260,21 +294,9 @@
     };
     let mut keys = KeyRing::default();
     keys.put(&path.render(), &KeyRecord::live(key).render())?;
-    let hosts: BTreeMap<_, _> = ZONES
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let entry = HostEntry {
-                zone: (*zone).into(),
-                address: addresses.peer(index),
-            };
-            (format!("host-{zone}").as_str().into(), entry)
-        })
-        .collect();
     Ok(InForce {
         catalogue: Rc::new(catalogue),
         keys: Rc::new(keys),
-        hosts: Rc::new(hosts),
     })
 }
 
--- a/crates/burdockslip_wire/src/connection.rs
+++ b/crates/burdockslip_wire/src/connection.rs
@@ -138,12 +138,15 @@
 
     /// Waits until bytes or the end of the stream can be read.
     ///
+    /// Asks the operating system, because the readiness that the runtime
+    /// remembers outlives the bytes it was about.
+    ///
     /// # Errors
     ///
     /// Returns `ConnectionLost` if the connection breaks.
     pub async fn readable(&self) -> Result<()> {
         self.io
-            .readable(true)
+            .readable(false)
             .await
             .change_context(ErrorKind::ConnectionLost)
     }
