--- a/crates/burdockslip_measure/examples/measure.rs
+++ b/crates/burdockslip_measure/examples/measure.rs
@@ -5,10 +5,18 @@
 
 #[path = "measure/args.rs"]
 mod args;
+#[path = "measure/failover.rs"]
+mod failover;
+#[path = "measure/fairness.rs"]
+mod fairness;
 #[path = "measure/latency.rs"]
 mod latency;
 #[path = "measure/memory.rs"]
 mod memory;
+#[path = "measure/rates.rs"]
+mod rates;
+#[path = "measure/reads.rs"]
+mod reads;
 #[path = "measure/table.rs"]
 mod table;
 #[path = "measure/throughput.rs"]
--- /dev/null
+++ b/crates/burdockslip_measure/examples/measure/reads.rs
@@ -0,0 +1,47 @@
+//! Measures the share of reads that replicas serve, beside the baselines.
+
+use std::time::Duration;
+
+use burdockslip_group::ReadPolicy;
+use burdockslip_group::measure::{ReadLoad, measure_reads};
+use burdockslip_measure::{Figure, Limit, Outcome};
+
+/// The target, in percent of the reads.
+const SHARE: f64 = 95.0;
+
+/// Names the policies; the baselines have no bound.
+const POLICIES: [(&str, ReadPolicy, Limit); 3] = [
+    ("any_replica", ReadPolicy::AnyReplica, Limit::AtLeast(SHARE)),
+    ("fixed_replica", ReadPolicy::FixedReplica, Limit::None),
+    ("primary_only", ReadPolicy::PrimaryOnly, Limit::None),
+];
+
+/// Runs a mixed load of a class that allows any age, with the normal lag of 5 ms.
+pub(crate) fn run(seed: u64) -> Outcome {
+    let mut outcome = Outcome::default();
+    for (name, policy, limit) in POLICIES {
+        let share = measure_reads(
+            seed,
+            ReadLoad {
+                lag: Duration::from_millis(5),
+                max_age: Duration::MAX,
+                policy,
+                sessions: 30,
+                writes: 10,
+            },
+        );
+        let served = f64::from(u32::try_from(share.replica_share()).unwrap_or(u32::MAX)) / 100.0;
+        let violations = f64::from(u32::try_from(share.violations).unwrap_or(u32::MAX));
+        outcome.figures.extend([
+            Figure::new(format!("{name}/by_replica"), served, "% of reads").limited(limit),
+            Figure::new(format!("{name}/violations"), violations, "reads")
+                .limited(Limit::AtMost(0.0)),
+            Figure::new(
+                format!("{name}/mean_time"),
+                share.mean_time().as_secs_f64() * 1e3,
+                "ms",
+            ),
+        ]);
+    }
+    outcome
+}
--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -2,7 +2,7 @@
 
 use burdockslip_measure::Experiment;
 
-use crate::{latency, memory, throughput};
+use crate::{failover, fairness, latency, memory, rates, reads, throughput};
 
 /// Returns all experiments in the order in which they run.
 pub(crate) fn experiments() -> Vec<Experiment> {
@@ -27,5 +27,30 @@
             about: "memory of an idle client connection",
             run: Box::new(|_| memory::run()),
         },
+        Experiment {
+            name: "failover",
+            about: "write gap after the primary is killed, cut off or paused",
+            run: Box::new(failover::run),
+        },
+        Experiment {
+            name: "reads",
+            about: "share of reads served by replicas, against fixed replica and primary only",
+            run: Box::new(|seed| Ok(reads::run(seed))),
+        },
+        Experiment {
+            name: "fairness",
+            about: "worst-served organisation under overload, against round robin and FIFO",
+            run: Box::new(|seed| Ok(fairness::run(seed))),
+        },
+        Experiment {
+            name: "decisions",
+            about: "steps of one queue decision from 8 to 10,000 organisations",
+            run: Box::new(|seed| Ok(fairness::run_decisions(seed))),
+        },
+        Experiment {
+            name: "rates",
+            about: "over-admission and wrongful rejections, against static split and store",
+            run: Box::new(|seed| Ok(rates::run(seed))),
+        },
     ]
 }
