--- a/crates/burdockslip_measure/examples/measure/fairness.rs
+++ b/crates/burdockslip_measure/examples/measure/fairness.rs
@@ -4,7 +4,7 @@
 use burdockslip_queue::{
     Deployment, FairQueue, Order, Policy, Settings, Sharing, Workload, measure_fairness,
 };
-use burdockslip_runtime::{now, paused};
+use burdockslip_runtime::now;
 use burdockslip_types::Organisation;
 
 /// The target for requests within their deadline, as a share.
@@ -75,10 +75,10 @@
 }
 
 /// Counts the lanes that a decision visits, which does not depend on the machine.
-pub(crate) fn run_decisions(seed: u64) -> Outcome {
+pub(crate) fn run_decisions() -> Outcome {
     let points: Vec<(f64, f64)> = SIZES
         .iter()
-        .map(|&size| (f64::from(size), paused::run(seed, steps(size))))
+        .map(|&size| (f64::from(size), steps(size)))
         .collect();
     let mut figures: Vec<Figure> = points
         .iter()
@@ -99,7 +99,7 @@
     }
 }
 
-async fn steps(organisations: u32) -> f64 {
+fn steps(organisations: u32) -> f64 {
     let names: Vec<Organisation> = (0..organisations)
         .map(|index| format!("organisation-{index}").into())
         .collect();
@@ -110,7 +110,7 @@
         max_delay: std::time::Duration::from_hours(1),
         ..Settings::default()
     });
-    let mut push = |queue: &mut FairQueue<Numbers>, number: u32| {
+    let push = |queue: &mut FairQueue<Numbers>, number: u32| {
         let name = &names[(number % organisations) as usize];
         // No bound is reached with these settings.
         let _ = queue.push(name, 0, deadline, cost, number);
--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -45,7 +45,7 @@
         Experiment {
             name: "decisions",
             about: "steps of one queue decision from 8 to 10,000 organisations",
-            run: Box::new(|seed| Ok(fairness::run_decisions(seed))),
+            run: Box::new(|_| Ok(fairness::run_decisions())),
         },
         Experiment {
             name: "rates",
