--- a/crates/burdockslip_measure/src/site.rs
+++ b/crates/burdockslip_measure/src/site.rs
@@ -9,9 +9,8 @@
 
 use burdockslip_catalogue::Catalogue;
 use burdockslip_keys::{Key, KeyPath, KeyRecord, KeyRing};
-use burdockslip_membership::{Membership, Peer};
-use burdockslip_peer::{PeerPool, Router};
-use burdockslip_proxy::{Hooks, InForce, Options, Proxy};
+use burdockslip_membership::Peer;
+use burdockslip_proxy::{InForce, Options, Proxy};
 use burdockslip_runtime::block_on;
 use burdockslip_testkit::database::{DatabaseGroup, MemberOptions};
 use burdockslip_types::{ErrorKind, Result};
@@ -126,12 +125,8 @@
             hosts.push(Running::start(move || {
                 let key = Key::parse(revealed.as_bytes())?;
                 let in_force = in_force(&text, &key)?;
-                bind_host(
-                    host_options(&given, addresses, zone),
-                    in_force,
-                    addresses,
-                    zone,
-                )
+                let options = host_options(&given, addresses, zone);
+                Proxy::bind_fixed(options, in_force, &peers(addresses))
             })?);
         }
         Ok(Self {
@@ -257,34 +252,6 @@
     }
 }
 
-fn bind_host(
-    options: Options,
-    in_force: InForce,
-    addresses: Addresses,
-    zone: usize,
-) -> Result<Proxy> {
-    let peers: Vec<Peer> = ZONES
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| Peer {
-            host: format!("host-{zone}").into(),
-            zone: (*zone).into(),
-            address: addresses.peer(index),
-        })
-        .collect();
-    let membership = Membership::fixed(peers[zone].clone(), &peers);
-    let resolver = membership.clone();
-    let pool = PeerPool::new(options.host.clone(), move |host| resolver.resolve(host));
-    Proxy::bind(
-        options,
-        in_force,
-        &membership,
-        pool,
-        Hooks::default(),
-        Router::default(),
-    )
-}
-
 fn in_force(text: &str, key: &Key) -> Result<InForce> {
     let catalogue = Catalogue::parse(text)
         .map_err(|faults| Report::new(ErrorKind::InvalidInput).attach(faults.to_string()))?;
@@ -300,6 +267,15 @@
     })
 }
 
+fn peers(addresses: Addresses) -> Vec<Peer> {
+    let peer = |(index, zone): (usize, &&str)| Peer {
+        host: format!("host-{zone}").into(),
+        zone: (*zone).into(),
+        address: addresses.peer(index),
+    };
+    ZONES.iter().enumerate().map(peer).collect()
+}
+
 fn catalogue_text(options: &SiteOptions, addresses: Addresses) -> String {
     let members: Vec<String> = ZONES
         .iter()
