--- a/crates/burdockslip_measure/examples/measure.rs
+++ b/crates/burdockslip_measure/examples/measure.rs
@@ -9,6 +9,8 @@
 mod failover;
 #[path = "measure/fairness.rs"]
 mod fairness;
+#[path = "measure/fleet.rs"]
+mod fleet;
 #[path = "measure/latency.rs"]
 mod latency;
 #[path = "measure/memory.rs"]
--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -2,7 +2,7 @@
 
 use burdockslip_measure::Experiment;
 
-use crate::{failover, fairness, latency, memory, rates, reads, throughput};
+use crate::{failover, fairness, fleet, latency, memory, rates, reads, throughput};
 
 /// Returns all experiments in the order in which they run.
 pub(crate) fn experiments() -> Vec<Experiment> {
@@ -45,12 +45,22 @@
         Experiment {
             name: "decisions",
             about: "steps of one queue decision from 8 to 10,000 organisations",
-            run: Box::new(|seed| Ok(fairness::run_decisions(seed))),
+            run: Box::new(|_| Ok(fairness::run_decisions())),
         },
         Experiment {
             name: "rates",
             about: "over-admission and wrongful rejections, against static split and store",
             run: Box::new(|seed| Ok(rates::run(seed))),
         },
+        Experiment {
+            name: "gossip",
+            about: "traffic and processor time of membership from 13 to 670 hosts",
+            run: Box::new(fleet::run_gossip),
+        },
+        Experiment {
+            name: "store_calls",
+            about: "store calls of the budget authorities from 8 to 64 hosts",
+            run: Box::new(|seed| Ok(fleet::run_store_calls(seed))),
+        },
     ]
 }
