Add the distribution of the configuration

Cause: a change must be in force on all hosts within 10 s, with a number of store calls that does not depend on the number of hosts.

Two relays of each zone watch the store; hosts follow them by requests that wait up to 2 s for a change, relays also follow one relay of each other zone. A host that takes a change tells three others, compares with a random one every 5 s, and searches zones that it has not heard of for 10 s every second. Ages are bounded by the receiver's own clock. Large changes come in parts of 256 KB; a part that does not go on is an error, after a test with a sender that always starts again did not end.

Seen to fail with the mechanism disabled: the only path (no pushes and comparisons), the refused store (no check for lower revisions), the age during an outage (no majority of zones), the age in a cut zone (unknown zones not counted), the store calls (every host a relay), the removed keys (no record of removals). The test with a cut zone at 14 hosts passes also without relays that follow other zones, since pushes reach the zone.

--- /dev/null
+++ b/crates/burdockslip_config/src/content.rs
@@ -0,0 +1,217 @@
+//! Holds the entries of one section at one revision.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use burdockslip_store::{Event, Page};
+use burdockslip_types::Revision;
+
+use crate::{Change, Entry, Resume, Section};
+
+/// Bounds the values of one message; a value of 1 MB goes alone and stays
+/// below the message limit of 1 MiB.
+const CHUNK: usize = 256 << 10;
+
+/// Bounds the removals that are remembered; a host that is further behind
+/// gets the whole section.
+const DELETES: usize = 4096;
+
+/// Holds the entries of one section; the content is that of the store at
+/// `revision`, so equal revisions mean equal contents.
+pub(crate) struct Content {
+    section: Section,
+    revision: Revision,
+    /// The oldest revision from which all changes are known.
+    floor: Revision,
+    entries: BTreeMap<Rc<str>, Entry>,
+    deletes: BTreeMap<Rc<str>, Revision>,
+}
+
+impl Content {
+    pub(crate) fn new(section: Section) -> Self {
+        Self {
+            section,
+            revision: Revision(0),
+            floor: Revision(0),
+            entries: BTreeMap::new(),
+            deletes: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    pub(crate) fn entries<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.entries
+            .range(Rc::from(prefix)..)
+            .map(|(_, entry)| entry)
+            .take_while(move |entry| entry.key.starts_with(prefix))
+    }
+
+    /// Takes in what the store holds; returns whether anything changed, or
+    /// nothing if the store is behind, as after the loss of its data.
+    pub(crate) fn load(&mut self, page: Page) -> Option<bool> {
+        if page.revision < self.revision {
+            return None;
+        }
+        let entries = page.entries.into_iter();
+        let fresh: BTreeMap<Rc<str>, Entry> = entries
+            .filter(|entry| self.section.contains(&entry.key))
+            .map(|entry| {
+                let key: Rc<str> = Rc::from(entry.key);
+                let entry = Entry {
+                    key: Rc::clone(&key),
+                    value: Rc::from(entry.value),
+                    revision: entry.revision,
+                };
+                (key, entry)
+            })
+            .collect();
+        if self.revision == Revision(0) {
+            self.replace(fresh, page.revision);
+            return Some(self.revision > Revision(0));
+        }
+        if fresh == self.entries {
+            return Some(false);
+        }
+        let removed = self.entries.keys().filter(|key| !fresh.contains_key(*key));
+        let removed: Vec<_> = removed.cloned().collect();
+        for key in removed {
+            self.deletes.insert(key, page.revision);
+        }
+        self.entries = fresh;
+        self.revision = page.revision;
+        self.trim();
+        Some(true)
+    }
+
+    fn replace(&mut self, entries: BTreeMap<Rc<str>, Entry>, revision: Revision) {
+        self.entries = entries;
+        self.deletes.clear();
+        self.revision = revision;
+        self.floor = revision;
+    }
+
+    /// Takes in changes seen by a watch, all of the same transactions together.
+    pub(crate) fn watch(&mut self, events: Vec<Event>) -> bool {
+        let mut change = Change {
+            section: self.section,
+            revision: self.revision,
+            is_full: false,
+            puts: Vec::new(),
+            deletes: Vec::new(),
+            rest: None,
+        };
+        for event in events {
+            match event {
+                Event::Put(entry) if self.section.contains(&entry.key) => {
+                    change.revision = change.revision.max(entry.revision);
+                    change.puts.push(Entry {
+                        key: Rc::from(entry.key),
+                        value: Rc::from(entry.value),
+                        revision: entry.revision,
+                    });
+                }
+                Event::Delete(key, revision) if self.section.contains(&key) => {
+                    change.revision = change.revision.max(revision);
+                    change.deletes.push((Rc::from(key), revision));
+                }
+                _ => {}
+            }
+        }
+        self.apply(change)
+    }
+
+    /// Takes in a change if it leads to a higher revision.
+    pub(crate) fn apply(&mut self, change: Change) -> bool {
+        if change.revision <= self.revision {
+            return false;
+        }
+        if change.is_full {
+            let puts = change.puts.into_iter();
+            let entries = puts.map(|entry| (Rc::clone(&entry.key), entry)).collect();
+            self.replace(entries, change.revision);
+            return true;
+        }
+        for entry in change.puts {
+            self.put(entry);
+        }
+        for (key, revision) in change.deletes {
+            self.delete(&key, revision);
+        }
+        self.revision = change.revision;
+        self.trim();
+        true
+    }
+
+    fn put(&mut self, entry: Entry) {
+        let is_newer = |old: Option<&Revision>| old.is_none_or(|old| *old < entry.revision);
+        let old = self.entries.get(&entry.key).map(|old| &old.revision);
+        if is_newer(old) && is_newer(self.deletes.get(&entry.key)) {
+            self.deletes.remove(&entry.key);
+            self.entries.insert(Rc::clone(&entry.key), entry);
+        }
+    }
+
+    fn delete(&mut self, key: &Rc<str>, revision: Revision) {
+        let entry = self.entries.get(key);
+        if entry.is_none_or(|entry| entry.revision < revision) {
+            self.entries.remove(key);
+            self.deletes.insert(Rc::clone(key), revision);
+        }
+    }
+
+    fn trim(&mut self) {
+        while self.deletes.len() > DELETES {
+            let oldest = self.deletes.iter().min_by_key(|(_, revision)| **revision);
+            let Some((key, revision)) = oldest.map(|(key, revision)| (key.clone(), *revision))
+            else {
+                return;
+            };
+            self.deletes.remove(&key);
+            self.floor = self.floor.max(revision);
+        }
+    }
+
+    /// Returns the next part of the change from `have` to the present state,
+    /// or nothing if the asking host is not behind.
+    pub(crate) fn change(&self, have: Revision, resume: Option<&Resume>) -> Option<Change> {
+        if have >= self.revision {
+            return None;
+        }
+        let is_resumed =
+            |resume: &&Resume| resume.section == self.section && resume.target == self.revision;
+        let after = resume.filter(is_resumed).map(|resume| &resume.after);
+        let is_due = |key: &Rc<str>| after.is_none_or(|after| key > after);
+        let is_full = have < self.floor;
+        let mut change = Change {
+            section: self.section,
+            revision: self.revision,
+            is_full,
+            puts: Vec::new(),
+            deletes: Vec::new(),
+            rest: None,
+        };
+        let mut size = 0;
+        let entries = self.entries.values();
+        for entry in entries.filter(|e| (is_full || e.revision > have) && is_due(&e.key)) {
+            if size > 0 && size + entry.value.len() > CHUNK {
+                change.rest = change.puts.last().map(|last| Rc::clone(&last.key));
+                return Some(change);
+            }
+            size += entry.key.len() + entry.value.len();
+            change.puts.push(entry.clone());
+        }
+        if !is_full {
+            let deletes = self
+                .deletes
+                .iter()
+                .filter(|(_, revision)| **revision > have);
+            change.deletes = deletes
+                .map(|(k, revision)| (k.clone(), *revision))
+                .collect();
+        }
+        Some(change)
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_config/src/follow.rs
@@ -0,0 +1,246 @@
+//! Takes changes from other hosts and tells them of changes.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, now, random_range, sleep, spawn, timeout};
+use burdockslip_types::{ErrorKind, HostId, Result};
+use error_stack::{Report, bail};
+use tracing::debug;
+
+use crate::config::{HOLD, Shared};
+use crate::{Change, Changed, Follow, Reply, Request, Resume, Update};
+
+/// Bounds the wait for an answer beyond the time it is held back.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Spaces the attempts after a failure.
+const RETRY_PERIOD: Duration = Duration::from_millis(500);
+
+/// Spaces the comparisons with any host, which find changes on every path.
+const COMPARE_PERIOD: Duration = Duration::from_secs(5);
+
+/// Marks a zone as unheard of; without faults its relays are heard of within
+/// two answers that wait 2 s each.
+const STALE_AFTER: Duration = Duration::from_secs(10);
+
+/// Spaces the comparisons while some zone is not heard of.
+const SEARCH_PERIOD: Duration = Duration::from_secs(1);
+
+/// Ends the use of a host as bridge, in case the relays reach its zone again.
+const BRIDGE_LIFE: Duration = Duration::from_mins(5);
+
+/// Spaces the comparisons of a host that has nothing yet.
+const START_PERIOD: Duration = Duration::from_millis(250);
+
+/// Counts the hosts that are told of a change at once.
+const PUSH_COUNT: usize = 3;
+
+/// Returns whether a fetch found something new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Changed,
+    Same,
+}
+
+/// Follows one host for as long as the task lives.
+pub(crate) async fn run(shared: Rc<Shared>, host: HostId) {
+    loop {
+        let start = now();
+        let outcome = fetch(&shared, &host, HOLD).await;
+        let is_early = start.elapsed() < HOLD / 2;
+        match outcome {
+            Ok(Outcome::Changed) => {}
+            Ok(Outcome::Same) if !is_early => {}
+            Ok(Outcome::Same) => sleep(RETRY_PERIOD).await,
+            Err(error) => {
+                debug!(%host, error = %error.current_context(), "cannot follow");
+                sleep(RETRY_PERIOD).await;
+            }
+        }
+    }
+}
+
+/// Compares with one host after the other, chosen at random, so that changes
+/// pass wherever a path exists.
+pub(crate) async fn compare(shared: Rc<Shared>) {
+    loop {
+        let bridge = shared.bridge.borrow().clone();
+        let stale = stale_hosts(&shared);
+        let is_known = shared.known.borrow().age().is_some();
+        let period = match (is_known, bridge.is_some() || !stale.is_empty()) {
+            (false, _) => START_PERIOD,
+            (true, true) => SEARCH_PERIOD,
+            (true, false) => COMPARE_PERIOD,
+        };
+        let millis = u64::try_from(period.as_millis()).unwrap_or(0);
+        let pause = random_range(millis / 2..millis + millis / 2);
+        sleep(Duration::from_millis(pause)).await;
+        if let Some(bridge) = bridge {
+            cross(&shared, bridge).await;
+        } else if let Some(host) = pick(stale, 1).pop() {
+            cross(&shared, Bridge::new(host)).await;
+        }
+        if let Some(host) = others(&shared, 1).pop() {
+            // An unreachable host is one of many.
+            let _ = fetch(&shared, &host, Duration::ZERO).await;
+        }
+    }
+}
+
+/// Names a host that connects with a zone which the relays do not reach.
+#[derive(Debug, Clone)]
+pub(crate) struct Bridge {
+    host: HostId,
+    found: Instant,
+}
+
+impl Bridge {
+    fn new(host: HostId) -> Self {
+        Self { host, found: now() }
+    }
+}
+
+/// Compares with a host of a zone that was not heard of, and keeps to it for
+/// some time if it answers.
+async fn cross(shared: &Rc<Shared>, bridge: Bridge) {
+    let outcome = fetch(shared, &bridge.host, Duration::ZERO).await;
+    let is_kept = outcome.is_ok() && bridge.found.elapsed() < BRIDGE_LIFE;
+    shared.bridge.replace(is_kept.then_some(bridge));
+}
+
+/// Returns the live hosts of the zones that were not heard of for long.
+fn stale_hosts(shared: &Shared) -> Vec<HostId> {
+    shared.refresh();
+    let view = shared.membership.view();
+    let known = shared.known.borrow();
+    let zones = view
+        .zones()
+        .filter(|zone| known.is_stale(zone, STALE_AFTER));
+    let hosts = zones.flat_map(|zone| view.hosts_in(zone));
+    let own = &shared.membership.own().host;
+    hosts.filter(|host| *host != own).cloned().collect()
+}
+
+/// Tells some hosts of a change at once.
+pub(crate) fn push(shared: &Rc<Shared>) {
+    let mut hosts = others(shared, PUSH_COUNT);
+    hosts.extend(shared.bridge.borrow().iter().map(|b| b.host.clone()));
+    for host in hosts {
+        let shared = Rc::clone(shared);
+        let request = shared.changed_message();
+        spawn(async move {
+            shared.count_sent(&request);
+            // A host that is not reached hears of it from another one.
+            let _ = timeout(CALL_TIMEOUT, shared.link.call(&host, request)).await;
+        })
+        .detach();
+    }
+}
+
+/// Takes the change that another host announced, unless one is being taken.
+pub(crate) fn catch_up(shared: &Rc<Shared>, changed: Changed) {
+    if !shared.is_behind(&changed.revisions) || shared.fetching.replace(true) {
+        return;
+    }
+    let shared = Rc::clone(shared);
+    spawn(async move {
+        // Another host will offer the change if this one fails.
+        let _ = fetch(&shared, &changed.from, Duration::ZERO).await;
+        shared.fetching.set(false);
+    })
+    .detach();
+}
+
+/// Returns up to `count` live hosts other than this one, chosen at random.
+fn others(shared: &Shared, count: usize) -> Vec<HostId> {
+    let view = shared.membership.view();
+    let own = &shared.membership.own().host;
+    let hosts = view.live().map(|peer| &peer.host);
+    let hosts = hosts.filter(|host| *host != own).cloned().collect();
+    pick(hosts, count)
+}
+
+fn pick(mut hosts: Vec<HostId>, count: usize) -> Vec<HostId> {
+    let mut chosen = Vec::new();
+    while chosen.len() < count && !hosts.is_empty() {
+        let index = random_range(0..hosts.len() as u64);
+        let index = usize::try_from(index).unwrap_or(0);
+        chosen.push(hosts.swap_remove(index));
+    }
+    chosen
+}
+
+/// Asks `host` for the next change and takes it in, in parts if need be.
+async fn fetch(shared: &Rc<Shared>, host: &HostId, hold: Duration) -> Result<Outcome> {
+    let mut staged: Option<Change> = None;
+    loop {
+        let sent = now();
+        let update = ask(shared, host, resume(staged.as_ref()), hold).await?;
+        let Some(part) = update.change else {
+            shared.known.borrow_mut().merge(&update.knowledge, sent);
+            return Ok(Outcome::Same);
+        };
+        let change = join(staged.take(), part)?;
+        if change.rest.is_some() {
+            staged = Some(change);
+            continue;
+        }
+        shared.update(change.section, |content| content.apply(change));
+        shared.known.borrow_mut().merge(&update.knowledge, sent);
+        return Ok(Outcome::Changed);
+    }
+}
+
+async fn ask(
+    shared: &Shared,
+    host: &HostId,
+    resume: Option<Resume>,
+    hold: Duration,
+) -> Result<Update> {
+    let request = Request::Follow(Follow {
+        revisions: shared.revisions(),
+        resume,
+        hold,
+    });
+    shared.count_sent(&request);
+    let call = shared.link.call(host, request);
+    let reply = timeout(hold + CALL_TIMEOUT, call)
+        .await
+        .map_err(|_| Report::new(ErrorKind::ConnectionLost))??;
+    shared.count_received(&reply);
+    match reply {
+        Reply::Update(update) => Ok(update),
+        Reply::Done => bail!(ErrorKind::Protocol),
+    }
+}
+
+fn resume(staged: Option<&Change>) -> Option<Resume> {
+    let staged = staged?;
+    Some(Resume {
+        section: staged.section,
+        target: staged.revision,
+        after: staged.rest.clone()?,
+    })
+}
+
+/// Appends a part to what has arrived, or starts again if the sender has
+/// changed in between; a part that does not go on would repeat for ever.
+fn join(staged: Option<Change>, part: Change) -> Result<Change> {
+    let is_same = |staged: &Change| {
+        (staged.section, staged.revision, staged.is_full)
+            == (part.section, part.revision, part.is_full)
+    };
+    match staged {
+        Some(mut staged) if is_same(&staged) => {
+            if part.rest.is_some() && part.rest <= staged.rest {
+                bail!(ErrorKind::Protocol);
+            }
+            staged.puts.extend(part.puts);
+            staged.deletes.extend(part.deletes);
+            staged.rest = part.rest;
+            Ok(staged)
+        }
+        _ => Ok(part),
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_config/src/lib.rs
@@ -0,0 +1,22 @@
+//! Holds the configuration in force and spreads it over the fleet.
+//!
+//! Two relays of each zone watch the store, the other hosts follow them, and
+//! hosts tell each other of changes; see `docs/design.md`, sections 4.9 and
+//! 4.10. The content is opaque here.
+
+mod config;
+mod content;
+mod follow;
+mod knowledge;
+mod message;
+pub mod propagation;
+mod relay;
+mod roles;
+mod section;
+
+pub use config::{Config, Traffic};
+pub use message::{
+    Change, Changed, Distribution, Entry, Follow, Knowledge, Reply, Request, Resume, Update,
+    ZoneAge,
+};
+pub use section::Section;
--- /dev/null
+++ b/crates/burdockslip_config/src/propagation.rs
@@ -0,0 +1,350 @@
+//! Measures how a change spreads, on the paused clock.
+//!
+//! Hosts are connected in memory with a latency of 1 ms; the host list is
+//! fixed, and a killed host leaves it 6 s later, as by gossip.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_membership::{Membership, Peer};
+use burdockslip_runtime::{now, paused, sleep};
+use burdockslip_store::{Faults, MemoryStore};
+use burdockslip_types::{ErrorKind, HostId, Link, Revision, Zone};
+use error_stack::Report;
+use futures::FutureExt;
+
+use crate::{Config, Distribution};
+
+const LATENCY: Duration = Duration::from_millis(1);
+
+/// Passes between a kill and the removal from the host list.
+const REMOVAL: Duration = Duration::from_secs(6);
+
+/// Lets hosts load the first configuration before the change.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Measures the traffic without changes for this long.
+const QUIET: Duration = Duration::from_secs(5);
+
+/// Lets the relays hear of a change before the store goes down.
+const HEAD_START: Duration = Duration::from_millis(10);
+
+/// Ends a measurement in which some host never gets the change.
+const LIMIT: Duration = Duration::from_mins(2);
+
+/// Spaces the looks at all hosts.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Lists what goes wrong with the change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// The store goes down when the relays have heard of the change.
+    StoreDown,
+    /// A relay is killed at the moment of the change.
+    RelayKilled,
+    /// The second zone reaches neither the store nor any zone but the first.
+    ZoneCut,
+    /// The second zone reaches neither the store nor other zones, but for one
+    /// pair of hosts, neither of them a relay.
+    OnePath,
+}
+
+/// Reports how a change spread.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Propagation {
+    /// The time until the last host had the change, if all got it.
+    pub elapsed: Option<Duration>,
+    /// The messages of all hosts that the change caused, with those sent anyway meanwhile.
+    pub messages: u64,
+    /// The bytes of these messages.
+    pub bytes: u64,
+    /// The calls to the store from the start until the end.
+    pub store_calls: u64,
+    /// The messages for each host.
+    pub messages_per_host: f64,
+    /// The bytes for each host.
+    pub bytes_per_host: f64,
+    /// The calls to the store for each host.
+    pub calls_per_host: f64,
+    /// The bytes a second that the busiest host sends and receives without changes.
+    pub quiet_bytes: u64,
+}
+
+/// Connects hosts in memory.
+#[derive(Clone, Default)]
+pub struct Fleet {
+    state: Rc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    store: MemoryStore,
+    peers: RefCell<Vec<Peer>>,
+    hosts: RefCell<BTreeMap<HostId, (Membership, Config)>>,
+    cuts: RefCell<BTreeSet<(Zone, Zone)>>,
+    paths: RefCell<BTreeSet<(HostId, HostId)>>,
+}
+
+impl Fleet {
+    /// Starts hosts in turn over the zones, on a store with a catalogue.
+    pub fn start(hosts: usize, zones: usize) -> Self {
+        let fleet = Self::default();
+        let peers = (0..hosts).map(|number| Peer {
+            host: HostId::from(format!("host-{number:03}")),
+            zone: Zone::from(format!("zone-{}", number % zones)),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        });
+        *fleet.state.peers.borrow_mut() = peers.collect();
+        fleet.store().put("burdockslip/catalogue", b"first");
+        for number in 0..hosts {
+            fleet.spawn(number);
+        }
+        fleet
+    }
+
+    /// Returns the store of the fleet.
+    pub fn store(&self) -> &MemoryStore {
+        &self.state.store
+    }
+
+    /// Starts a host without knowledge, in place of one with the same number.
+    pub fn spawn(&self, number: usize) -> Config {
+        let peers = self.state.peers.borrow().clone();
+        let own = peers[number].clone();
+        let membership = Membership::fixed(own.clone(), &peers);
+        let store = self.store().client(own.host.as_str());
+        let config = Config::spawn(membership.clone(), store, self.link(&own));
+        let entry = (membership, config.clone());
+        let old = self.state.hosts.borrow_mut().insert(own.host, entry);
+        drop(old);
+        config
+    }
+
+    fn link(&self, from: &Peer) -> Link<Distribution> {
+        let (state, from) = (Rc::downgrade(&self.state), from.clone());
+        Link::new(move |to, request| {
+            let (state, from) = (state.clone(), from.clone());
+            async move {
+                sleep(LATENCY).await;
+                let target = state.upgrade().and_then(|state| state.reach(&from, &to));
+                let Some(target) = target else {
+                    // A network that drops packets does not say so.
+                    sleep(LIMIT).await;
+                    return Err(Report::new(ErrorKind::ConnectionLost));
+                };
+                let reply = target.handle(request).await;
+                sleep(LATENCY).await;
+                let is_cut = state
+                    .upgrade()
+                    .is_none_or(|s| s.reach(&from, &to).is_none());
+                if is_cut {
+                    sleep(LIMIT).await;
+                    return Err(Report::new(ErrorKind::ConnectionLost));
+                }
+                Ok(reply)
+            }
+            .boxed_local()
+        })
+    }
+
+    /// Returns the configuration of a live host.
+    pub fn host(&self, number: usize) -> Config {
+        let peers = self.state.peers.borrow();
+        self.state.hosts.borrow()[&peers[number].host].1.clone()
+    }
+
+    /// Returns the numbers of the hosts in a zone, or of its relays.
+    pub fn members(&self, zone: usize, wants_relays: bool) -> Vec<usize> {
+        let zone = Zone::from(format!("zone-{zone}"));
+        let peers = self.state.peers.borrow();
+        let hosts = self.state.hosts.borrow();
+        let numbered = peers.iter().enumerate();
+        numbered
+            .filter(|(_, peer)| peer.zone == zone)
+            .filter(|(_, peer)| {
+                hosts
+                    .get(&peer.host)
+                    .is_some_and(|h| h.1.is_relay() == wants_relays)
+            })
+            .map(|(number, _)| number)
+            .collect()
+    }
+
+    /// Drops a host without notice.
+    pub fn kill(&self, number: usize) {
+        let host = self.state.peers.borrow()[number].host.clone();
+        let old = self.state.hosts.borrow_mut().remove(&host);
+        drop(old);
+    }
+
+    /// Takes killed hosts out of the host list.
+    pub fn remove_killed(&self) {
+        let hosts = self.state.hosts.borrow();
+        let peers = self.state.peers.borrow();
+        let live: Vec<_> = peers
+            .iter()
+            .filter(|p| hosts.contains_key(&p.host))
+            .cloned()
+            .collect();
+        for (membership, _) in hosts.values() {
+            membership.set_peers(&live);
+        }
+    }
+
+    /// Cuts two zones from each other.
+    pub fn cut(&self, one: usize, other: usize) {
+        let (one, other) = (format!("zone-{one}"), format!("zone-{other}"));
+        let mut cuts = self.state.cuts.borrow_mut();
+        cuts.insert((Zone::from(one.as_str()), Zone::from(other.as_str())));
+        cuts.insert((Zone::from(other), Zone::from(one)));
+    }
+
+    /// Cuts the hosts of a zone from the store.
+    pub fn cut_store(&self, zone: usize) {
+        let zone = Zone::from(format!("zone-{zone}"));
+        for peer in self.state.peers.borrow().iter().filter(|p| p.zone == zone) {
+            self.store().cut(peer.host.as_str());
+        }
+    }
+
+    /// Connects two hosts whatever is cut.
+    pub fn connect(&self, one: usize, other: usize) {
+        let peers = self.state.peers.borrow();
+        let (one, other) = (&peers[one].host, &peers[other].host);
+        let mut paths = self.state.paths.borrow_mut();
+        paths.insert((one.clone(), other.clone()));
+        paths.insert((other.clone(), one.clone()));
+    }
+
+    /// Ends all cuts between zones and from the store.
+    pub fn heal(&self) {
+        self.state.cuts.borrow_mut().clear();
+        for peer in self.state.peers.borrow().iter() {
+            self.store().heal(peer.host.as_str());
+        }
+    }
+
+    /// Returns whether all live hosts have at least `revision`.
+    pub fn all_have(&self, revision: Revision) -> bool {
+        let hosts = self.state.hosts.borrow();
+        hosts
+            .values()
+            .all(|(_, config)| config.revision() >= revision)
+    }
+
+    /// Waits until all live hosts have `revision`; returns the time it took.
+    pub async fn wait(&self, revision: Revision, limit: Duration) -> Option<Duration> {
+        let start = now();
+        while !self.all_have(revision) {
+            if start.elapsed() >= limit {
+                return None;
+            }
+            sleep(STEP).await;
+        }
+        Some(start.elapsed())
+    }
+
+    fn traffic(&self) -> Vec<(u64, u64)> {
+        let hosts = self.state.hosts.borrow();
+        let traffic = hosts.values().map(|(_, config)| config.traffic());
+        traffic
+            .map(|t| (t.sent, t.bytes_sent + t.bytes_received))
+            .collect()
+    }
+
+    fn sent(&self) -> (u64, u64) {
+        let hosts = self.state.hosts.borrow();
+        let traffic = hosts.values().map(|(_, config)| config.traffic());
+        traffic.fold((0, 0), |sum, t| (sum.0 + t.sent, sum.1 + t.bytes_sent))
+    }
+
+    fn apply(&self, fault: Fault, zones: usize) {
+        match fault {
+            Fault::None | Fault::StoreDown => {}
+            Fault::RelayKilled => self.kill(self.members(0, true)[0]),
+            Fault::ZoneCut => {
+                self.cut_store(1);
+                (2..zones).for_each(|zone| self.cut(1, zone));
+            }
+            Fault::OnePath => {
+                self.cut_store(1);
+                let others = (0..zones).filter(|zone| *zone != 1);
+                others.for_each(|zone| self.cut(1, zone));
+                self.connect(self.members(0, false)[0], self.members(1, false)[0]);
+            }
+        }
+    }
+
+    async fn apply_later(&self, fault: Fault) {
+        match fault {
+            Fault::StoreDown => {
+                sleep(HEAD_START).await;
+                self.store().set_faults(Faults {
+                    is_down: true,
+                    ..Faults::default()
+                });
+            }
+            Fault::RelayKilled => {
+                sleep(REMOVAL).await;
+                self.remove_killed();
+            }
+            Fault::None | Fault::ZoneCut | Fault::OnePath => {}
+        }
+    }
+}
+
+impl State {
+    fn reach(&self, from: &Peer, to: &HostId) -> Option<Config> {
+        let hosts = self.hosts.borrow();
+        let (membership, config) = hosts.get(to)?;
+        let zones = (from.zone.clone(), membership.own().zone.clone());
+        let path = (from.host.clone(), to.clone());
+        let is_cut = self.cuts.borrow().contains(&zones) && !self.paths.borrow().contains(&path);
+        (!is_cut && hosts.contains_key(&from.host)).then(|| config.clone())
+    }
+}
+
+/// Changes the catalogue while `fault` happens and reports how it spread.
+pub fn measure_propagation(seed: u64, hosts: usize, zones: usize, fault: Fault) -> Propagation {
+    paused::run(seed, async move {
+        let fleet = Fleet::start(hosts, zones);
+        sleep(SETTLE).await;
+        let quiet_bytes = quiet_bytes(&fleet).await;
+        fleet.apply(fault, zones);
+        let before = fleet.sent();
+        let revision = fleet.store().put("burdockslip/catalogue", b"second");
+        let later = fleet.apply_later(fault);
+        let (elapsed, ()) = futures::join!(fleet.wait(revision, LIMIT), later);
+        let after = fleet.sent();
+        let (messages, bytes) = (after.0 - before.0, after.1 - before.1);
+        let store_calls = fleet.store().calls().total();
+        Propagation {
+            elapsed,
+            messages,
+            bytes,
+            store_calls,
+            messages_per_host: share(messages, hosts),
+            bytes_per_host: share(bytes, hosts),
+            calls_per_host: share(store_calls, hosts),
+            quiet_bytes,
+        }
+    })
+}
+
+async fn quiet_bytes(fleet: &Fleet) -> u64 {
+    let before = fleet.traffic();
+    sleep(QUIET).await;
+    let after = fleet.traffic().into_iter().zip(before);
+    let most = after.map(|((_, after), (_, before))| after - before).max();
+    most.unwrap_or(0) / QUIET.as_secs()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn share(count: u64, hosts: usize) -> f64 {
+    count as f64 / hosts as f64
+}
