Add the host program and the quickstart

Cause: the parts of a host ran only in tests. burdockslip_host assembles gossip, configuration, rates, proxy, metrics and the admin endpoint from the settings; the quickstart runs platform, three databases and two hosts in one process, moves a session and withdraws its key.

--- /dev/null
+++ b/crates/burdockslip_host/src/content.rs
@@ -0,0 +1,61 @@
+//! Reads the entries of the configuration.
+
+use std::rc::Rc;
+
+use burdockslip_catalogue::Catalogue;
+use burdockslip_config::Config;
+use burdockslip_keys::{KEYS_PREFIX, KeyRing};
+use burdockslip_membership::{LISTED_PREFIX, Listed};
+use burdockslip_proxy::InForce;
+use tracing::{error, warn};
+
+/// The key of the catalogue in the store.
+const CATALOGUE_KEY: &str = "burdockslip/catalogue";
+
+/// Reads catalogue and keys; a catalogue that cannot be read leaves the one before in force.
+pub(crate) fn in_force(config: &Config, before: &InForce) -> InForce {
+    InForce {
+        catalogue: catalogue(config).unwrap_or_else(|| Rc::clone(&before.catalogue)),
+        keys: Rc::new(keys(config)),
+    }
+}
+
+fn catalogue(config: &Config) -> Option<Rc<Catalogue>> {
+    let entries = config.entries(CATALOGUE_KEY);
+    let entry = entries.iter().find(|entry| &*entry.key == CATALOGUE_KEY)?;
+    let text = std::str::from_utf8(&entry.value).ok()?;
+    match Catalogue::parse(text) {
+        Ok(catalogue) => Some(Rc::new(catalogue)),
+        Err(faults) => {
+            // The operators' program checks before it writes, so this is a
+            // document that something else wrote.
+            error!(revision = %entry.revision, faults = %faults, "catalogue refused");
+            None
+        }
+    }
+}
+
+fn keys(config: &Config) -> KeyRing {
+    let entries = config.entries(KEYS_PREFIX);
+    let pairs = entries.iter().map(|entry| (&*entry.key, &*entry.value));
+    let (ring, malformed) = KeyRing::from_entries(pairs);
+    for path in malformed {
+        warn!(path, "key record refused");
+    }
+    ring
+}
+
+/// Reads the platform's list of hosts; entries that cannot be read are left out.
+pub(crate) fn listed(config: &Config) -> Vec<Listed> {
+    let entries = config.entries(LISTED_PREFIX);
+    entries
+        .iter()
+        .filter_map(|entry| {
+            let listed = Listed::parse(&entry.key, &entry.value).ok();
+            if listed.is_none() {
+                warn!(path = &*entry.key, "host entry refused");
+            }
+            listed
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/burdockslip_host/src/host.rs
@@ -0,0 +1,197 @@
+//! Starts the parts of a host and stops them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_config::{Config, Distribution};
+use burdockslip_limits::Rates;
+use burdockslip_membership::{Gossip, Membership, Peer};
+use burdockslip_peer::{PeerPool, Router};
+use burdockslip_proxy::{Hooks, InForce, Proxy};
+use burdockslip_runtime::{Task, spawn};
+use burdockslip_settings::Settings;
+use burdockslip_store::Store;
+use burdockslip_telemetry::{Admin, AdminServer, HostStatus, Metrics, RequestMetrics, serve_admin};
+use burdockslip_types::{ClassName, Organisation, Result};
+use futures::future::{FutureExt, ready};
+use futures::{StreamExt, join};
+use tracing::info;
+
+use crate::rates::HostRates;
+use crate::{content, options};
+
+/// Runs an entry host until drained or dropped.
+pub struct Host {
+    proxy: Rc<Proxy>,
+    membership: Membership,
+    config: Config,
+    rates: Rc<HostRates>,
+    is_ready: Rc<Cell<bool>>,
+    _admin: AdminServer,
+    _following: Task<()>,
+}
+
+impl Host {
+    /// Starts a host with checked settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns `InvalidInput` or `ConnectionLost` if an address cannot be bound.
+    pub fn bind(settings: &Settings) -> Result<Self> {
+        let own = Peer {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peer_address,
+        };
+        let store = Store::connect(&settings.store.endpoints, settings.store.timeout);
+        let (peers, membership) = join_fleet(settings, own);
+        let config = Config::spawn(membership.clone(), store.clone(), peers.link());
+        let rates = HostRates::new(membership.clone(), store, peers.link());
+        let metrics = Metrics::new()?;
+        let is_ready = Rc::new(Cell::new(true));
+        let hooks = hooks(&config, &rates, &metrics);
+        let router = router(&membership, &config, &rates);
+        let proxy = Rc::new(Proxy::bind(
+            options::from_settings(settings),
+            InForce::default(),
+            &membership,
+            peers,
+            hooks,
+            router,
+        )?);
+        let status = status(settings, &config, &proxy, &is_ready);
+        let admin = serve_admin(settings.admin_address, Admin { metrics, status })?;
+        let following = spawn(follow(
+            config.clone(),
+            Rc::clone(&proxy),
+            Rc::clone(&rates),
+            membership.clone(),
+        ));
+        Ok(Self {
+            proxy,
+            membership,
+            config,
+            rates,
+            is_ready,
+            _admin: admin,
+            _following: following,
+        })
+    }
+
+    /// Returns the address for clients.
+    pub fn client_address(&self) -> SocketAddr {
+        self.proxy.client_address()
+    }
+
+    /// Returns whether the host knows a configuration and takes clients.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.get() && self.config.is_ready()
+    }
+
+    /// Stops without cutting a request in flight; returns the sessions left at the deadline.
+    pub async fn drain(&self) -> usize {
+        self.is_ready.set(false);
+        let (left, (), ()) = join!(
+            self.proxy.drain(),
+            self.membership.leave(),
+            self.rates.drain()
+        );
+        left
+    }
+}
+
+impl fmt::Debug for Host {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Host").field(&self.membership.own()).finish()
+    }
+}
+
+/// Joins the gossip over connections that resolve hosts by it.
+fn join_fleet(settings: &Settings, own: Peer) -> (PeerPool, Membership) {
+    let known: Rc<RefCell<Option<Membership>>> = Rc::default();
+    let resolver = Rc::clone(&known);
+    let peers = PeerPool::new(own.host.clone(), move |host| {
+        resolver.borrow().as_ref()?.resolve(host)
+    });
+    let membership = Membership::spawn(own, settings.seeds.clone(), peers.link());
+    known.replace(Some(membership.clone()));
+    (peers, membership)
+}
+
+fn router(membership: &Membership, config: &Config, rates: &Rc<HostRates>) -> Router {
+    let (membership, config, rates) = (membership.clone(), config.clone(), Rc::clone(rates));
+    Router::default()
+        .on(Gossip, move |_, request| {
+            ready(Ok(membership.handle(request)))
+        })
+        .on(Distribution, move |_, request| {
+            let config = config.clone();
+            async move { Ok(config.handle(request).await) }
+        })
+        .on(Rates, move |_, envelope| ready(Ok(rates.handle(envelope))))
+}
+
+fn hooks(config: &Config, rates: &Rc<HostRates>, metrics: &Metrics) -> Hooks {
+    let (ready_config, aged_config) = (config.clone(), config.clone());
+    let rates = Rc::clone(rates);
+    let metrics = metrics.clone();
+    let series: RefCell<HashMap<(Organisation, ClassName), RequestMetrics>> = RefCell::default();
+    Hooks {
+        is_ready: Rc::new(move || ready_config.is_ready()),
+        config_age: Rc::new(move || aged_config.age().unwrap_or(Duration::MAX)),
+        admit: Rc::new(move |organisation, deadline| {
+            let rates = Rc::clone(&rates);
+            async move { rates.admit(organisation, deadline).await }.boxed_local()
+        }),
+        finished: Rc::new(move |organisation, class, outcome, latency| {
+            let mut series = series.borrow_mut();
+            let key = (organisation.clone(), class.clone());
+            series
+                .entry(key)
+                .or_insert_with(|| metrics.requests_of(organisation, class))
+                .record(outcome, latency);
+        }),
+    }
+}
+
+fn status(
+    settings: &Settings,
+    config: &Config,
+    proxy: &Rc<Proxy>,
+    is_ready: &Rc<Cell<bool>>,
+) -> Rc<dyn Fn() -> HostStatus> {
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    let (config, proxy, is_ready) = (config.clone(), Rc::clone(proxy), Rc::clone(is_ready));
+    Rc::new(move || {
+        let age = config.age().unwrap_or(Duration::MAX);
+        HostStatus {
+            host: host.clone(),
+            zone: zone.clone(),
+            is_ready: is_ready.get() && config.is_ready(),
+            revision: config.revision(),
+            age_millis: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            connections: proxy.sessions() as u64,
+        }
+    })
+}
+
+/// Puts every change of the configuration in force.
+async fn follow(config: Config, proxy: Rc<Proxy>, rates: Rc<HostRates>, membership: Membership) {
+    let mut changes = config.changes();
+    loop {
+        let listed = content::listed(&config);
+        rates.set_listed(&listed);
+        membership.set_listed(listed);
+        let in_force = content::in_force(&config, &proxy.in_force());
+        rates.set_catalogue(&in_force.catalogue);
+        proxy.set_in_force(in_force);
+        info!(revision = %config.revision(), "configuration in force");
+        if changes.next().await.is_none() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_host/src/options.rs
@@ -0,0 +1,44 @@
+//! Translates settings into the options of the proxy.
+
+use burdockslip_proxy::Options;
+use burdockslip_settings::{Mode, Settings};
+
+/// The longest unit that fits into one message between hosts, in bytes.
+const UNIT_LIMIT: usize = 900_000;
+
+/// Translates settings into the options of the proxy.
+pub(crate) fn from_settings(settings: &Settings) -> Options {
+    let defaults = Options::new(
+        settings.host.as_str(),
+        settings.zone.as_str(),
+        settings.client_address,
+        settings.peer_address,
+    );
+    Options {
+        token_secret: settings.tokens.secret.expose().to_vec(),
+        older_secret: settings
+            .tokens
+            .older
+            .as_ref()
+            .map(|secret| secret.expose().to_vec()),
+        status_statement: settings.statements.status.clone(),
+        fence_statement: settings.statements.fence.clone(),
+        promote_statement: settings.statements.promote.clone(),
+        marker_statement: settings.statements.marker.clone(),
+        unit_limit: settings.limits.unit_bytes.min(UNIT_LIMIT),
+        message_limit: settings.limits.message_bytes,
+        client_limit: settings.limits.connections,
+        startup_timeout: settings.timeouts.handshake,
+        upstream_password: settings
+            .upstreams
+            .password
+            .as_ref()
+            .map(|secret| String::from_utf8_lossy(secret.expose()).into_owned())
+            .unwrap_or_default(),
+        transaction_timeout: settings.timeouts.transaction,
+        idle_timeout: settings.timeouts.idle,
+        drain_timeout: settings.drain_deadline,
+        is_direct: settings.upstreams.mode == Mode::Direct,
+        ..defaults
+    }
+}
