--- a/crates/burdockslip/tests/processes.rs
+++ b/crates/burdockslip/tests/processes.rs
@@ -227,7 +227,8 @@
         .expect("program runs");
     assert_eq!(output.status.code(), Some(3));
     let text = String::from_utf8_lossy(&output.stderr);
-    assert!(text.contains(":1:11") && text.contains("unknown"), "{text}");
+    assert!(text.contains(":1:3: host: seen 7"), "{text}");
+    assert!(text.contains(":1:14: unknown: seen"), "{text}");
     let usage = Command::new(env!("CARGO_BIN_EXE_burdockslip"))
         .arg("fly")
         .output()
--- a/crates/burdockslip_types/src/error.rs
+++ b/crates/burdockslip_types/src/error.rs
@@ -116,7 +116,7 @@
             ),
             Self::QueueFull => not_run("53300", "queue full, not run", "Retry with backoff."),
             Self::DeadlineExceeded => not_run(
-                "57014",
+                "53000",
                 "deadline exceeded before start, not run",
                 "Retry, or use a class with a longer deadline.",
             ),
