Keep strangers from promoting and reads from waiting in vain

Cause: a host missing from the list of watchers took rank 0. Two holders could pass a read of a third zone back and forth, since each chose at random among all replicas.

A repair now leaves a primary alone that answers late, because the fence could cost it its place.

--- a/crates/burdockslip_group/src/read.rs
+++ b/crates/burdockslip_group/src/read.rs
@@ -12,6 +12,12 @@
 use crate::shared::Shared;
 use crate::view::View;
 
+/// The number of waits in vain after which most reads no longer wait.
+const VAIN_LIMIT: u32 = 8;
+
+/// One in this many reads waits all the same, to notice that replicas are back.
+const PROBE_SHARE: u64 = 16;
+
 /// States what a read needs.
 #[derive(Debug, Clone)]
 pub struct ReadNeed {
@@ -44,33 +50,60 @@
 impl Shared {
     pub(crate) async fn choose_read(&self, need: &ReadNeed) -> Result<ReadChoice> {
         let started = now();
-        let replica_until = match self.settings.policy {
-            ReadPolicy::PrimaryOnly => now(),
-            _ => need.deadline.min(now() + self.settings.timing.replica_wait),
+        if let Some(choice) = self.pick_replica(need) {
+            return Ok(choice);
+        }
+        let until = need.deadline.min(started + self.replica_wait());
+        if !until.is_past() {
+            let choice = self.wait_for(until, || self.pick_replica(need)).await;
+            self.count_wait(choice.is_some());
+            if let Some(choice) = choice {
+                return Ok(choice);
+            }
+        }
+        let pick = || {
+            self.pick_primary(need, started)
+                .or_else(|| self.pick_replica(need))
         };
+        match self.wait_for(need.deadline, pick).await {
+            Some(choice) => Ok(choice),
+            None => bail!(self.read_refusal()),
+        }
+    }
+
+    /// Asks the members for newer reports until one can be chosen.
+    async fn wait_for(
+        &self,
+        until: Instant,
+        pick: impl Fn() -> Option<ReadChoice>,
+    ) -> Option<ReadChoice> {
         loop {
             let changed = self.changed.listen();
-            if let Some(choice) = self.pick_replica(need) {
-                return Ok(choice);
-            }
-            let is_waiting = !replica_until.is_past();
-            if !is_waiting && let Some(choice) = self.pick_primary(need, started) {
-                return Ok(choice);
-            }
-            if need.deadline.is_past() {
-                bail!(self.read_refusal());
+            let choice = pick();
+            if choice.is_some() || until.is_past() {
+                return choice;
             }
             self.wanted.notify();
-            let until = if is_waiting {
-                replica_until
-            } else {
-                need.deadline
-            };
             // Both outcomes lead to another look at the members.
             let _ = timeout_at(until, changed).await;
         }
     }
 
+    /// Returns how long a read waits for a replica. While such waits are in
+    /// vain, as when all replicas lag far behind, only a few reads wait.
+    fn replica_wait(&self) -> Duration {
+        let is_vain = self.vain_waits.get() >= VAIN_LIMIT && random_range(0..PROBE_SHARE) != 0;
+        if is_vain || self.settings.policy == ReadPolicy::PrimaryOnly {
+            return Duration::ZERO;
+        }
+        self.settings.timing.replica_wait
+    }
+
+    fn count_wait(&self, is_served: bool) {
+        let count = self.vain_waits.get().saturating_add(1);
+        self.vain_waits.set(if is_served { 0 } else { count });
+    }
+
     pub(crate) async fn check_read(
         &self,
         choice: &ReadChoice,
@@ -118,25 +151,26 @@
         }
     }
 
-    /// Picks one of the replicas that qualify, in the own zone if possible.
+    /// Picks one of the nearest replicas that qualify.
+    ///
+    /// Replicas of this host's zone come before those of third zones, so that
+    /// two holders do not pass a read of another zone back and forth.
     fn pick_replica(&self, need: &ReadNeed) -> Option<ReadChoice> {
         let view = self.view.borrow();
         let choices = self.candidates(&view).filter_map(|index| {
             let choice = self.replica_choice(&view, index, need)?;
-            Some((self.members[index].zone == need.zone, choice))
+            let zone = &self.members[index].zone;
+            Some((*zone != need.zone, *zone != self.settings.zone, choice))
         });
-        let (mut near, mut far) = (Vec::new(), Vec::new());
-        for (is_near, choice) in choices {
-            if is_near {
-                near.push(choice);
-            } else {
-                far.push(choice);
-            }
-        }
-        let mut choices = if near.is_empty() { far } else { near };
-        let count = u64::try_from(choices.len()).ok().filter(|&c| c > 0)?;
-        let index = usize::try_from(random_range(0..count)).ok()?;
-        Some(choices.swap_remove(index))
+        let mut choices: Vec<_> = choices.collect();
+        let nearest = choices
+            .iter()
+            .map(|&(far, foreign, _)| (far, foreign))
+            .min()?;
+        choices.retain(|&(far, foreign, _)| (far, foreign) == nearest);
+        let index = random_range(0..choices.len() as u64);
+        let (_, _, choice) = choices.swap_remove(usize::try_from(index).ok()?);
+        Some(choice)
     }
 
     /// Lists the replicas that the policy allows.
--- a/crates/burdockslip_group/src/shared.rs
+++ b/crates/burdockslip_group/src/shared.rs
@@ -31,6 +31,8 @@
     pub(crate) link: Link<Watch>,
     /// Whether a planned switchover runs here, which stops new writes.
     pub(crate) is_switching: Cell<bool>,
+    /// The number of reads in a row that waited for a replica in vain.
+    pub(crate) vain_waits: Cell<u32>,
     /// The last promotion that this watcher completed.
     pub(crate) promotion: Cell<Option<PromotionTimes>>,
     ticket: Cell<u64>,
@@ -52,6 +54,7 @@
             counters: Counters::default(),
             link,
             is_switching: Cell::new(false),
+            vain_waits: Cell::new(0),
             promotion: Cell::new(None),
             ticket: Cell::new(0),
         }
--- a/crates/burdockslip_group/src/suspicion.rs
+++ b/crates/burdockslip_group/src/suspicion.rs
@@ -45,7 +45,9 @@
             }
             continue;
         }
-        let rank = shared.rank();
+        let Some(rank) = shared.rank() else {
+            continue;
+        };
         let is_divided = divided.update(shared.is_divided());
         if is_divided.is_some_and(|span| span >= timing.repair_after + backoff * rank) {
             shared.repair().await;
@@ -94,8 +96,9 @@
         primary.is_some_and(|report| report.status.is_leaving)
     }
 
-    /// Returns this host's rank among all watchers.
-    fn rank(&self) -> u32 {
+    /// Returns this host's rank among all watchers, or none if it is not one
+    /// of them; it then only watches.
+    fn rank(&self) -> Option<u32> {
         let watchers = self.watchers.borrow();
         rank_of(&self.settings.host, watchers.iter().map(|w| &w.host))
     }
@@ -124,16 +127,20 @@
         let count = watchers.iter().filter(|w| is_agreeing(&w.host)).count();
         let is_enough = 2 * count > watchers.len() && 2 * zones(&is_agreeing) > zones(&|_| true);
         let hosts = watchers.iter().map(|w| &w.host).filter(|h| is_agreeing(h));
-        is_enough.then(|| rank_of(&self.settings.host, hosts))
+        is_enough.then(|| rank_of(&self.settings.host, hosts))?
     }
 
     /// Promotes the same primary in a higher term, so that members left behind
-    /// in a term above its own accept its entries again.
+    /// in a term above its own accept its entries again. A primary that answers
+    /// late would lose its place by this, so it is left alone.
     async fn repair(&self) {
         self.survey().await;
         let primary = self.view.borrow().primary();
-        if self.is_divided() {
-            self.try_promotion(primary.map(|(index, _)| index)).await;
+        if let Some((index, _)) = primary
+            && self.is_divided()
+            && self.view.borrow().silence(index) <= self.settings.timing.poll_interval
+        {
+            self.try_promotion(Some(index)).await;
         }
     }
 
@@ -148,7 +155,6 @@
     }
 }
 
-fn rank_of<'a>(host: &HostId, mut hosts: impl Iterator<Item = &'a HostId>) -> u32 {
-    let position = hosts.position(|h| h == host).unwrap_or(0);
-    u32::try_from(position).unwrap_or(u32::MAX)
+fn rank_of<'a>(host: &HostId, mut hosts: impl Iterator<Item = &'a HostId>) -> Option<u32> {
+    u32::try_from(hosts.position(|h| h == host)?).ok()
 }
--- a/crates/burdockslip_group/tests/promotion.rs
+++ b/crates/burdockslip_group/tests/promotion.rs
@@ -8,7 +8,7 @@
 
 use burdockslip_group::fake::{Cluster, ClusterSettings, Session};
 use burdockslip_group::history::{Recorder, check};
-use burdockslip_group::{Timing, WatchReply, WatchRequest};
+use burdockslip_group::{Timing, WatchReply, WatchRequest, Watcher};
 use burdockslip_runtime::{now, random_range, sleep};
 use burdockslip_types::{MemberName, Term};
 use support::{
@@ -309,3 +309,49 @@
         assert_eq!(silence, Duration::ZERO, "seed {seed}");
     });
 }
+
+/// Guards against a switchover that stops writes before the target can take
+/// over, and then promotes the old primary again.
+#[test]
+fn switchover_waits_for_its_target() {
+    each_seed(|seed| async move {
+        let cluster = cluster().await;
+        let recorder = Recorder::default();
+        let mut session = Session::open(&cluster, &recorder, 1, 0);
+        cluster.database.set_lag(&member(1), ms(300));
+        session
+            .write(1, 1, None)
+            .await
+            .expect("the group is healthy");
+        let group = cluster.group(0).expect("the host runs");
+        let (target, limit) = (member(1), now() + ms(2000));
+        let primary = group.switch_over(Some(&target), async {}, limit).await;
+        let primary = primary.expect("the target catches up");
+        assert_eq!(
+            (primary.member, attempts(&cluster)),
+            (target, 1),
+            "seed {seed}"
+        );
+    });
+}
+
+/// Guards against promotions by a host that is not among the watchers, as a
+/// holder that has been replaced but does not know it yet.
+#[test]
+fn stranger_does_not_promote() {
+    each_seed(|seed| async move {
+        let cluster = cluster().await;
+        let watchers = [1, 2].map(|index| Watcher {
+            host: format!("host-{index}").into(),
+            zone: format!("zone-{index}").into(),
+        });
+        for index in 0..3 {
+            let group = cluster.group(index).expect("the host runs");
+            group.set_watchers(watchers.to_vec());
+        }
+        cluster.database.kill(&member(0));
+        let group = cluster.group(0).expect("the host runs");
+        group.next_primary(Term(1)).await;
+        assert_eq!(group.counts().attempts, 0, "seed {seed}");
+    });
+}
