Let the checker refuse acknowledgements by replaced primaries

Cause: a write acknowledged by a replaced primary was found only if it was missing from the final log. The order of terms shows it directly.

--- a/crates/burdockslip_group/src/history/check.rs
+++ b/crates/burdockslip_group/src/history/check.rs
@@ -24,6 +24,9 @@
         /// An acknowledged write is in the final log under another mark, so
         /// the member that acknowledged it had been replaced.
         MarkReplaced,
+        /// A write was acknowledged in a term although a later term had
+        /// acknowledged a write before this one started.
+        TermReplaced,
         /// A write or request is in the final log more than once.
         RunTwice,
         /// A read missed a write acknowledged longer ago than its class allows.
@@ -53,7 +56,11 @@
     let mut violations = Vec::new();
     for (index, operation) in history.operations.iter().enumerate() {
         let kinds = match operation.access {
-            Access::Write { value, request } => check_write(operation, value, request, &places),
+            Access::Write { value, request } => {
+                let mut kinds = check_write(operation, value, request, &places);
+                kinds.extend(check_term(history, index));
+                kinds
+            }
             Access::Read { max_age } => check_read(history, index, max_age, &seen),
         };
         violations.extend(kinds.into_iter().map(|kind| Violation { kind, index }));
@@ -109,6 +116,19 @@
     kind.into_iter().collect()
 }
 
+/// Finds a write that was acknowledged by a primary that had been replaced.
+fn check_term(history: &History, index: usize) -> Option<ViolationKind> {
+    let write = &history.operations[index];
+    let term = write.mark?.term;
+    let is_later = |other: &Operation| {
+        other.outcome == Outcome::Acknowledged
+            && other.end <= write.start
+            && other.mark.is_some_and(|mark| mark.term > term)
+    };
+    let is_replaced = history.operations[..index].iter().any(is_later);
+    is_replaced.then_some(ViolationKind::TermReplaced)
+}
+
 fn check_read(
     history: &History,
     index: usize,
--- a/crates/burdockslip_group/tests/history.rs
+++ b/crates/burdockslip_group/tests/history.rs
@@ -7,7 +7,7 @@
 use burdockslip_group::history::{History, Violation, ViolationKind, check};
 
 /// The number of fixture files, so that a missing one is noticed.
-const FIXTURE_COUNT: usize = 19;
+const FIXTURE_COUNT: usize = 20;
 
 /// Holds a recorded history and the violations that it contains.
 #[derive(Debug, serde::Deserialize)]
@@ -54,6 +54,7 @@
         ViolationKind::ReadWentBack,
         ViolationKind::WriteLost,
         ViolationKind::MarkReplaced,
+        ViolationKind::TermReplaced,
         ViolationKind::RunTwice,
         ViolationKind::TooStale,
         ViolationKind::DiscardedRead,
