--- a/crates/burdockslip_group/tests/promotion.rs
+++ b/crates/burdockslip_group/tests/promotion.rs
@@ -8,9 +8,9 @@
 
 use burdockslip_group::fake::{Cluster, ClusterSettings, Session};
 use burdockslip_group::history::{Recorder, check};
-use burdockslip_group::{Timing, WatchReply, WatchRequest, Watcher};
+use burdockslip_group::{Primary, Timing, WatchReply, WatchRequest, Watcher};
 use burdockslip_runtime::{now, random_range, sleep};
-use burdockslip_types::{MemberName, Term};
+use burdockslip_types::{MemberName, Result, Term};
 use support::{
     assert_clean, attempts, cluster, cluster_with, each_seed, finish, member, ms, run_sessions,
 };
@@ -179,6 +179,11 @@
                 .await
                 .expect("the term is new");
         }
+        sleep(ms(200)).await;
+        for index in 0..3 {
+            let group = cluster.group(index).expect("the host runs");
+            assert!(group.primary().is_err(), "seed {seed}: a majority has left");
+        }
         let fault = async {
             sleep(ms(random_range(1000..2000))).await;
             let (before, index) = (primaries(&cluster), random_range(1..3));
@@ -361,3 +366,53 @@
         assert_eq!(group.counts().attempts, 0, "seed {seed}");
     });
 }
+
+/// Guards against writes to a new primary before a majority holds the first
+/// entry of its term.
+#[test]
+fn unconfirmed_term_gets_no_writes() {
+    each_seed(|seed| async move {
+        let cluster = cluster().await;
+        cluster.network.cut("member-1", "member-2");
+        cluster.database.kill(&member(0));
+        let groups = [0, 1, 2].map(|index| cluster.group(index).expect("the host runs"));
+        for _ in 0..2000 {
+            sleep(ms(1)).await;
+            let is_early = |p: Result<Primary>| p.is_ok_and(|p| p.term > Term(1));
+            assert!(!groups.iter().any(|g| is_early(g.primary())), "seed {seed}");
+        }
+        assert!(
+            primaries(&cluster).iter().any(|(_, term)| *term > Term(1)),
+            "seed {seed}"
+        );
+        cluster.network.heal_all();
+        sleep(ms(500)).await;
+        assert!(groups.iter().all(|g| g.primary().is_ok()), "seed {seed}");
+    });
+}
+
+/// Guards against a second replacement when two hosts are told to switch over
+/// at the same time, and against new writes at a host while it switches.
+#[test]
+fn concurrent_switchovers_replace_once() {
+    each_seed(|seed| async move {
+        let cluster = cluster().await;
+        let groups = [0, 1].map(|index| cluster.group(index).expect("the host runs"));
+        let limit = now() + ms(2000);
+        let first = groups[0].switch_over(None, sleep(ms(50)), limit);
+        let second = groups[1].switch_over(None, sleep(ms(150)), limit);
+        let watch = async {
+            sleep(ms(10)).await;
+            groups[0].primary().is_err()
+        };
+        let (first, second, is_closed) = futures::join!(first, second, watch);
+        let first = first.expect("a member is level");
+        assert_eq!(
+            second.expect("the successor is known"),
+            first,
+            "seed {seed}"
+        );
+        assert_eq!(attempts(&cluster), 1, "seed {seed}");
+        assert!(is_closed, "seed {seed}");
+    });
+}
