Keep a bucket whose record was never replaced, and start accounts with their authority

Cause: the bucket of an organisation started empty at its first request although the authority had been in place before, and an authority whose renewals went unanswered came back with empty buckets although its record in the store was unchanged. The record's revision proves that nobody else owned the shard meanwhile.

--- a/crates/burdockslip_limits/src/account.rs
+++ b/crates/burdockslip_limits/src/account.rs
@@ -60,16 +60,17 @@
 }
 
 impl Account {
-    pub(crate) fn new(part: Limit, life: Duration, now: Instant) -> Self {
+    /// Opens an account that has accrued tokens since `since`, when the authority began.
+    pub(crate) fn new(part: Limit, life: Duration, since: Instant) -> Self {
         Self {
             part,
             life,
-            bucket: Bucket::new(part.capacity(life), now),
+            bucket: Bucket::new(part.capacity(life), since),
             demand: Demand::new(DEMAND_WINDOW),
             lent: Vec::new(),
             borrowed: HashMap::new(),
             is_short: false,
-            next_loan: now,
+            next_loan: since,
         }
     }
 
--- a/crates/burdockslip_limits/src/authority.rs
+++ b/crates/burdockslip_limits/src/authority.rs
@@ -188,10 +188,11 @@
         if owned.is_stopped {
             return None;
         }
+        let since = owned.since;
         let account = owned
             .accounts
             .entry(organisation.clone())
-            .or_insert_with(|| Account::new(part, life, now));
+            .or_insert_with(|| Account::new(part, life, since));
         account.set_limit(part, life, now);
         Some(f(account, end))
     }
--- a/crates/burdockslip_limits/src/lease.rs
+++ b/crates/burdockslip_limits/src/lease.rs
@@ -105,7 +105,7 @@
             .map(Shard)
             .filter(|shard| match state.owned.get(shard) {
                 Some(owned) => !owned.is_recorded || state.end(*shard) <= Some(now()),
-                None => self.place(*shard).is_some_and(|place| place < CLAIMANTS),
+                None => self.is_claimant(*shard),
             })
             .collect()
     }
@@ -125,6 +125,7 @@
                 let mut state = self.state.borrow_mut();
                 state.claims.remove(&shard);
                 state.vacant.remove(&shard);
+                state.forget_lapsed(shard, now());
                 return Some(());
             }
             (None, _) => {}
@@ -156,9 +157,12 @@
     /// Returns whether it is this host's turn to claim a shard without a record.
     fn is_due(&self, shard: Shard) -> bool {
         let mut state = self.state.borrow_mut();
-        let is_owned = state.owned.contains_key(&shard);
+        state.forget_lapsed(shard, now());
+        if state.owned.contains_key(&shard) || self.is_first(shard) {
+            return true;
+        }
         // The second-ranked host claims when it finds no record twice in a row.
-        is_owned || self.is_first(shard) || (self.ready.is_past() && !state.vacant.insert(shard))
+        self.is_claimant(shard) && self.ready.is_past() && !state.vacant.insert(shard)
     }
 
     /// Records a claim that the store has confirmed under `lease`.
@@ -228,6 +232,10 @@
         self.place(shard) == Some(0)
     }
 
+    fn is_claimant(&self, shard: Shard) -> bool {
+        self.place(shard).is_some_and(|place| place < CLAIMANTS)
+    }
+
     fn place(&self, shard: Shard) -> Option<usize> {
         let rank = (self.directory.rank)(&self.directory.zone, shard);
         rank.iter().position(|host| *host == self.directory.host)
--- a/crates/burdockslip_limits/src/ownership.rs
+++ b/crates/burdockslip_limits/src/ownership.rs
@@ -20,6 +20,8 @@
 /// Holds the accounts of a shard that this host has authority over.
 #[derive(Debug, Default)]
 pub(crate) struct Owned {
+    /// When the authority began; accounts that are opened later have accrued tokens since.
+    pub(crate) since: Instant,
     /// Whether the store's record is attached to the current lease.
     pub(crate) is_recorded: bool,
     /// The revision of the store's record.
@@ -57,18 +59,21 @@
         leased.max(Some(owned.pledged))
     }
 
-    /// Returns the shard if this host has authority over it now; forgets it otherwise.
-    ///
-    /// A lapsed authority must not come back with its old bucket, because
-    /// another host may have granted tokens meanwhile.
+    /// Returns the shard if this host has authority over it now.
     pub(crate) fn valid(&mut self, shard: Shard, now: Instant) -> Option<&mut Owned> {
         if self.end(shard)? <= now {
-            self.owned.remove(&shard);
             return None;
         }
         self.owned.get_mut(&shard)
     }
 
+    /// Drops the accounts of a shard whose record is gone or another host's.
+    pub(crate) fn forget_lapsed(&mut self, shard: Shard, now: Instant) {
+        if self.valid(shard, now).is_none() {
+            self.owned.remove(&shard);
+        }
+    }
+
     /// Pledges not to claim `shard` before `end`, unless it is owned or being claimed.
     pub(crate) fn pledge(&mut self, shard: Shard, end: Instant, now: Instant) -> bool {
         if self.claims.contains(&shard) || self.valid(shard, now).is_some() {
@@ -95,9 +100,18 @@
     /// Records that the store holds this host's claim under the current lease.
     pub(crate) fn take(&mut self, shard: Shard, revision: Revision, now: Instant) {
         self.claims.remove(&shard);
-        // An authority that continued by pledges keeps its bucket; a lapsed one starts empty.
-        if self.valid(shard, now).is_none() {
-            self.owned.insert(shard, Owned::default());
+        // An authority that continued by pledges keeps its bucket, and so does one whose record
+        // was never replaced. Otherwise another host may have granted tokens meanwhile.
+        let is_unbroken = self
+            .owned
+            .get(&shard)
+            .is_some_and(|o| o.revision == revision);
+        if self.valid(shard, now).is_none() && !is_unbroken {
+            let owned = Owned {
+                since: now,
+                ..Owned::default()
+            };
+            self.owned.insert(shard, owned);
         }
         if let Some(owned) = self.owned.get_mut(&shard) {
             owned.is_recorded = true;
