--- a/crates/burdockslip_limits/tests/mechanisms.rs
+++ b/crates/burdockslip_limits/tests/mechanisms.rs
@@ -167,13 +167,13 @@
         }
     }
 
-    fn borrow(&self, life: Duration) -> (Rate, Duration) {
+    fn borrow(&self, rate: u64, life: Duration, sequence: u64) -> (Rate, Duration) {
         let request = Request::Borrow {
             organisation: ORGANISATION.into(),
             zone: "zone-2".into(),
-            rate: Rate::per_second(1_000),
+            rate: Rate::per_second(rate),
             life,
-            sequence: now().micros(),
+            sequence,
         };
         match self.ask(0, request) {
             Reply::Lent { rate, life } => (rate, life),
@@ -268,7 +268,7 @@
 fn lender_does_without_its_rate_while_it_is_lent() {
     paused::run(1, async {
         let pair = Pair::start(Limit::new(100, 400)).await;
-        let (rate, life) = pair.borrow(Duration::from_secs(1));
+        let (rate, life) = pair.borrow(1_000, Duration::from_secs(1), 1);
         assert_eq!(rate, Rate::per_second(50));
         pair.granted(0, 400);
         let end = now() + life;
@@ -281,6 +281,71 @@
     });
 }
 
+/// Guards against a request overtaken by a later one that frees the later loan for the lender.
+#[test]
+fn overtaken_request_does_not_reduce_a_later_loan() {
+    paused::run(1, async {
+        let pair = Pair::start(Limit::new(100, 400)).await;
+        pair.borrow(1_000, Duration::from_secs(1), 2);
+        pair.borrow(0, Duration::from_secs(1), 1);
+        pair.granted(0, 400);
+        sleep(Duration::from_millis(900)).await;
+        assert_eq!(pair.granted(0, 400), 0, "the rate is still lent");
+        // A later request does give the loan back.
+        pair.borrow(0, Duration::from_secs(1), 3);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(pair.granted(0, 400), 5);
+    });
+}
+
+/// Guards against a borrower whose window is counted from the reply: the lender's would end first.
+#[test]
+fn borrowed_rate_ends_with_the_window_from_before_the_request() {
+    paused::run(1, async {
+        let limit = Limit::new(100, 400);
+        let pair = Pair::start(limit).await;
+        // The lender answers once, after 1.5 s of the loan's 2 s.
+        let lent = Rc::new(Cell::new(false));
+        let link = Link::new(move |_, _| {
+            let is_first = !lent.replace(true);
+            let rate = Rate::per_second(if is_first { 50 } else { 0 });
+            let life = Duration::from_secs(2);
+            Box::pin(async move {
+                sleep(Duration::from_millis(1_500)).await;
+                Ok(Reply::Lent { rate, life })
+            })
+        });
+        let mut directory = pair.directory(0, limit);
+        directory.rank = Rc::new(|_, _| vec!["host-1".into()]);
+        let settings = Settings {
+            peer_timeout: Duration::from_secs(10),
+            loan_pause: Duration::from_mins(1),
+            ..settings()
+        };
+        let view = Rc::new(Cell::new(View::Vacant));
+        let authority = Authority::spawn(directory, settings, store(view), link);
+        sleep(Duration::from_secs(3)).await;
+        let mut granted = 0;
+        let end = now() + Duration::from_secs(10);
+        while !end.is_past() {
+            let reply = authority.handle(Envelope {
+                from: "client".into(),
+                request: Request::Grant {
+                    organisation: ORGANISATION.into(),
+                    wanted: Tokens::whole(400),
+                    arrived: Tokens::whole(10),
+                },
+            });
+            if let Reply::Granted { count, .. } = reply {
+                granted += count.count();
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        // Up to 1 s before and 10 s of 50 tokens a second, and 0.5 s of the loan.
+        assert!((520..=576).contains(&granted), "{granted}");
+    });
+}
+
 /// Guards against a loan that outlives the lender, whose successor knows nothing of it.
 #[test]
 fn loan_ends_with_the_authority() {
@@ -289,7 +354,7 @@
         pair.views[0].set(View::Down);
         let other = pair.hosts.borrow_mut().remove(NAMES[1]);
         sleep(Duration::from_millis(800)).await;
-        let (_, life) = pair.borrow(Duration::from_secs(2));
+        let (_, life) = pair.borrow(1_000, Duration::from_secs(2), 1);
         // The authority ends before or when the loan ends, or the loan is shorter.
         let end = now() + life;
         sleep_until(end - Duration::from_millis(1)).await;
