--- a/crates/burdockslip_limits/src/lease.rs
+++ b/crates/burdockslip_limits/src/lease.rs
@@ -62,11 +62,17 @@
         let Some(lease) = self.state.borrow().lease else {
             return;
         };
-        let sent = now();
+        let mut sent = now();
         if lease.end.remaining() > self.settings.lease_life * 3 / 4 {
             return;
         }
-        let Some(ttl) = self.limited(self.store.keep_lease(lease.id)).await else {
+        let mut reply = self.limited(self.store.keep_lease(lease.id)).await;
+        if reply.is_none() {
+            // One lost answer must not use up the time until the next renewal.
+            sent = now();
+            reply = self.limited(self.store.keep_lease(lease.id)).await;
+        }
+        let Some(ttl) = reply else {
             return;
         };
         let mut state = self.state.borrow_mut();
--- a/crates/burdockslip_limits/src/measure/fleet.rs
+++ b/crates/burdockslip_limits/src/measure/fleet.rs
@@ -172,11 +172,11 @@
     }
 
     /// Lists the hosts to which clients can connect.
-    pub(super) fn live(&self) -> Vec<HostId> {
-        let authorities = self.network.authorities.borrow();
+    pub(super) fn open_hosts(&self) -> Vec<HostId> {
+        let cuts = self.network.cuts.borrow();
         let hosts = self.network.zones.keys();
         hosts
-            .filter(|host| authorities.contains_key(*host))
+            .filter(|host| !cuts.dead.contains(*host) && !cuts.leaving.contains(*host))
             .cloned()
             .collect()
     }
@@ -253,19 +253,22 @@
     /// Drains a host and starts it again two seconds later.
     async fn replace(&self, host: HostId) {
         let authority = self.network.authorities.borrow().get(&host).cloned();
-        {
-            let mut cuts = self.network.cuts.borrow_mut();
-            // A leaving host tells all others, so it leaves the ranking at once.
-            cuts.since = Instant::START;
-            cuts.dead.insert(host.clone());
-        }
+        let network = &self.network;
+        network.cuts.borrow_mut().leaving.insert(host.clone());
         if let Some(authority) = authority {
             authority.drain().await;
         }
-        self.network.authorities.borrow_mut().remove(&host);
+        let is_running = self
+            .network
+            .authorities
+            .borrow_mut()
+            .remove(&host)
+            .is_some();
         burdockslip_runtime::sleep(Duration::from_secs(2)).await;
-        self.network.cuts.borrow_mut().dead.remove(&host);
-        self.start(&host);
+        self.network.cuts.borrow_mut().leaving.remove(&host);
+        if is_running {
+            self.start(&host);
+        }
     }
 
     /// Repairs everything except for crashed hosts.
--- a/crates/burdockslip_limits/src/measure/network.rs
+++ b/crates/burdockslip_limits/src/measure/network.rs
@@ -27,6 +27,8 @@
     pub(super) store: BTreeSet<HostId>,
     /// Hosts that have crashed.
     pub(super) dead: BTreeSet<HostId>,
+    /// Hosts that are being drained, which all others know.
+    pub(super) leaving: BTreeSet<HostId>,
     /// Hosts that do nothing until a time.
     pub(super) paused: HashMap<HostId, Instant>,
     /// When the cuts were made.
@@ -143,6 +145,7 @@
     /// Ranks the hosts of a zone that `viewer` considers live.
     pub(super) fn rank(&self, viewer: &HostId, zone: &Zone, shard: Shard) -> Vec<HostId> {
         let mut hosts = self.hosts(zone);
+        hosts.retain(|host| !self.cuts.borrow().leaving.contains(host));
         let is_removed = now().since(self.cuts.borrow().since) >= REMOVAL;
         if is_removed {
             hosts.retain(|host| self.is_open(viewer, host) && !self.is_silent(host));
