--- /dev/null
+++ b/crates/burdockslip_proxy/src/in_force.rs
@@ -0,0 +1,15 @@
+//! Holds the configuration that requests are judged by.
+
+use std::rc::Rc;
+
+use burdockslip_catalogue::Catalogue;
+use burdockslip_keys::KeyRing;
+
+/// Holds one state of the configuration; a change replaces it as a whole.
+#[derive(Debug, Clone, Default)]
+pub struct InForce {
+    /// The catalogue.
+    pub catalogue: Rc<Catalogue>,
+    /// The keys.
+    pub keys: Rc<KeyRing>,
+}
