Encrypt HTTP/2 connections and authenticate both ends

Cause: peers and clients of the store must present certificates of the operators' authority.

Options take a Tls built from PEM texts; a server's certificate must name the IP address to which the client connects, since hosts have no names. Handshakes have 5 s.

Without the check of client certificates the tests of a foreign client and of a client without a certificate fail; with a server that does not encrypt three tests fail.

--- a/crates/burdockslip_http2/src/client.rs
+++ b/crates/burdockslip_http2/src/client.rs
@@ -148,7 +148,8 @@
             return Ok(connection.clone());
         }
         *current = None;
-        let connection = self.shared.connect().await?;
+        // Boxed, since the handshake would enlarge the future of every call.
+        let connection = Box::pin(self.shared.connect()).await?;
         *current = Some(connection.clone());
         Ok(connection)
     }
@@ -156,7 +157,7 @@
 
 impl Shared {
     async fn connect(&self) -> Result<Connection> {
-        let socket = socket::connect(self.address).await?;
+        let socket = socket::connect(self.address, self.options.tls.as_ref()).await?;
         let (sender, driver) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
--- a/crates/burdockslip_http2/src/lib.rs
+++ b/crates/burdockslip_http2/src/lib.rs
@@ -9,8 +9,10 @@
 mod server;
 mod socket;
 mod stream;
+mod tls;
 
 pub use client::Client;
 pub use options::Options;
 pub use server::Server;
 pub use stream::{Receiver, Sender, Status};
+pub use tls::Tls;
--- a/crates/burdockslip_http2/src/options.rs
+++ b/crates/burdockslip_http2/src/options.rs
@@ -1,6 +1,8 @@
 //! Holds the limits of a connection.
 
-/// Sets the limits of a client or server; both ends should agree.
+use crate::Tls;
+
+/// Sets the limits and the encryption of a client or server; both ends should agree.
 #[derive(Debug, Clone)]
 pub struct Options {
     /// The largest message accepted, in bytes.
@@ -9,6 +11,8 @@
     pub stream_limit: u32,
     /// The largest total of header names and values accepted, in bytes.
     pub header_limit: u32,
+    /// The certificates for encryption; without them nothing is encrypted.
+    pub tls: Option<Tls>,
 }
 
 impl Default for Options {
@@ -17,6 +21,7 @@
             message_limit: 4 << 20,
             stream_limit: 4096,
             header_limit: 16 << 10,
+            tls: None,
         }
     }
 }
--- a/crates/burdockslip_http2/src/server.rs
+++ b/crates/burdockslip_http2/src/server.rs
@@ -7,8 +7,9 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
-use burdockslip_runtime::{Task, spawn};
+use burdockslip_runtime::{Task, spawn, timeout};
 use burdockslip_types::{ErrorKind, Result};
 use bytes::Bytes;
 use error_stack::ResultExt;
@@ -25,6 +26,9 @@
 use crate::socket::{self, Socket};
 use crate::{Receiver, Sender};
 
+/// Bounds the time in which a client must present itself.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
 type Handler = dyn Fn(String, Receiver, Sender) -> LocalBoxFuture<'static, ()>;
 
 /// Completes when the server is asked to close.
@@ -154,9 +158,11 @@
 
 /// Carries one connection and the handlers of its streams.
 async fn serve(stream: TcpStream, service: Rc<Service>) {
-    let mut connection = match handshake(stream, &service.options).await {
-        Ok(connection) => connection,
-        Err(error) => return debug!(?error, "handshake failed"),
+    let shaking = timeout(HANDSHAKE_TIMEOUT, handshake(stream, &service.options));
+    let mut connection = match shaking.await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => return debug!(?error, "handshake failed"),
+        Err(_) => return debug!("handshake took too long"),
     };
     let mut handlers = FuturesUnordered::new();
     let mut closing = service.closing.clone();
@@ -189,7 +195,7 @@
         .max_frame_size(FRAME_SIZE)
         .max_header_list_size(options.header_limit)
         .max_concurrent_streams(options.stream_limit)
-        .handshake(socket::wrap(stream)?)
+        .handshake(socket::accept(stream, options.tls.as_ref()).await?)
         .await
         .change_context(ErrorKind::ConnectionLost)
 }
--- a/crates/burdockslip_http2/src/socket.rs
+++ b/crates/burdockslip_http2/src/socket.rs
@@ -7,7 +7,9 @@
 use burdockslip_types::{ErrorKind, Result};
 use error_stack::{Report, ResultExt};
 use monoio::net::TcpStream;
-use monoio_compat::{AsyncRead, AsyncWrite, StreamWrapper};
+use monoio_compat::{AsyncRead, AsyncWrite, StreamWrapper, TcpStreamCompat};
+
+use crate::Tls;
 
 /// Bounds the wait for a connection, since a cut network answers nothing.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -20,21 +22,35 @@
 
 impl<T: AsyncRead + AsyncWrite + Unpin> Socket for T {}
 
-/// Connects to `address`.
-pub(crate) async fn connect(address: SocketAddr) -> Result<Box<dyn Socket>> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(address))
+/// Connects to `address`, encrypted if there are certificates.
+pub(crate) async fn connect(address: SocketAddr, tls: Option<&Tls>) -> Result<Box<dyn Socket>> {
+    let connecting = async {
+        let stream = TcpStream::connect_addr(address)
+            .await
+            .change_context(ErrorKind::ConnectionLost)?;
+        let stream = wrap(stream)?;
+        match tls {
+            Some(tls) => tls.connect(stream, address.ip()).await,
+            None => Ok(Box::new(stream) as Box<dyn Socket>),
+        }
+    };
+    timeout(CONNECT_TIMEOUT, connecting)
         .await
         .map_err(|_| Report::new(ErrorKind::ConnectionLost))?
-        .change_context(ErrorKind::ConnectionLost)?;
-    wrap(stream)
 }
 
-/// Prepares a connected stream.
-pub(crate) fn wrap(stream: TcpStream) -> Result<Box<dyn Socket>> {
+/// Takes over an accepted connection, encrypted if there are certificates.
+pub(crate) async fn accept(stream: TcpStream, tls: Option<&Tls>) -> Result<Box<dyn Socket>> {
+    let stream = wrap(stream)?;
+    match tls {
+        Some(tls) => tls.accept(stream).await,
+        None => Ok(Box::new(stream)),
+    }
+}
+
+fn wrap(stream: TcpStream) -> Result<TcpStreamCompat> {
     stream
         .set_nodelay(true)
         .change_context(ErrorKind::ConnectionLost)?;
-    Ok(Box::new(StreamWrapper::new_with_buffer_size(
-        stream, BUFFER, BUFFER,
-    )))
+    Ok(StreamWrapper::new_with_buffer_size(stream, BUFFER, BUFFER))
 }
