--- a/crates/burdockslip_catalogue/src/catalogue.rs
+++ b/crates/burdockslip_catalogue/src/catalogue.rs
@@ -24,6 +24,8 @@
     /// Holds all entries of a catalogue that passed the checks.
     ///
     /// Entries are shared, so a session keeps the one with which it started.
+    /// The default holds none; a host has it until it knows a real one.
+    #[derive(Default)]
     pub struct Catalogue {
         /// The schema version.
         pub version: u32,
@@ -98,6 +100,16 @@
         self.groups.get(name)
     }
 
+    /// Lists all availability zones in the order of their names.
+    pub fn zones(&self) -> impl Iterator<Item = &Zone> {
+        self.zones.keys()
+    }
+
+    /// Lists all database groups.
+    pub fn groups(&self) -> impl Iterator<Item = (&GroupName, &Rc<GroupEntry>)> {
+        self.groups.iter()
+    }
+
     /// Lists all members with their groups.
     pub fn members(&self) -> impl Iterator<Item = (&GroupName, &MemberName, &Rc<MemberEntry>)> {
         self.groups.iter().flat_map(|(group, entry)| {
@@ -135,7 +147,7 @@
     ) -> Result<(&'a ClassName, &'a Rc<ClassEntry>)> {
         let unknown = || Report::new(ErrorKind::UnknownClass);
         let name = match class {
-            None => route.default_class(),
+            None => route.default_class().ok_or_else(unknown)?,
             Some(class) => {
                 let mut names = route.classes.iter();
                 names
--- a/crates/burdockslip_proxy/src/holder/mod.rs
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -1,27 +1,36 @@
 //! Owns the connections and the queue of one database.
 
+mod converse;
 mod execute;
 mod gate;
+mod member;
 mod pool;
+mod release;
+mod route;
 mod status;
 
 use std::rc::Rc;
 
 use burdockslip_catalogue::{GroupEntry, MemberEntry};
-use burdockslip_types::{GroupName, MemberName};
+use burdockslip_group::{Group, Member};
+use burdockslip_types::MemberName;
 use futures::channel::mpsc;
 use futures::{SinkExt, StreamExt};
 
 use crate::exchange::{Event, Run};
 use crate::options::Options;
+use crate::stamp::Stamps;
 use gate::Gate;
+pub(crate) use member::member;
 use pool::Pool;
 
 /// Holds the connections and the queue of one database.
 #[derive(Debug)]
 pub(crate) struct Holder {
-    group: GroupName,
     member: MemberName,
+    group: Group,
+    control: Member,
+    stamps: Rc<Stamps>,
     gate: Gate,
     pool: Pool,
     options: Rc<Options>,
@@ -30,17 +39,21 @@
 impl Holder {
     /// Prepares to serve a member; connections are made when needed.
     pub(crate) fn open(
-        (group, entry): (&GroupName, &GroupEntry),
-        (member, database): (&MemberName, &MemberEntry),
+        member: &MemberName,
+        watch: Group,
+        (group, database): (&GroupEntry, &MemberEntry),
+        stamps: &Rc<Stamps>,
         options: &Rc<Options>,
     ) -> Rc<Self> {
         let connections = pool::share(database.connections as usize);
         let slots = database.slots as usize;
         Rc::new(Self {
-            group: group.clone(),
             member: member.clone(),
+            group: watch,
+            control: member::member(member, group, database, options),
+            stamps: Rc::clone(stamps),
             gate: Gate::new(slots.min(connections).max(1)),
-            pool: Pool::open(entry, database, connections, options),
+            pool: Pool::open(group, database, connections, options),
             options: Rc::clone(options),
         })
     }
--- /dev/null
+++ b/crates/burdockslip_proxy/tests/path.rs
@@ -0,0 +1,217 @@
+//! Drives the whole path with an ordinary PostgreSQL client.
+
+mod support;
+
+use postgres::NoTls;
+use support::{sqlstate, start, value};
+
+/// Guards read-your-writes when a session moves to another host.
+#[test]
+fn session_reads_its_write_on_another_host() {
+    let site = start();
+    let mut first = site.connect(0);
+    first
+        .batch_execute("INSERT INTO records (key, value) VALUES ('a', '1')")
+        .expect("write runs");
+    let token = value(&mut first, "SHOW burdockslip.token").expect("token");
+    drop(first);
+    let mut second = site.connect_with_token(1, &token);
+    let read = value(&mut second, "SELECT value FROM records WHERE key = 'a'");
+    assert_eq!(read.as_deref(), Some("1"));
+}
+
+/// Guards the extended protocol with named statements on pooled connections.
+#[test]
+fn prepared_statements_work_on_any_connection() {
+    let site = start();
+    let mut client = site.connect(2);
+    let insert = client
+        .prepare("INSERT INTO records (key, value) VALUES ($1, $2)")
+        .expect("prepare");
+    let select = client
+        .prepare("SELECT value FROM records WHERE key = $1")
+        .expect("prepare");
+    for n in 0..20 {
+        let (key, text) = (format!("k{n}"), format!("v{n}"));
+        assert_eq!(client.execute(&insert, &[&key, &text]).expect("insert"), 1);
+        let row = client.query_one(&select, &[&key]).expect("select");
+        assert_eq!(row.get::<_, String>(0), text);
+    }
+}
+
+/// Guards transactions: they hold one connection and are rolled back as a whole.
+#[test]
+fn transactions_commit_and_roll_back() {
+    let site = start();
+    let mut client = site.connect(0);
+    let mut transaction = client.transaction().expect("begin");
+    transaction
+        .execute("INSERT INTO records (key, value) VALUES ('t', '1')", &[])
+        .expect("insert");
+    transaction.rollback().expect("rollback");
+    assert_eq!(
+        value(&mut client, "SELECT value FROM records WHERE key = 't'"),
+        None
+    );
+    let mut transaction = client.transaction().expect("begin");
+    transaction
+        .execute("INSERT INTO records (key, value) VALUES ('t', '2')", &[])
+        .expect("insert");
+    transaction.commit().expect("commit");
+    let read = value(&mut client, "SELECT value FROM records WHERE key = 't'");
+    assert_eq!(read.as_deref(), Some("2"));
+}
+
+/// Guards keys: a wrong key, another organisation's key and a foreign route are refused.
+#[test]
+fn wrong_keys_and_routes_are_refused() {
+    let site = start();
+    let refusal = |config: &postgres::Config| match config.connect(NoTls) {
+        Ok(_) => panic!("connection was accepted"),
+        Err(error) => sqlstate(&error),
+    };
+    let mut config = site.config(0);
+    assert_eq!(refusal(config.password("not a key")), "28P01");
+    assert_eq!(refusal(config.password(&site.club)), "28P01");
+    assert_eq!(refusal(config.user("club")), "42501");
+    let texts = site.with(|site| site.group.received_texts());
+    let is_seen = texts.iter().any(|text| text.contains(&site.airline));
+    assert!(!is_seen, "a key reached a database");
+}
+
+/// Guards the route that is open to all against needing a key or allowing writes.
+#[test]
+fn open_route_serves_reads_without_a_key() {
+    let site = start();
+    let mut config = site.config(0);
+    let mut client = config
+        .user("anyone")
+        .password("")
+        .dbname("open")
+        .connect(NoTls)
+        .expect("client connects");
+    assert_eq!(value(&mut client, "SELECT 7").as_deref(), Some("7"));
+    let error = client
+        .batch_execute("INSERT INTO records (key, value) VALUES ('x', '1')")
+        .expect_err("write is refused");
+    assert_eq!(sqlstate(&error), "0A000");
+}
+
+/// Guards against a retried request that runs twice.
+#[test]
+fn request_id_runs_at_most_once_on_any_host() {
+    let site = start();
+    let sql = "/*request_id='r1'*/ INSERT INTO records (key, value) VALUES ('once', '1') \
+               ON CONFLICT (key) DO UPDATE SET value = '2'";
+    site.connect(0).batch_execute(sql).expect("first run");
+    let error = site.connect(1).batch_execute(sql).expect_err("second run");
+    assert_eq!(sqlstate(&error), "23505");
+    let mut client = site.connect(2);
+    let read = value(&mut client, "SELECT value FROM records WHERE key = 'once'");
+    assert_eq!(read.as_deref(), Some("1"));
+}
+
+/// Guards against a marker that commits the client's own transaction early.
+#[test]
+fn request_id_inside_a_transaction_shares_its_fate() {
+    let site = start();
+    let mut client = site.connect(0);
+    let error = client
+        .batch_execute("/*request_id='t1'*/ BEGIN")
+        .expect_err("request id on BEGIN is refused");
+    assert_eq!(sqlstate(&error), "0A000");
+    let write = "/*request_id='t1'*/ INSERT INTO records (key, value) VALUES ('t', '1')";
+    client.batch_execute("BEGIN").expect("begin");
+    client.batch_execute(write).expect("write");
+    client.batch_execute("ROLLBACK").expect("rollback");
+    client.batch_execute("BEGIN").expect("begin");
+    client.batch_execute(write).expect("write after rollback");
+    client.batch_execute("COMMIT").expect("commit");
+    let error = client.batch_execute(write).expect_err("write runs again");
+    assert_eq!(sqlstate(&error), "23505");
+}
+
+/// Guards against a statement of one client that runs in another's transaction.
+#[test]
+fn transactions_of_many_clients_do_not_mix() {
+    let site = start();
+    let clients: Vec<_> = (0..12).map(|n| site.connect(n % 3)).collect();
+    let threads: Vec<_> = clients
+        .into_iter()
+        .enumerate()
+        .map(|(n, mut client)| {
+            std::thread::spawn(move || {
+                for round in 0..5 {
+                    let mut transaction = client.transaction().expect("begin");
+                    for part in 0..3 {
+                        let key = format!("c{n}-{round}-{part}");
+                        transaction
+                            .execute("INSERT INTO records (key, value) VALUES ($1, 'x')", &[&key])
+                            .expect("insert");
+                    }
+                    if round % 2 == 0 {
+                        transaction.commit().expect("commit");
+                    } else {
+                        transaction.rollback().expect("rollback");
+                    }
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("client thread");
+    }
+    let entries = site.with(|site| {
+        let primary = site.group.primary();
+        site.group.entries(primary)
+    });
+    let commits: Vec<_> = entries
+        .iter()
+        .filter(|entry| !entry.changes.is_empty())
+        .collect();
+    assert_eq!(commits.len(), 12 * 3);
+    for entry in commits {
+        let owners: std::collections::BTreeSet<String> = entry
+            .changes
+            .iter()
+            .map(|change| {
+                change
+                    .id()
+                    .1
+                    .rsplit_once('-')
+                    .expect("key has parts")
+                    .0
+                    .to_owned()
+            })
+            .collect();
+        assert_eq!((entry.changes.len(), owners.len()), (3, 1), "{entry:?}");
+    }
+}
+
+/// Guards large answers against being cut, reordered or mixed.
+#[test]
+fn large_answers_arrive_whole() {
+    let site = start();
+    let threads: Vec<_> = (0..3)
+        .map(|n| {
+            let mut client = site.connect(n);
+            std::thread::spawn(move || {
+                let sql = format!("SELECT fill({}, 1000)", 1000 * (n + 1));
+                let rows = client.simple_query(&sql).expect("query runs");
+                let count = rows
+                    .iter()
+                    .filter(|row| match row {
+                        postgres::SimpleQueryMessage::Row(row) => {
+                            row.get(0).is_some_and(|text| text.len() == 1000)
+                        }
+                        _ => false,
+                    })
+                    .count();
+                assert_eq!(count, 1000 * (n + 1));
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("client thread");
+    }
+}
