--- a/crates/burdockslip_config/src/content.rs
+++ b/crates/burdockslip_config/src/content.rs
@@ -6,7 +6,8 @@
 use burdockslip_store::{Event, Page};
 use burdockslip_types::Revision;
 
-use crate::{Change, Entry, Resume, Section};
+use crate::patch::PATCH_SIZE;
+use crate::{Change, Entry, Patch, Resume, Section};
 
 /// Bounds the values of one message; a value of 1 MB goes alone and stays
 /// below the message limit of 1 MiB.
@@ -24,6 +25,8 @@
     /// The oldest revision from which all changes are known.
     floor: Revision,
     entries: BTreeMap<Rc<str>, Entry>,
+    /// The values before the present ones, of large entries only.
+    previous: BTreeMap<Rc<str>, Entry>,
     deletes: BTreeMap<Rc<str>, Revision>,
 }
 
@@ -34,6 +37,7 @@
             revision: Revision(0),
             floor: Revision(0),
             entries: BTreeMap::new(),
+            previous: BTreeMap::new(),
             deletes: BTreeMap::new(),
         }
     }
@@ -80,7 +84,12 @@
         for key in removed {
             self.deletes.insert(key, page.revision);
         }
-        self.entries = fresh;
+        let old = std::mem::replace(&mut self.entries, fresh);
+        let is_changed = |entry: &&Entry| self.entries.get(&entry.key) != Some(*entry);
+        let changed: Vec<_> = old.values().filter(is_changed).cloned().collect();
+        for entry in changed {
+            self.keep(entry);
+        }
         self.revision = page.revision;
         self.trim();
         Some(true)
@@ -88,6 +97,7 @@
 
     fn replace(&mut self, entries: BTreeMap<Rc<str>, Entry>, revision: Revision) {
         self.entries = entries;
+        self.previous.clear();
         self.deletes.clear();
         self.revision = revision;
         self.floor = revision;
@@ -100,6 +110,7 @@
             revision: self.revision,
             is_full: false,
             puts: Vec::new(),
+            patches: Vec::new(),
             deletes: Vec::new(),
             rest: None,
         };
@@ -134,7 +145,10 @@
             self.replace(entries, change.revision);
             return true;
         }
-        for entry in change.puts {
+        let Some(patched) = self.patched(&change.patches) else {
+            return false;
+        };
+        for entry in change.puts.into_iter().chain(patched) {
             self.put(entry);
         }
         for (key, revision) in change.deletes {
@@ -150,10 +164,33 @@
         let old = self.entries.get(&entry.key).map(|old| &old.revision);
         if is_newer(old) && is_newer(self.deletes.get(&entry.key)) {
             self.deletes.remove(&entry.key);
-            self.entries.insert(Rc::clone(&entry.key), entry);
+            if let Some(old) = self.entries.insert(Rc::clone(&entry.key), entry) {
+                self.keep(old);
+            }
+        }
+    }
+
+    /// Keeps a replaced value, from which the present one can be described.
+    fn keep(&mut self, old: Entry) {
+        if old.value.len() >= PATCH_SIZE {
+            self.previous.insert(Rc::clone(&old.key), old);
         }
     }
 
+    /// Returns the entries that patches lead to, or nothing if one of them
+    /// does not fit; the change is asked for again then.
+    fn patched(&self, patches: &[Patch]) -> Option<Vec<Entry>> {
+        let entry = |patch: &Patch| patch.apply(self.entries.get(&patch.key)?);
+        patches.iter().map(entry).collect()
+    }
+
+    /// Describes `entry` for a host that has the value before it.
+    fn patch(&self, entry: &Entry, have: Revision) -> Option<Patch> {
+        let old = self.previous.get(&entry.key)?;
+        let is_held = old.revision <= have && have < entry.revision;
+        is_held.then(|| Patch::between(old, entry))
+    }
+
     fn delete(&mut self, key: &Rc<str>, revision: Revision) {
         let entry = self.entries.get(key);
         if entry.is_none_or(|entry| entry.revision < revision) {
@@ -190,18 +227,26 @@
             revision: self.revision,
             is_full,
             puts: Vec::new(),
+            patches: Vec::new(),
             deletes: Vec::new(),
             rest: None,
         };
         let mut size = 0;
+        let mut last = None;
         let entries = self.entries.values();
         for entry in entries.filter(|e| (is_full || e.revision > have) && is_due(&e.key)) {
-            if size > 0 && size + entry.value.len() > CHUNK {
-                change.rest = change.puts.last().map(|last| Rc::clone(&last.key));
+            let patch = self.patch(entry, have).filter(|_| !is_full);
+            let length = patch.as_ref().map_or(entry.value.len(), |p| p.middle.len());
+            if size > 0 && size + length > CHUNK {
+                change.rest = last;
                 return Some(change);
             }
-            size += entry.key.len() + entry.value.len();
-            change.puts.push(entry.clone());
+            size += entry.key.len() + length;
+            last = Some(Rc::clone(&entry.key));
+            match patch {
+                Some(patch) => change.patches.push(patch),
+                None => change.puts.push(entry.clone()),
+            }
         }
         if !is_full {
             let deletes = self
--- a/crates/burdockslip_config/src/follow.rs
+++ b/crates/burdockslip_config/src/follow.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use burdockslip_runtime::{Instant, now, random_range, sleep, spawn, timeout};
-use burdockslip_types::{ErrorKind, HostId, Result};
+use burdockslip_types::{ErrorKind, HostId, Result, Revision};
 use error_stack::{Report, bail};
 use tracing::debug;
 
 use crate::config::{HOLD, Shared};
-use crate::{Change, Changed, Follow, Reply, Request, Resume, Update};
+use crate::{Change, Changed, Follow, Reply, Request, Resume, Section, Update};
 
 /// Bounds the wait for an answer beyond the time it is held back.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -174,9 +174,16 @@
 /// Asks `host` for the next change and takes it in, in parts if need be.
 async fn fetch(shared: &Rc<Shared>, host: &HostId, hold: Duration) -> Result<Outcome> {
     let mut staged: Option<Change> = None;
+    let mut refused: Option<Section> = None;
     loop {
         let sent = now();
-        let update = ask(shared, host, resume(staged.as_ref()), hold).await?;
+        let revisions = revisions(shared, refused);
+        let request = Follow {
+            revisions: revisions.clone(),
+            resume: resume(staged.as_ref()),
+            hold,
+        };
+        let update = ask(shared, host, request).await?;
         let Some(part) = update.change else {
             shared.known.borrow_mut().merge(&update.knowledge, sent);
             return Ok(Outcome::Same);
@@ -186,26 +193,38 @@
             staged = Some(change);
             continue;
         }
-        shared.update(change.section, |content| content.apply(change));
-        shared.known.borrow_mut().merge(&update.knowledge, sent);
-        return Ok(Outcome::Changed);
+        let (section, target) = (change.section, change.revision);
+        shared.update(section, |content| content.apply(change));
+        if shared.revision(section) >= target {
+            shared.known.borrow_mut().merge(&update.knowledge, sent);
+            return Ok(Outcome::Changed);
+        }
+        if refused.is_some() {
+            bail!(ErrorKind::Protocol);
+        }
+        // A patch did not fit. Either another host was faster, or contents
+        // differ and the whole section must replace them.
+        let is_same = revisions.contains(&(section, shared.revision(section)));
+        refused = is_same.then_some(section);
+    }
+}
+
+/// Returns the revisions that this host has, or none for a refused section.
+fn revisions(shared: &Shared, refused: Option<Section>) -> Vec<(Section, Revision)> {
+    let mut revisions = shared.revisions();
+    for (section, revision) in &mut revisions {
+        if refused == Some(*section) {
+            *revision = Revision(0);
+        }
     }
+    revisions
 }
 
-async fn ask(
-    shared: &Shared,
-    host: &HostId,
-    resume: Option<Resume>,
-    hold: Duration,
-) -> Result<Update> {
-    let request = Request::Follow(Follow {
-        revisions: shared.revisions(),
-        resume,
-        hold,
-    });
+async fn ask(shared: &Shared, host: &HostId, follow: Follow) -> Result<Update> {
+    let limit = follow.hold + CALL_TIMEOUT;
+    let request = Request::Follow(follow);
     shared.count_sent(&request);
-    let call = shared.link.call(host, request);
-    let reply = timeout(hold + CALL_TIMEOUT, call)
+    let reply = timeout(limit, shared.link.call(host, request))
         .await
         .map_err(|_| Report::new(ErrorKind::ConnectionLost))??;
     shared.count_received(&reply);
@@ -237,6 +256,7 @@
                 bail!(ErrorKind::Protocol);
             }
             staged.puts.extend(part.puts);
+            staged.patches.extend(part.patches);
             staged.deletes.extend(part.deletes);
             staged.rest = part.rest;
             Ok(staged)
--- a/crates/burdockslip_config/src/lib.rs
+++ b/crates/burdockslip_config/src/lib.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod knowledge;
 mod message;
+mod patch;
 pub mod propagation;
 mod relay;
 mod roles;
@@ -16,7 +17,7 @@
 
 pub use config::{Config, Traffic};
 pub use message::{
-    Change, Changed, Distribution, Entry, Follow, Knowledge, Reply, Request, Resume, Update,
+    Change, Changed, Distribution, Entry, Follow, Knowledge, Patch, Reply, Request, Resume, Update,
     ZoneAge,
 };
 pub use section::Section;
--- a/crates/burdockslip_config/src/message.rs
+++ b/crates/burdockslip_config/src/message.rs
@@ -54,6 +54,22 @@
         Changed(Changed),
     }
 
+    /// Changes the middle of a large value that the receiver has.
+    pub struct Patch {
+        /// The key in the store.
+        pub key: Rc<str>,
+        /// The revision of the value that is changed.
+        pub base: Revision,
+        /// The revision of the new value.
+        pub revision: Revision,
+        /// The number of bytes kept from the start.
+        pub prefix: usize,
+        /// The number of bytes kept from the end.
+        pub suffix: usize,
+        /// The bytes between them.
+        pub middle: Vec<u8>,
+    }
+
     /// Leads one section from a revision to another.
     pub struct Change {
         /// The section.
@@ -64,6 +80,8 @@
         pub is_full: bool,
         /// The entries that are new or have changed, in the order of keys.
         pub puts: Vec<Entry>,
+        /// The changes of large values.
+        pub patches: Vec<Patch>,
         /// The removed keys with the revisions of the removal.
         pub deletes: Vec<(Rc<str>, Revision)>,
         /// The last key contained, if the rest follows in further messages.
--- a/crates/burdockslip_config/tests/config.rs
+++ b/crates/burdockslip_config/tests/config.rs
@@ -271,6 +271,34 @@
     });
 }
 
+/// Guards against an edit of a large catalogue that is sent whole to each host,
+/// and against one that is put together wrongly.
+#[test]
+fn edits_of_a_large_value_are_small() {
+    for seed in SEEDS {
+        paused::run(seed, async move {
+            let fleet = start().await;
+            let mut catalogue = vec![b'x'; 20_000];
+            let first = fleet.store().put("burdockslip/catalogue", &catalogue);
+            fleet.wait(first, IN_FORCE).await.expect("spreads");
+            sleep(secs(3)).await;
+            let sent = || (0..HOSTS).map(|number| fleet.host(number).traffic().bytes_sent);
+            let before: u64 = sent().sum();
+            for edit in [b"123".as_slice(), b"", b"12345"] {
+                catalogue.splice(5_000..5_002, edit.iter().copied());
+                let revision = fleet.store().put("burdockslip/catalogue", &catalogue);
+                fleet.wait(revision, IN_FORCE).await.expect("spreads");
+            }
+            for number in 0..HOSTS {
+                let entries = fleet.host(number).entries("burdockslip/catalogue");
+                assert!(entries[0].value[..] == catalogue[..], "seed {seed}");
+            }
+            let bytes = sent().sum::<u64>() - before;
+            assert!(bytes < 60_000, "seed {seed}: {bytes} bytes");
+        });
+    }
+}
+
 /// Guards against hosts that refuse their keys in a long outage of the store
 /// while the zones reach each other.
 #[test]
