--- a/crates/burdockslip_membership/tests/membership.rs
+++ b/crates/burdockslip_membership/tests/membership.rs
@@ -139,6 +139,18 @@
     });
 }
 
+/// Guards against a malformed entry of the platform that is taken for a host.
+#[test]
+fn listed_hosts_are_read_strictly() {
+    let value = br#"{"zone": "zone-1", "address": "10.0.0.1:7000", "status": "leaving"}"#;
+    let listed = Listed::parse("platform/hosts/h1", value).expect("is valid");
+    assert_eq!(listed.peer.host, HostId::from("h1"));
+    assert!(listed.is_leaving);
+    assert!(Listed::parse("platform/hosts/", value).is_err());
+    assert!(Listed::parse("burdockslip/catalogue", value).is_err());
+    assert!(Listed::parse("platform/hosts/h1", b"{}").is_err());
+}
+
 /// Guards against gossip that outgrows its budget: bytes of the busiest host
 /// just after the whole fleet started, and while a zone fails.
 #[test]
