--- a/crates/burdockslip_measure/examples/measure/fleet.rs
+++ b/crates/burdockslip_measure/examples/measure/fleet.rs
@@ -53,7 +53,7 @@
             Figure::new(format!("{size}/bytes"), cost.bytes, "bytes/s per host")
                 .limited(Limit::AtMost(TRAFFIC_LIMIT)),
             Figure::new(format!("{size}/messages"), cost.messages, "per s per host"),
-            Figure::new(format!("{size}/busy"), 100.0 * cost.busy, "% of a core"),
+            Figure::new(format!("{size}/busy"), 1e6 * cost.busy, "us/s per host"),
             Figure::new(format!("{size}/converged"), share, "all see all")
                 .limited(Limit::AtLeast(1.0)),
         ]);
