--- a/crates/burdockslip_wire/src/lib.rs
+++ b/crates/burdockslip_wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Reads and writes PostgreSQL messages on a stream.
 //!
 //! Frames are passed on as raw bytes; only those that the proxy acts upon are
-//! decoded, by the `pgwire` codecs. Sizes are limited before memory is
+//! decoded, mostly by the `pgwire` codecs. Sizes are limited before memory is
 //! reserved.
 
 mod client;
@@ -10,6 +10,7 @@
 mod message;
 mod name;
 mod statement;
+mod text;
 mod unit;
 mod upstream;
 
--- a/crates/burdockslip_wire/src/name.rs
+++ b/crates/burdockslip_wire/src/name.rs
@@ -7,12 +7,11 @@
 
 use burdockslip_types::{ErrorKind, Result};
 use bytes::{Bytes, BytesMut};
-use error_stack::{ResultExt, bail};
-use pgwire::messages::extendedquery::{Bind, Close, Describe, Parse};
-use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
+use error_stack::bail;
 
 use crate::frame::Frame;
 use crate::statement::{Comment, Statement, Verb, classify, combine, has_control};
+use crate::text::{take_byte, take_text};
 
 /// Bounds the statements that one session may keep, because they live in the host's memory.
 const MAX_STATEMENTS: usize = 1_000;
@@ -67,23 +66,23 @@
             match frame.tag() {
                 b'P' => self.parse(frame, &mut pass)?,
                 b'B' => {
-                    let bind: Bind = decode(frame)?;
-                    let name = bind.statement_name.unwrap_or_default();
-                    let statement = self.refer(&name, present, &mut pass)?;
+                    let mut body = frame.body();
+                    let _portal = take_text(&mut body)?;
+                    let name = take_text(&mut body)?;
+                    let statement = self.refer(name, present, &mut pass)?;
                     pass.verbs.push(statement.verb);
                     pass.comment = statement.comment;
                 }
                 b'D' => {
-                    let describe: Describe = decode(frame)?;
-                    if describe.target_type == b'S' {
-                        let name = describe.name.unwrap_or_default();
-                        self.refer(&name, present, &mut pass)?;
+                    let mut body = frame.body();
+                    if take_byte(&mut body)? == b'S' {
+                        self.refer(take_text(&mut body)?, present, &mut pass)?;
                     }
                 }
                 b'C' => {
-                    let close: Close = decode(frame)?;
-                    if close.target_type == b'S' {
-                        self.statements.remove(&close.name.unwrap_or_default());
+                    let mut body = frame.body();
+                    if take_byte(&mut body)? == b'S' {
+                        self.statements.remove(take_text(&mut body)?);
                     }
                 }
                 _ => {}
@@ -93,8 +92,9 @@
     }
 
     fn parse(&mut self, frame: &Frame, pass: &mut Pass) -> Result<()> {
-        let parse: Parse = decode(frame)?;
-        let name = parse.name.unwrap_or_default();
+        let mut body = frame.body();
+        let name = take_text(&mut body)?.to_owned();
+        let query = take_text(&mut body)?;
         if self.statements.len() >= MAX_STATEMENTS && !self.statements.contains_key(&name) {
             bail!(ErrorKind::TooLarge);
         }
@@ -103,7 +103,7 @@
             name,
             Prepared {
                 parse: frame.bytes().clone(),
-                statement: classify(&parse.query),
+                statement: classify(query),
             },
         );
         Ok(())
@@ -151,10 +151,3 @@
         }
     }
 }
-
-fn decode<M: Message>(frame: &Frame) -> Result<M> {
-    let mut body = BytesMut::from(frame.bytes().as_ref());
-    M::decode(&mut body, &DecodeContext::new(ProtocolVersion::PROTOCOL3_0))
-        .change_context(ErrorKind::Protocol)?
-        .ok_or_else(|| error_stack::Report::new(ErrorKind::Protocol))
-}
--- a/crates/burdockslip_wire/src/statement.rs
+++ b/crates/burdockslip_wire/src/statement.rs
@@ -121,7 +121,9 @@
     match first.as_str() {
         "SELECT" | "VALUES" | "TABLE" => read_verb(text),
         "WITH" => with_verb(text),
-        "EXPLAIN" if !contains_word(text, "ANALYZE") => Verb::Read,
+        "EXPLAIN" if !contains_word(text, "ANALYZE") && !contains_word(text, "ANALYSE") => {
+            Verb::Read
+        }
         "BEGIN" | "START" => Verb::Begin,
         "COMMIT" | "END" => Verb::Commit,
         "ROLLBACK" if contains_word(text, "TO") => Verb::Savepoint,
@@ -206,21 +208,21 @@
     while let Some(c) = rest.chars().next() {
         let part = parts.last_mut().expect("there is always a part");
         let len = if rest.starts_with("--") {
-            rest.find('\n').unwrap_or(rest.len())
+            rest.find(['\n', '\r']).unwrap_or(rest.len())
         } else if rest.starts_with("/*") {
-            let len = rest.find("*/").map_or(rest.len(), |at| at + 2);
+            let len = comment_len(rest);
             read_tags(&rest[..len], &mut comment);
             part.push(' ');
             len
         } else if c == '\'' || c == '"' {
-            let len = quoted_len(rest, c, is_escape_prefix(part));
+            let len = quoted_len(rest, c, c == '\'' && is_escape_prefix(part));
             if is_set(part) {
                 part.push_str(&rest[..len]);
             } else {
                 part.push_str(" ? ");
             }
             len
-        } else if let Some(len) = dollar_len(rest) {
+        } else if let Some(len) = dollar_len(rest).filter(|_| word_before(part).is_empty()) {
             part.push_str(" ? ");
             len
         } else if c == ';' {
@@ -251,7 +253,38 @@
 /// Inside one a backslash hides the next quote; overlooking that would let a
 /// write pass as part of a literal.
 fn is_escape_prefix(part: &str) -> bool {
-    part.ends_with(['e', 'E'])
+    word_before(part).eq_ignore_ascii_case("e")
+}
+
+/// Returns the name that ends `part`, which a quote or dollar sign would continue.
+///
+/// A dollar sign inside a name opens no literal, and only a prefix that stands
+/// alone marks an escape string; a number or parameter in front is no name.
+fn word_before(part: &str) -> &str {
+    let is_inside = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '$' || !c.is_ascii();
+    let start = part.trim_end_matches(is_inside).len();
+    part[start..].trim_start_matches(|c: char| c.is_ascii_digit() || c == '$')
+}
+
+/// Returns the length of the comment at the start of `text`; comments nest.
+fn comment_len(text: &str) -> usize {
+    let mut depth = 0_usize;
+    let mut at = 0;
+    while let Some(pair) = text.as_bytes().get(at..at + 2) {
+        match pair {
+            b"/*" => depth += 1,
+            b"*/" => depth -= 1,
+            _ => {
+                at += 1;
+                continue;
+            }
+        }
+        at += 2;
+        if depth == 0 {
+            return at;
+        }
+    }
+    text.len()
 }
 
 /// Returns the length of the literal or quoted name at the start of `text`.
--- a/crates/burdockslip_wire/src/upstream.rs
+++ b/crates/burdockslip_wire/src/upstream.rs
@@ -8,9 +8,7 @@
 use futures::FutureExt;
 use pgwire::messages::PgWireFrontendMessage as Frontend;
 use pgwire::messages::cancel::CancelRequest;
-use pgwire::messages::data::DataRow;
 use pgwire::messages::extendedquery::Close;
-use pgwire::messages::response::{CommandComplete, ErrorResponse};
 use pgwire::messages::startup::{
     BackendKeyData, Password, PasswordMessageFamily, SecretKey, Startup,
 };
@@ -19,6 +17,12 @@
 use crate::connection::Connection;
 use crate::frame::Frame;
 use crate::message;
+use crate::text::{take_byte, take_bytes, take_text};
+
+/// Length of the column count in front of a row, in bytes.
+const COUNT_LEN: usize = 2;
+/// Length of the process number and the secret for cancellation, in bytes.
+const KEY_LEN: usize = 8;
 
 /// Limit of messages on a connection that only cancels, in bytes.
 const CANCEL_LIMIT: usize = 1_000;
@@ -133,6 +137,9 @@
                         .attach(format!("database refused the connection: {code} {text}")));
                 }
                 b'K' => {
+                    if frame.body().len() < KEY_LEN {
+                        bail!(ErrorKind::Protocol);
+                    }
                     let data: BackendKeyData = decode(&frame)?;
                     self.cancel_key = data.secret_key.as_i32().map(|secret| CancelKey {
                         address,
@@ -230,7 +237,7 @@
             let frame = self.read_frame().await?;
             match frame.tag() {
                 b'D' => outcome.rows.push(decode_row(&frame)?),
-                b'C' => outcome.tag = decode::<CommandComplete>(&frame)?.tag,
+                b'C' => take_text(&mut frame.body())?.clone_into(&mut outcome.tag),
                 b'E' => outcome.error = Some(decode_error(&frame)?),
                 b'Z' => {
                     outcome.state = decode_state(&frame)?;
@@ -269,16 +276,21 @@
 ///
 /// Returns `Protocol` for a message that cannot be decoded.
 pub fn decode_error(frame: &Frame) -> Result<(String, String)> {
-    let error: ErrorResponse = decode(frame)?;
-    let field = |code| {
-        error
-            .fields
-            .iter()
-            .find(|(c, _)| *c == code)
-            .map(|(_, text)| text.clone())
-            .unwrap_or_default()
-    };
-    Ok((field(b'C'), field(b'M')))
+    let mut body = frame.body();
+    let (mut code, mut text) = (String::new(), String::new());
+    loop {
+        let field = take_byte(&mut body)?;
+        if field == 0 {
+            return Ok((code, text));
+        }
+        // Before a session has an encoding, a database may use any.
+        let value = String::from_utf8_lossy(take_bytes(&mut body)?);
+        match field {
+            b'C' => code = value.into_owned(),
+            b'M' => text = value.into_owned(),
+            _ => {}
+        }
+    }
 }
 
 /// Builds the messages that close prepared statements, with a `Sync` of their own.
@@ -297,8 +309,11 @@
 }
 
 fn decode_row(frame: &Frame) -> Result<Vec<Option<String>>> {
-    let row: DataRow = decode(frame)?;
-    let mut data = row.data.freeze();
+    let body = frame.body();
+    if body.len() < COUNT_LEN {
+        bail!(ErrorKind::Protocol);
+    }
+    let mut data = frame.bytes().slice_ref(&body[COUNT_LEN..]);
     let mut values = Vec::new();
     while data.len() >= 4 {
         let field: [u8; 4] = data
