--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -22,6 +22,11 @@
             about: "time to the answer at fixed rates, open loop",
             run: Box::new(|_| throughput::run_paced()),
         },
+        Experiment {
+            name: "roles",
+            about: "processor time of the endpoint and of a holder on another host",
+            run: Box::new(|_| throughput::run_roles()),
+        },
         Experiment {
             name: "memory",
             about: "memory of an idle client connection",
--- a/crates/burdockslip_measure/examples/measure/throughput.rs
+++ b/crates/burdockslip_measure/examples/measure/throughput.rs
@@ -22,6 +22,9 @@
 /// The statement, which reads one record.
 const READ: &str = "SELECT value FROM records WHERE key = 'k1'";
 
+/// Numbers of clients for the roles apart.
+const ROLE_CLIENTS: [usize; 4] = [4, 16, 64, 128];
+
 /// Holds a load's report with the processor time of the host.
 struct Run {
     report: LoadReport,
@@ -94,6 +97,42 @@
     Ok(outcome)
 }
 
+/// Sends statements to a host that passes them on to the holder on another host.
+pub(crate) fn run_roles() -> Result<Outcome> {
+    let site = Site::start(&SiteOptions::default())?;
+    let mut outcome = Outcome::default();
+    for clients in ROLE_CLIENTS {
+        let load = Load {
+            target: site.host(0),
+            clients,
+            pace: Pace::Closed,
+            count: COUNT,
+            span: SPAN,
+            sql: READ.to_owned(),
+        };
+        let before = (site.host_time(0)?, site.host_time(1)?);
+        let report = in_thread(move || run_load(load))?;
+        let endpoint = site.host_time(0)?.saturating_sub(before.0);
+        let holder = site.host_time(1)?.saturating_sub(before.1);
+        let run = Run {
+            report,
+            busy: endpoint,
+        };
+        let each = |busy: Duration| 1e6 * busy.as_secs_f64() / count(&run);
+        outcome.figures.extend([
+            Figure::new(
+                format!("{clients}/endpoint"),
+                each(endpoint),
+                "us/statement",
+            ),
+            Figure::new(format!("{clients}/holder"), each(holder), "us/statement"),
+            Figure::new(format!("{clients}/p50"), quantile(&run, 0.5), "us"),
+            failures(format!("{clients}/failed"), &run),
+        ]);
+    }
+    Ok(outcome)
+}
+
 fn load(site: &Site, clients: usize, pace: Pace, span: Duration) -> Result<Run> {
     let load = Load {
         target: site.host(1),
