--- a/crates/burdockslip_measure/examples/measure/throughput.rs
+++ b/crates/burdockslip_measure/examples/measure/throughput.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use burdockslip_measure::{
-    Curve, Figure, Limit, Load, LoadReport, Outcome, Pace, Site, SiteOptions, in_thread, run_load,
+    Curve, Figure, IdleClients, Limit, Load, LoadReport, Outcome, Pace, Site, SiteOptions,
+    fit_line, in_thread, run_load,
 };
 use burdockslip_types::Result;
 
@@ -25,6 +26,11 @@
 /// Numbers of clients for the roles apart.
 const ROLE_CLIENTS: [usize; 4] = [4, 16, 64, 128];
 
+/// Numbers of idle clients beside the load; both ends are in this process.
+const IDLE: [usize; 4] = [0, 1_000, 4_000, 9_000];
+/// Clients of the load beside idle ones.
+const BESIDE_IDLE: usize = 16;
+
 /// Holds a load's report with the processor time of the host.
 struct Run {
     report: LoadReport,
@@ -133,6 +139,38 @@
     Ok(outcome)
 }
 
+/// Sends statements while other clients are connected and idle.
+pub(crate) fn run_beside_idle() -> Result<Outcome> {
+    let site = Site::start(&SiteOptions::default())?;
+    let mut outcome = Outcome::default();
+    let mut idle = IdleClients::default();
+    let mut points = Vec::new();
+    load(&site, BESIDE_IDLE, Pace::Closed, Duration::from_millis(500))?;
+    for size in IDLE {
+        idle.grow(&site.host(1), size)?;
+        let run = load(&site, BESIDE_IDLE, Pace::Closed, SPAN)?;
+        let cost = 1e6 * run.busy.as_secs_f64() / count(&run);
+        points.push((number(size), cost));
+        outcome.figures.extend([
+            Figure::new(format!("{size}/host"), cost, "us/statement"),
+            failures(format!("{size}/failed"), &run),
+        ]);
+    }
+    let (base, slope, share) = fit_line(&points);
+    outcome.figures.extend([
+        Figure::new("fit/base", base, "us/statement"),
+        Figure::new("fit/each_thousand", 1e3 * slope, "us/statement"),
+        Figure::new("fit/r2", share, ""),
+    ]);
+    outcome.curves.push(Curve {
+        name: "cost".to_owned(),
+        across: "idle clients",
+        upward: "us of host per statement",
+        points,
+    });
+    Ok(outcome)
+}
+
 fn load(site: &Site, clients: usize, pace: Pace, span: Duration) -> Result<Run> {
     let load = Load {
         target: site.host(1),
