--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -22,6 +22,16 @@
             about: "time to the answer at fixed rates, open loop",
             run: Box::new(|_| throughput::run_paced()),
         },
+        Experiment {
+            name: "roles",
+            about: "processor time of the endpoint and of a holder on another host",
+            run: Box::new(|_| throughput::run_roles()),
+        },
+        Experiment {
+            name: "beside_idle",
+            about: "processor time of a statement while other clients are idle",
+            run: Box::new(|_| throughput::run_beside_idle()),
+        },
         Experiment {
             name: "memory",
             about: "memory of an idle client connection",
