Encrypt and authenticate connections between hosts

Cause: burdockslip_http2 has mutual TLS, but no host used it. The settings' certificate files now serve both ends of peer connections; plain text only where the settings say so. That peers without a certificate, or with one of another authority, are refused is tested in burdockslip_http2; a whole host with TLS is not tested yet.

--- a/crates/burdockslip_host/src/host.rs
+++ b/crates/burdockslip_host/src/host.rs
@@ -10,7 +10,7 @@
 use burdockslip_config::{Config, Distribution};
 use burdockslip_limits::Rates;
 use burdockslip_membership::{Gossip, Membership, Peer};
-use burdockslip_peer::{PeerPool, Router};
+use burdockslip_peer::{PeerPool, Router, Tls};
 use burdockslip_proxy::{Hooks, InForce, Proxy};
 use burdockslip_runtime::{Task, spawn};
 use burdockslip_settings::Settings;
@@ -48,7 +48,8 @@
             address: settings.peer_address,
         };
         let store = Store::connect(&settings.store.endpoints, settings.store.timeout);
-        let (peers, membership) = join_fleet(settings, own);
+        let options = options::from_settings(settings)?;
+        let (peers, membership) = join_fleet(settings, options.peer_tls.clone(), own);
         let config = Config::spawn(membership.clone(), store.clone(), peers.link());
         let rates = HostRates::new(membership.clone(), store, peers.link());
         let metrics = Metrics::new()?;
@@ -56,7 +57,7 @@
         let hooks = hooks(&config, &rates, &metrics);
         let router = router(&membership, &config, &rates);
         let proxy = Rc::new(Proxy::bind(
-            options::from_settings(settings),
+            options,
             InForce::default(),
             &membership,
             peers,
@@ -111,10 +112,10 @@
 }
 
 /// Joins the gossip over connections that resolve hosts by it.
-fn join_fleet(settings: &Settings, own: Peer) -> (PeerPool, Membership) {
+fn join_fleet(settings: &Settings, tls: Option<Tls>, own: Peer) -> (PeerPool, Membership) {
     let known: Rc<RefCell<Option<Membership>>> = Rc::default();
     let resolver = Rc::clone(&known);
-    let peers = PeerPool::new(own.host.clone(), move |host| {
+    let peers = PeerPool::with_tls(own.host.clone(), tls, move |host| {
         resolver.borrow().as_ref()?.resolve(host)
     });
     let membership = Membership::spawn(own, settings.seeds.clone(), peers.link());
--- a/crates/burdockslip_host/src/options.rs
+++ b/crates/burdockslip_host/src/options.rs
@@ -1,20 +1,30 @@
 //! Translates settings into the options of the proxy.
 
+use std::path::Path;
+
+use burdockslip_peer::Tls;
 use burdockslip_proxy::Options;
 use burdockslip_settings::{Mode, Settings};
+use burdockslip_types::{ErrorKind, Result};
+use error_stack::ResultExt;
 
 /// The longest unit that fits into one message between hosts, in bytes.
 const UNIT_LIMIT: usize = 900_000;
 
 /// Translates settings into the options of the proxy.
-pub(crate) fn from_settings(settings: &Settings) -> Options {
+///
+/// # Errors
+///
+/// Returns `InvalidInput` if a certificate file cannot be used.
+pub(crate) fn from_settings(settings: &Settings) -> Result<Options> {
     let defaults = Options::new(
         settings.host.as_str(),
         settings.zone.as_str(),
         settings.client_address,
         settings.peer_address,
     );
-    Options {
+    Ok(Options {
+        peer_tls: peer_tls(settings)?,
         token_secret: settings.tokens.secret.expose().to_vec(),
         older_secret: settings
             .tokens
@@ -40,5 +50,19 @@
         drain_timeout: settings.drain_deadline,
         is_direct: settings.upstreams.mode == Mode::Direct,
         ..defaults
-    }
+    })
+}
+
+/// Reads the files that authenticate hosts.
+fn peer_tls(settings: &Settings) -> Result<Option<Tls>> {
+    let burdockslip_settings::Tls::Files {
+        certificate,
+        key,
+        authority,
+    } = &settings.tls
+    else {
+        return Ok(None);
+    };
+    let read = |path: &Path| std::fs::read(path).change_context(ErrorKind::InvalidInput);
+    Tls::new(&read(certificate)?, &read(key)?, &read(authority)?).map(Some)
 }
--- a/crates/burdockslip_peer/src/lib.rs
+++ b/crates/burdockslip_peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod router;
 mod stream;
 
+pub use burdockslip_http2::Tls;
 pub use codec::{MESSAGE_LIMIT, VERSION};
 pub use pool::PeerPool;
 pub use router::{PeerServer, Router};
--- a/crates/burdockslip_peer/src/pool.rs
+++ b/crates/burdockslip_peer/src/pool.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use burdockslip_http2::Client;
+use burdockslip_http2::{Client, Options, Tls};
 use burdockslip_types::{ErrorKind, Exchange, HostId, Link, Result};
 use error_stack::{Report, bail};
 use futures::FutureExt;
@@ -28,16 +28,30 @@
 struct Shared {
     own: HostId,
     resolve: Box<Resolve>,
+    options: Options,
     clients: RefCell<HashMap<SocketAddr, Client>>,
 }
 
 impl PeerPool {
     /// Builds a pool for the host `own`; `resolve` looks up peer addresses.
     pub fn new(own: HostId, resolve: impl Fn(&HostId) -> Option<SocketAddr> + 'static) -> Self {
+        Self::with_tls(own, None, resolve)
+    }
+
+    /// Builds a pool whose connections are encrypted and authenticated if `tls` is given.
+    pub fn with_tls(
+        own: HostId,
+        tls: Option<Tls>,
+        resolve: impl Fn(&HostId) -> Option<SocketAddr> + 'static,
+    ) -> Self {
         Self {
             shared: Rc::new(Shared {
                 own,
                 resolve: Box::new(resolve),
+                options: Options {
+                    tls,
+                    ..Options::default()
+                },
                 clients: RefCell::default(),
             }),
         }
@@ -92,7 +106,7 @@
         let mut clients = self.shared.clients.borrow_mut();
         let client = clients
             .entry(address)
-            .or_insert_with(|| Client::connect(address));
+            .or_insert_with(|| Client::with_options(address, self.shared.options.clone()));
         Ok(client.clone())
     }
 }
--- a/crates/burdockslip_peer/src/router.rs
+++ b/crates/burdockslip_peer/src/router.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use burdockslip_http2::{Receiver, Sender, Server};
+use burdockslip_http2::{Options, Receiver, Sender, Server, Tls};
 use burdockslip_types::{ErrorKind, Exchange, HostId, Result};
 use bytes::Bytes;
 use futures::FutureExt;
@@ -113,14 +113,27 @@
 }
 
 impl PeerServer {
-    /// Listens on `address`.
+    /// Listens on `address` without encryption.
     ///
     /// # Errors
     ///
     /// Returns `InvalidInput` if the address cannot be bound.
     pub fn bind(address: SocketAddr, router: Router) -> Result<Self> {
+        Self::with_tls(address, None, router)
+    }
+
+    /// Listens on `address`; with `tls`, hosts of another authority are refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns `InvalidInput` if the address cannot be bound.
+    pub fn with_tls(address: SocketAddr, tls: Option<Tls>, router: Router) -> Result<Self> {
         let router = Rc::new(router);
-        let server = Server::bind(address, move |path, receiver, sender| {
+        let options = Options {
+            tls,
+            ..Options::default()
+        };
+        let server = Server::with_options(address, options, move |path, receiver, sender| {
             let Some(handler) = router.handlers.get(&path) else {
                 warn!(path, "peer asked for an unknown exchange");
                 return futures::future::ready(()).boxed_local();
--- a/crates/burdockslip_proxy/src/options.rs
+++ b/crates/burdockslip_proxy/src/options.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use burdockslip_peer::Tls;
 use burdockslip_types::{HostId, Zone};
 
 /// Sets the addresses, limits and statements of one host.
@@ -16,6 +17,8 @@
     pub client_address: SocketAddr,
     /// The address for other hosts.
     pub peer_address: SocketAddr,
+    /// What encrypts connections between hosts and authenticates both ends.
+    pub peer_tls: Option<Tls>,
     /// The secret that signs session tokens, the same on all hosts.
     pub token_secret: Vec<u8>,
     /// A former secret that is still accepted.
@@ -63,6 +66,7 @@
             zone: zone.into(),
             client_address,
             peer_address,
+            peer_tls: None,
             token_secret: Vec::new(),
             older_secret: None,
             upstream_password: String::new(),
--- a/crates/burdockslip_proxy/src/proxy.rs
+++ b/crates/burdockslip_proxy/src/proxy.rs
@@ -64,7 +64,11 @@
             Rc::new(in_force),
         ));
         host.refresh();
-        let server = PeerServer::bind(options.peer_address, serve_peers(&host, router))?;
+        let server = PeerServer::with_tls(
+            options.peer_address,
+            options.peer_tls.clone(),
+            serve_peers(&host, router),
+        )?;
         let (listener, client_address) = endpoint::bind(&host)?;
         let following = spawn(follow(membership.changes(), Rc::clone(&host)));
         info!(host = %options.host, zone = %options.zone, clients = %client_address, "host started");
