--- a/crates/burdockslip_http2/src/server.rs
+++ b/crates/burdockslip_http2/src/server.rs
@@ -102,6 +102,9 @@
     }
 
     /// Stops accepting and waits until the streams in flight have ended.
+    ///
+    /// There is no time limit, and a watch has no end of its own: callers wrap
+    /// the call in a timeout and then drop the server.
     pub async fn close(&self) {
         drop(self.signal.take());
         let accepting = self.accepting.take();
