--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -27,16 +27,16 @@
             about: "processor time of the endpoint and of a holder on another host",
             run: Box::new(|_| throughput::run_roles()),
         },
-        Experiment {
-            name: "beside_idle",
-            about: "processor time of a statement while other clients are idle",
-            run: Box::new(|_| throughput::run_beside_idle()),
-        },
         Experiment {
             name: "memory",
             about: "memory of an idle client connection",
             run: Box::new(|_| memory::run()),
         },
+        Experiment {
+            name: "beside_idle",
+            about: "processor time of a statement while other clients are idle",
+            run: Box::new(|_| throughput::run_beside_idle()),
+        },
         Experiment {
             name: "failover",
             about: "write gap after the primary is killed, cut off or paused",
