Keep small bursts usable and require a host list for pledges

Cause: split over four zones, a burst of four tokens left every zone a bucket of less than one token, which never grants; a small burst now has fewer parts. An empty list of hosts counted as pledged by all, so an authority whose list was not loaded continued without its lease.

--- a/crates/burdockslip_limits/src/account.rs
+++ b/crates/burdockslip_limits/src/account.rs
@@ -153,7 +153,8 @@
     /// Small differences are ignored: every change of a loan costs messages,
     /// and the requests that wait get tokens from other zones meanwhile.
     pub(crate) fn needs_loan(&mut self, now: Instant, ahead: Duration) -> bool {
-        if now < self.next_loan {
+        // A bucket that cannot hold a token would waste the borrowed rate.
+        if now < self.next_loan || self.part.capacity(self.life) < Tokens::ONE {
             return false;
         }
         let lacking = self.lacking(now);
--- a/crates/burdockslip_limits/src/amount.rs
+++ b/crates/burdockslip_limits/src/amount.rs
@@ -133,9 +133,16 @@
     }
 
     /// Returns part `index` of `count`; the parts add up to the whole.
+    ///
+    /// A bucket that holds less than one token never grants any. A small
+    /// burst is therefore split into fewer parts, and the others are empty.
     #[must_use]
     pub fn part(self, index: usize, count: usize) -> Self {
-        let (index, count) = (to_u64(index), to_u64(count.max(1)));
+        let most = Tokens(self.burst.0 / 4 * 3).count();
+        let (index, count) = (to_u64(index), to_u64(count).min(most).max(1));
+        if index >= count {
+            return Self::default();
+        }
         let share = |total: u64| total / count + u64::from(index < total % count);
         Self {
             rate: Rate(share(self.rate.0)),
--- a/crates/burdockslip_limits/src/lease.rs
+++ b/crates/burdockslip_limits/src/lease.rs
@@ -217,6 +217,10 @@
         let sent = now();
         let life = self.settings.pledge_life;
         let hosts = (self.directory.hosts)(&self.directory.zone);
+        // A list without this host is not loaded yet or wrong; nobody on it would prove nothing.
+        if !hosts.contains(&self.directory.host) {
+            return;
+        }
         let others = hosts.iter().filter(|host| **host != self.directory.host);
         let calls: Vec<LocalBoxFuture<_>> = others
             .map(|host| -> LocalBoxFuture<_> {
--- a/crates/burdockslip_limits/tests/bucket.rs
+++ b/crates/burdockslip_limits/tests/bucket.rs
@@ -21,6 +21,17 @@
         prop_assert_eq!(parts.iter().map(|part| part.burst).sum::<Tokens>(), limit.burst);
     }
 
+    /// Guards against zone parts whose buckets can never hold a whole token.
+    #[test]
+    fn every_part_with_a_rate_can_grant(rate in 1..1_000_u64, burst in 2..50_u64, count in 1..6_usize) {
+        let limit = Limit::new(rate, burst);
+        let life = limit.life(Duration::from_secs(1));
+        for index in 0..count {
+            let part = limit.part(index, count);
+            prop_assert!(part == Limit::default() || part.capacity(life) >= Tokens::ONE);
+        }
+    }
+
     /// Guards against a token life for which bucket and granted tokens exceed the burst.
     #[test]
     fn capacity_and_life_fit_in_the_burst(rate in 0..1_000_000_u64, burst in 0..1_000_000_u64) {
--- a/crates/burdockslip_limits/tests/mechanisms.rs
+++ b/crates/burdockslip_limits/tests/mechanisms.rs
@@ -217,6 +217,24 @@
     }
 }
 
+/// Guards against an authority that continues without pledges because its list of hosts is empty.
+#[test]
+fn empty_host_list_proves_nothing() {
+    paused::run(1, async {
+        let pair = Pair::start(Limit::new(100, 400)).await;
+        let mut directory = pair.directory(0, Limit::new(100, 400));
+        directory.hosts = Rc::new(|_| Vec::new());
+        let view = Rc::new(Cell::new(View::Vacant));
+        let own = store(Rc::clone(&view));
+        let authority = Authority::spawn(directory, settings(), own, pair.link());
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(authority.shards().len(), 1);
+        view.set(View::Down);
+        sleep(Duration::from_secs(3)).await;
+        assert!(authority.shards().is_empty());
+    });
+}
+
 /// Guards against an owner that answers after a pause, before its tasks notice the lost lease.
 #[test]
 fn authority_that_was_paused_refuses() {
