Bound what hostile clients can hold, with tests over sockets

An idle client was taken for one that had begun a unit and was cut with 08P01 after 30 s, and an idle database connection could seem unfit for reuse. The wait now checks the socket. - A client that requested encryption without end kept the host's only thread, because neither reads nor writes ever had to wait and so no timeout was polled. One request of each kind is accepted now. - The same loop existed for messages after Flush without a Sync; it is bounded by the number of messages in a unit. - A password message could take `unit_limit` bytes before authentication and was checked afterwards; a missing terminator was not noticed. - The last error was written without a time limit, so a client that read nothing could keep its session. All such writes use `write_timeout`. - A session whose client always has a unit ready yields after each.

`unit_timeout` and `write_timeout` are options now, with the values that were constants before.

Not seen to fail without the mechanism: the bound after Flush, the limit on the last write, and the yield, which has no test of its own.

--- a/crates/burdockslip_proxy/src/endpoint/listener.rs
+++ b/crates/burdockslip_proxy/src/endpoint/listener.rs
@@ -49,7 +49,7 @@
     let _counted = host.sessions.count();
     let mut client = ClientStream::new(io, host.options.unit_limit);
     if host.sessions.len() > host.options.client_limit {
-        refuse(client, ErrorKind::QueueFull).await;
+        refuse(&host, client, ErrorKind::QueueFull).await;
         return;
     }
     let started = timeout(
@@ -64,18 +64,19 @@
         Ok(Err(report)) => {
             let kind = *report.current_context();
             debug!(host = %host.options.host, error = ?kind, "client refused");
-            refuse(client, kind).await;
+            refuse(&host, client, kind).await;
         }
         Err(_) => {
             debug!(host = %host.options.host, "client sent no startup in time");
-            refuse(client, ErrorKind::Protocol).await;
+            refuse(&host, client, ErrorKind::Protocol).await;
         }
     }
 }
 
 /// Tells a client why it is refused, and closes.
-async fn refuse(mut client: ClientStream, kind: ErrorKind) {
-    // The client may be gone already.
-    let _ = client.write(error_response(kind, "")).await;
+async fn refuse(host: &Host, mut client: ClientStream, kind: ErrorKind) {
+    // The client may be gone already, or read nothing.
+    let answer = client.write(error_response(kind, ""));
+    let _ = timeout(host.options.write_timeout, answer).await;
     client.close().await;
 }
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, now, sleep, timeout, timeout_at};
+use burdockslip_runtime::{Instant, now, sleep, timeout, timeout_at, yield_now};
 use burdockslip_types::{ErrorKind, GroupName, HostId, Mark, Result};
 use burdockslip_wire::{
     ClientStream, StatementNames, TransactionState, Unit, UnitKind, Verb, classify,
@@ -22,11 +22,6 @@
 use crate::exchange::{Access, Done, EXPIRED, Event, Failed, Run};
 use crate::host::Host;
 
-/// Time within which the rest of a unit must follow its first byte.
-const UNIT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time within which a client has to take a part of its answer; a client that
-/// reads more slowly would hold memory for as long as it likes.
-const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Pause before a request is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -89,8 +84,8 @@
             session = process, error = ?kind, "session ended"
         );
         if kind != ErrorKind::ConnectionLost {
-            // The client may be gone already.
-            let _ = session.client.write(error_response(kind, "")).await;
+            // The client may be gone already, or read nothing.
+            let _ = session.write(error_response(kind, "")).await;
         }
     }
     host.sessions.remove(process);
@@ -101,7 +96,7 @@
     async fn serve(&mut self) -> Result<()> {
         loop {
             self.wait_for_unit().await?;
-            let unit = timeout(UNIT_TIMEOUT, self.client.read_unit())
+            let unit = timeout(self.host.options.unit_timeout, self.client.read_unit())
                 .await
                 .map_err(|_| Report::new(ErrorKind::Protocol))?;
             match unit {
@@ -111,6 +106,9 @@
                 Ok(Some(unit)) => {
                     self.handle(unit).await?;
                     self.served_at = now();
+                    // A client that always has the next unit ready would
+                    // otherwise keep the thread from all others.
+                    yield_now().await;
                 }
                 Ok(None) => return Ok(()),
                 Err(report) if *report.current_context() == ErrorKind::NotSupported => {
@@ -480,7 +478,7 @@
 
     /// Writes to the client, which has to keep reading.
     async fn write(&mut self, bytes: Bytes) -> Result<()> {
-        timeout(WRITE_TIMEOUT, self.client.write(bytes))
+        timeout(self.host.options.write_timeout, self.client.write(bytes))
             .await
             .map_err(|_| Report::new(ErrorKind::ConnectionLost))?
     }
--- a/crates/burdockslip_proxy/src/options.rs
+++ b/crates/burdockslip_proxy/src/options.rs
@@ -39,6 +39,11 @@
     pub client_limit: usize,
     /// The time within which a client has to authenticate.
     pub startup_timeout: Duration,
+    /// The time within which the rest of a unit has to follow its first byte.
+    pub unit_timeout: Duration,
+    /// The time within which a client has to take a part of its answer; a
+    /// slower one would hold memory for as long as it likes.
+    pub write_timeout: Duration,
     /// The time after which an idle client is disconnected.
     pub idle_timeout: Duration,
     /// The time after which a transaction without a request is rolled back,
@@ -74,6 +79,8 @@
             unit_limit: 900_000,
             client_limit: 10_000,
             startup_timeout: Duration::from_secs(5),
+            unit_timeout: Duration::from_secs(30),
+            write_timeout: Duration::from_mins(1),
             idle_timeout: Duration::from_hours(1),
             transaction_timeout: Duration::from_mins(1),
             drain_timeout: Duration::from_secs(30),
--- a/crates/burdockslip_proxy/tests/support/mod.rs
+++ b/crates/burdockslip_proxy/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test program uses another part of this module.
 #![allow(dead_code)]
 
+pub(crate) mod raw;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -77,6 +79,18 @@
 
 /// Starts a site whose members are changed before they start.
 pub(crate) fn start_with(adjust: impl Fn(&mut MemberOptions) + Send + 'static) -> Running {
+    start_site(adjust, |_| {})
+}
+
+/// Starts a site whose hosts are changed before they start.
+pub(crate) fn start_hosts(adjust: impl Fn(&mut Options) + Send + 'static) -> Running {
+    start_site(|_| {}, adjust)
+}
+
+fn start_site(
+    adjust_member: impl Fn(&mut MemberOptions) + Send + 'static,
+    adjust_host: impl Fn(&mut Options) + Send + 'static,
+) -> Running {
     let prefix = site_prefix();
     let airline = Key::issue();
     let club = Key::issue();
@@ -98,7 +112,7 @@
     let (ready, is_ready) = std_mpsc::channel();
     let thread = std::thread::spawn(move || {
         block_on(async move {
-            let mut site = build(prefix, &records, &adjust);
+            let mut site = build(prefix, &records, &adjust_member, &adjust_host);
             ready.send(()).expect("the test waits");
             let mut receiver = receiver;
             while let Some(command) = receiver.next().await {
@@ -122,7 +136,8 @@
 fn build(
     prefix: (u8, u8),
     records: &[(String, KeyRecord)],
-    adjust: &dyn Fn(&mut MemberOptions),
+    adjust_member: &dyn Fn(&mut MemberOptions),
+    adjust_host: &dyn Fn(&mut Options),
 ) -> Site {
     let members: Vec<MemberOptions> = ZONES
         .iter()
@@ -130,7 +145,7 @@
         .map(|(index, zone)| {
             let name = format!("db-{zone}");
             let mut options = MemberOptions::new(&name, zone, address(prefix, index, 5432));
-            adjust(&mut options);
+            adjust_member(&mut options);
             options
         })
         .collect();
@@ -163,6 +178,7 @@
                 address(prefix, index, 7432),
             );
             options.token_secret = vec![7; 32];
+            adjust_host(&mut options);
             Some(Proxy::bind_fixed(options, in_force.clone(), &peers).expect("host starts"))
         })
         .collect();
@@ -200,6 +216,16 @@
         });
     }
 
+    /// Returns the address of a host for clients.
+    pub(crate) fn client_address(&self, host: usize) -> SocketAddr {
+        self.addresses[host]
+    }
+
+    /// Returns the address of a host for other hosts.
+    pub(crate) fn peer_address(&self, host: usize) -> SocketAddr {
+        SocketAddr::new(self.addresses[host].ip(), 7432)
+    }
+
     /// Describes a connection of the organisation `airline` to a host.
     pub(crate) fn config(&self, host: usize) -> Config {
         let mut config = Config::new();
--- a/crates/burdockslip_wire/src/client.rs
+++ b/crates/burdockslip_wire/src/client.rs
@@ -26,6 +26,10 @@
 const CANCEL_REQUEST: u32 = 80_877_102;
 /// Major version of the protocol that is served.
 const MAJOR_VERSION: u32 = 3;
+/// Bounds the requests for encryption of one connection, one of each kind. A
+/// client that sends them without end would otherwise keep the host's only
+/// thread, since neither reads nor writes ever wait.
+const MAX_ENCRYPTION_REQUESTS: usize = 2;
 /// Bounds the messages of one unit, because they are gathered before they run.
 const MAX_FRAMES: usize = 10_000;
 
@@ -65,7 +69,7 @@
     ///
     /// Returns `Protocol`, `TooLarge` or `ConnectionLost`.
     pub async fn open(&mut self) -> Result<Opening> {
-        loop {
+        for _ in 0..=MAX_ENCRYPTION_REQUESTS {
             let bytes = self.connection.read_untagged(STARTUP_LIMIT).await?;
             let code =
                 u32::from_be_bytes(bytes[4..8].try_into().change_context(ErrorKind::Internal)?);
@@ -76,6 +80,7 @@
                 _ => bail!(ErrorKind::Protocol),
             }
         }
+        bail!(ErrorKind::Protocol)
     }
 
     /// Reads the answer to a password request.
@@ -84,10 +89,14 @@
     ///
     /// Returns `Protocol` for another message, `ConnectionLost` if the client left.
     pub async fn read_password(&mut self) -> Result<String> {
-        let Some(frame) = self.connection.read_frame().await? else {
+        // The client has proved nothing yet, so a longer message is refused
+        // before it takes memory.
+        let frame = self.connection.read_frame_within(PASSWORD_LIMIT).await?;
+        let Some(frame) = frame else {
             bail!(ErrorKind::ConnectionLost);
         };
-        if frame.tag() != b'p' || frame.bytes().len() > PASSWORD_LIMIT {
+        // The decoder does not check that the text is terminated.
+        if frame.tag() != b'p' || frame.body().last() != Some(&0) {
             bail!(ErrorKind::Protocol);
         }
         let mut bytes = BytesMut::from(frame.bytes().as_ref());
@@ -164,12 +173,16 @@
     }
 
     async fn skip_to_sync(&mut self) -> Result<()> {
-        while let Some(frame) = self.connection.read_frame().await? {
+        // The bound keeps a client that never sends `Sync` from occupying the thread.
+        for _ in 0..MAX_FRAMES {
+            let Some(frame) = self.connection.read_frame().await? else {
+                bail!(ErrorKind::ConnectionLost);
+            };
             if frame.tag() == b'S' {
                 return Ok(());
             }
         }
-        bail!(ErrorKind::ConnectionLost)
+        bail!(ErrorKind::TooLarge)
     }
 }
 
--- a/crates/burdockslip_wire/src/connection.rs
+++ b/crates/burdockslip_wire/src/connection.rs
@@ -63,8 +63,18 @@
     /// Returns `TooLarge` or `Protocol` for a bad header and `ConnectionLost`
     /// if the connection breaks.
     pub async fn read_frame(&mut self) -> Result<Option<Frame>> {
+        self.read_frame_within(self.limit).await
+    }
+
+    /// Reads the next frame, which may have `limit` bytes, or `None` if the
+    /// peer closed between frames.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::read_frame`].
+    pub async fn read_frame_within(&mut self, limit: usize) -> Result<Option<Frame>> {
         loop {
-            if let Some(frame) = self.take_frame()? {
+            if let Some(frame) = self.take_within(limit)? {
                 return Ok(Some(frame));
             }
             if !self.fill().await? {
@@ -82,10 +92,14 @@
     ///
     /// Returns `TooLarge` or `Protocol` for a bad header.
     pub fn take_frame(&mut self) -> Result<Option<Frame>> {
+        self.take_within(self.limit)
+    }
+
+    fn take_within(&mut self, limit: usize) -> Result<Option<Frame>> {
         let Some(len) = declared_len(&self.input) else {
             return Ok(None);
         };
-        self.check_len(len)?;
+        check_len(len, limit)?;
         if self.input.len() < len {
             return Ok(None);
         }
@@ -142,22 +156,15 @@
     ///
     /// Returns `ConnectionLost` if the connection breaks.
     pub async fn readable(&self) -> Result<()> {
+        // The relaxed form reports what the last poll saw, also after all of
+        // it was read: idle clients would seem to send, and idle database
+        // connections to be unfit for use.
         self.io
-            .readable(true)
+            .readable(false)
             .await
             .change_context(ErrorKind::ConnectionLost)
     }
 
-    fn check_len(&self, len: usize) -> Result<()> {
-        if len < HEADER_LEN {
-            return Err(Report::new(ErrorKind::Protocol));
-        }
-        if len > self.limit {
-            return Err(Report::new(ErrorKind::TooLarge).attach(format!("message of {len} bytes")));
-        }
-        Ok(())
-    }
-
     fn take(&mut self, len: usize) -> Bytes {
         let bytes = self.input.split_to(len).freeze();
         if self.input.is_empty() {
@@ -184,6 +191,16 @@
     }
 }
 
+fn check_len(len: usize, limit: usize) -> Result<()> {
+    if len < HEADER_LEN {
+        return Err(Report::new(ErrorKind::Protocol));
+    }
+    if len > limit {
+        return Err(Report::new(ErrorKind::TooLarge).attach(format!("message of {len} bytes")));
+    }
+    Ok(())
+}
+
 /// Restores the full length, which a read cuts to the bytes received.
 fn restore(mut buffer: Vec<u8>) -> Vec<u8> {
     buffer.resize(READ_LEN, 0);
