--- a/crates/burdockslip_proxy/tests/hostile.rs
+++ b/crates/burdockslip_proxy/tests/hostile.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use burdockslip_keys::Key;
+use burdockslip_peer::{MESSAGE_LIMIT, VERSION};
 use burdockslip_proxy::Options;
 use postgres::NoTls;
 use rand::{Rng, RngCore, SeedableRng};
@@ -310,3 +311,59 @@
     drop(raw);
     assert_served(&site, &mut other);
 }
+
+/// Guards hosts against a peer address that gets garbage, or HTTP/2 with bad messages.
+#[test]
+fn forged_peers_disturb_nobody() {
+    let site = start_short();
+    let mut other = site.connect(0);
+    let mut random = ChaCha8Rng::seed_from_u64(11);
+    for _ in 0..20 {
+        let mut bytes = vec![0; random.random_range(24..4000)];
+        random.fill_bytes(&mut bytes);
+        let mut raw = Raw::open(site.peer_address(0));
+        // The host may close as soon as it has seen the first bytes.
+        let _ = raw.try_send(&bytes);
+        raw.read_to_end();
+    }
+    let address = site.peer_address(0);
+    let wrong_version = (VERSION + 1).to_be_bytes();
+    let garbage = [VERSION.to_be_bytes().as_slice(), &[0xff; 40]].concat();
+    let messages = [
+        Vec::new(),
+        vec![0],
+        [wrong_version.as_slice(), &[0; 8]].concat(),
+        garbage,
+        vec![0; MESSAGE_LIMIT + 1],
+        vec![0; 5 << 20],
+    ];
+    burdockslip_runtime::block_on(async move {
+        for message in messages {
+            let client = burdockslip_http2::Client::connect(address);
+            let message = bytes::Bytes::from(message);
+            for name in ["cancel", "stamp"] {
+                let path = format!("/burdockslip/{name}");
+                let reply = client.call(&path, message.clone()).await;
+                // The byte after the version tells an error from a reply.
+                let is_refused = reply.is_ok_and(|reply| reply.get(2) == Some(&1));
+                let is_too_large = message.len() > 4 << 20;
+                assert!(
+                    is_refused != is_too_large,
+                    "{name}, {} bytes",
+                    message.len()
+                );
+            }
+            for name in ["execute", "unknown"] {
+                let path = format!("/burdockslip/{name}");
+                let reply = client.call(&path, message.clone()).await;
+                assert!(reply.is_err(), "{name}, {} bytes", message.len());
+            }
+        }
+    });
+    assert_served(&site, &mut other);
+    // A request that crosses hosts still gets through.
+    let mut client = site.connect(1);
+    client
+        .batch_execute("INSERT INTO records (key, value) VALUES ('p', '1')")
+        .expect("write runs");
+}
