Serve clients over TLS

With `Options.tls` set, a TLS request is answered with `S`, and a session without TLS is refused with 28P01 and a detail before a key is asked for. Cancel requests are taken without TLS, as many libraries send them so. The size of an idle encrypted connection was not measured.

--- a/crates/burdockslip_proxy/src/endpoint/listener.rs
+++ b/crates/burdockslip_proxy/src/endpoint/listener.rs
@@ -49,7 +49,7 @@
     let _counted = host.sessions.count();
     let mut client = ClientStream::new(io, host.options.unit_limit);
     if host.sessions.len() > host.options.client_limit {
-        refuse(&host, client, ErrorKind::QueueFull).await;
+        refuse(&host, client, ErrorKind::QueueFull, "").await;
         return;
     }
     let started = timeout(
@@ -64,19 +64,20 @@
         Ok(Err(report)) => {
             let kind = *report.current_context();
             debug!(host = %host.options.host, error = ?kind, "client refused");
-            refuse(&host, client, kind).await;
+            let detail = report.downcast_ref::<&'static str>();
+            refuse(&host, client, kind, detail.copied().unwrap_or_default()).await;
         }
         Err(_) => {
             debug!(host = %host.options.host, "client sent no startup in time");
-            refuse(&host, client, ErrorKind::Protocol).await;
+            refuse(&host, client, ErrorKind::Protocol, "").await;
         }
     }
 }
 
 /// Tells a client why it is refused, and closes.
-async fn refuse(host: &Host, mut client: ClientStream, kind: ErrorKind) {
+async fn refuse(host: &Host, mut client: ClientStream, kind: ErrorKind, detail: &str) {
     // The client may be gone already, or read nothing.
-    let answer = client.write(error_response(kind, ""));
+    let answer = client.write(error_response(kind, detail));
     let _ = timeout(host.options.write_timeout, answer).await;
     client.close().await;
 }
--- a/crates/burdockslip_proxy/src/endpoint/startup.rs
+++ b/crates/burdockslip_proxy/src/endpoint/startup.rs
@@ -10,7 +10,7 @@
     parameter_status, ready,
 };
 use bytes::BytesMut;
-use error_stack::bail;
+use error_stack::{Report, bail};
 
 use super::registry::Entry;
 use crate::host::Host;
@@ -18,6 +18,9 @@
 /// The organisation that is charged for clients without a key on open routes.
 const PUBLIC: &str = "public";
 
+/// Detail for a client that would send its key in clear text.
+const NOT_ENCRYPTED: &str = "this host accepts keys over TLS only";
+
 /// Parameters reported to every client; drivers refuse to work without some of them.
 const PARAMETERS: [(&str, &str); 6] = [
     ("server_version", "15.0"),
@@ -48,7 +51,8 @@
 
 /// Reads the startup message, authenticates and greets the client.
 pub(super) async fn start(host: &Rc<Host>, client: &mut ClientStream) -> Result<Started> {
-    let parameters = match client.open().await? {
+    let parameters = match client.open(host.options.tls.as_ref()).await? {
+        Opening::Unencrypted => bail!(Report::new(ErrorKind::BadKey).attach(NOT_ENCRYPTED)),
         Opening::Start(parameters) => parameters,
         Opening::Cancel { process, secret } => return Ok(Started::Cancel(process, secret)),
     };
--- a/crates/burdockslip_proxy/src/options.rs
+++ b/crates/burdockslip_proxy/src/options.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_types::{HostId, Zone};
+use burdockslip_wire::ServerTls;
 
 /// Sets the addresses, limits and statements of one host.
 #[derive(Debug, Clone)]
@@ -16,6 +17,8 @@
     pub client_address: SocketAddr,
     /// The address for other hosts.
     pub peer_address: SocketAddr,
+    /// The certificate and key for clients, which then have to use TLS.
+    pub tls: Option<ServerTls>,
     /// The secret that signs session tokens, the same on all hosts.
     pub token_secret: Vec<u8>,
     /// A former secret that is still accepted.
@@ -68,6 +71,7 @@
             zone: zone.into(),
             client_address,
             peer_address,
+            tls: None,
             token_secret: Vec::new(),
             older_secret: None,
             upstream_password: String::new(),
--- a/crates/burdockslip_wire/src/client.rs
+++ b/crates/burdockslip_wire/src/client.rs
@@ -12,6 +12,7 @@
 
 use crate::connection::Connection;
 use crate::frame::Frame;
+use crate::tls::ServerTls;
 use crate::unit::{Unit, UnitKind};
 
 /// Limit of the first message, in bytes; a startup message holds a few short parameters.
@@ -36,6 +37,8 @@
 /// Says what a new connection asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Opening {
+    /// A session without the encryption that the host demands.
+    Unencrypted,
     /// A session with the given startup parameters.
     Start(BTreeMap<String, String>),
     /// The cancellation of another session's statement.
@@ -63,19 +66,34 @@
         }
     }
 
-    /// Reads the first message; requests for encryption are declined.
+    /// Reads the first message, after a handshake if the client asks for one.
+    ///
+    /// With `tls` only cancel requests are taken without encryption, because
+    /// many client libraries send them so; without it TLS is declined.
     ///
     /// # Errors
     ///
     /// Returns `Protocol`, `TooLarge` or `ConnectionLost`.
-    pub async fn open(&mut self) -> Result<Opening> {
+    pub async fn open(&mut self, tls: Option<&ServerTls>) -> Result<Opening> {
         for _ in 0..=MAX_ENCRYPTION_REQUESTS {
             let bytes = self.connection.read_untagged(STARTUP_LIMIT).await?;
             let code =
                 u32::from_be_bytes(bytes[4..8].try_into().change_context(ErrorKind::Internal)?);
             match code {
+                TLS_REQUEST if tls.is_some() && !self.connection.is_encrypted() => {
+                    self.write(Bytes::from_static(b"S")).await?;
+                    if let Some(tls) = tls {
+                        self.connection.encrypt(tls).await?;
+                    }
+                }
                 TLS_REQUEST | GSS_REQUEST => self.write(Bytes::from_static(b"N")).await?,
                 CANCEL_REQUEST => return decode_cancel(bytes),
+                _ if code >> 16 == MAJOR_VERSION
+                    && tls.is_some()
+                    && !self.connection.is_encrypted() =>
+                {
+                    return Ok(Opening::Unencrypted);
+                }
                 _ if code >> 16 == MAJOR_VERSION => return decode_startup(bytes),
                 _ => bail!(ErrorKind::Protocol),
             }
@@ -158,8 +176,8 @@
     /// # Errors
     ///
     /// Returns `ConnectionLost` if the connection breaks.
-    pub async fn readable(&self) -> Result<()> {
-        self.connection.readable().await
+    pub async fn readable(&mut self) -> Result<()> {
+        self.connection.wait().await
     }
 
     /// Returns whether the client sent bytes that no message has consumed.
--- a/crates/burdockslip_wire/src/lib.rs
+++ b/crates/burdockslip_wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod message;
 mod name;
 mod statement;
+mod tls;
 mod unit;
 mod upstream;
 
@@ -22,6 +23,7 @@
 };
 pub use name::{Rewritten, StatementNames};
 pub use statement::{Access, Comment, Statement, Verb, classify};
+pub use tls::ServerTls;
 pub use unit::{Unit, UnitKind};
 pub use upstream::{
     CancelKey, Outcome, TransactionState, UpstreamStream, close_statements, decode_error,
