--- a/crates/burdockslip_limits/src/account.rs
+++ b/crates/burdockslip_limits/src/account.rs
@@ -60,16 +60,17 @@
 }
 
 impl Account {
-    pub(crate) fn new(part: Limit, life: Duration, now: Instant) -> Self {
+    /// Opens an account that has accrued tokens since `since`, when the authority began.
+    pub(crate) fn new(part: Limit, life: Duration, since: Instant) -> Self {
         Self {
             part,
             life,
-            bucket: Bucket::new(part.capacity(life), now),
+            bucket: Bucket::new(part.capacity(life), since),
             demand: Demand::new(DEMAND_WINDOW),
             lent: Vec::new(),
             borrowed: HashMap::new(),
             is_short: false,
-            next_loan: now,
+            next_loan: since,
         }
     }
 
@@ -152,7 +153,8 @@
     /// Small differences are ignored: every change of a loan costs messages,
     /// and the requests that wait get tokens from other zones meanwhile.
     pub(crate) fn needs_loan(&mut self, now: Instant, ahead: Duration) -> bool {
-        if now < self.next_loan {
+        // A bucket that cannot hold a token would waste the borrowed rate.
+        if now < self.next_loan || self.part.capacity(self.life) < Tokens::ONE {
             return false;
         }
         let lacking = self.lacking(now);
--- a/crates/burdockslip_measure/examples/measure/throughput.rs
+++ b/crates/burdockslip_measure/examples/measure/throughput.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use burdockslip_measure::{
-    Curve, Figure, Limit, Load, LoadReport, Outcome, Pace, Site, SiteOptions, in_thread, run_load,
+    Curve, Figure, IdleClients, Limit, Load, LoadReport, Outcome, Pace, Site, SiteOptions,
+    fit_line, in_thread, open_descriptors, run_load,
 };
 use burdockslip_types::Result;
 
@@ -22,6 +23,14 @@
 /// The statement, which reads one record.
 const READ: &str = "SELECT value FROM records WHERE key = 'k1'";
 
+/// Numbers of clients for the roles apart.
+const ROLE_CLIENTS: [usize; 4] = [4, 16, 64, 128];
+
+/// Numbers of idle clients beside the load; both ends are in this process.
+const IDLE: [usize; 4] = [0, 500, 1_000, 2_000];
+/// Clients of the load beside idle ones.
+const BESIDE_IDLE: usize = 16;
+
 /// Holds a load's report with the processor time of the host.
 struct Run {
     report: LoadReport,
@@ -94,6 +103,80 @@
     Ok(outcome)
 }
 
+/// Sends statements to a host that passes them on to the holder on another host.
+pub(crate) fn run_roles() -> Result<Outcome> {
+    let site = Site::start(&SiteOptions::default())?;
+    let mut outcome = Outcome::default();
+    for clients in ROLE_CLIENTS {
+        let load = Load {
+            target: site.host(0),
+            clients,
+            pace: Pace::Closed,
+            count: COUNT,
+            span: SPAN,
+            sql: READ.to_owned(),
+        };
+        let before = (site.host_time(0)?, site.host_time(1)?);
+        let report = in_thread(move || run_load(load))?;
+        let endpoint = site.host_time(0)?.saturating_sub(before.0);
+        let holder = site.host_time(1)?.saturating_sub(before.1);
+        let run = Run {
+            report,
+            busy: endpoint,
+        };
+        let each = |busy: Duration| 1e6 * busy.as_secs_f64() / count(&run);
+        outcome.figures.extend([
+            Figure::new(
+                format!("{clients}/endpoint"),
+                each(endpoint),
+                "us/statement",
+            ),
+            Figure::new(format!("{clients}/holder"), each(holder), "us/statement"),
+            Figure::new(format!("{clients}/p50"), quantile(&run, 0.5), "us"),
+            failures(format!("{clients}/failed"), &run),
+        ]);
+    }
+    Ok(outcome)
+}
+
+/// Sends statements while other clients are connected and idle.
+pub(crate) fn run_beside_idle() -> Result<Outcome> {
+    let mut outcome = Outcome::default();
+    // Shows whether the hosts of an earlier run closed their connections.
+    outcome.figures.push(Figure::new(
+        "descriptors_at_start",
+        number(open_descriptors()?),
+        "descriptors",
+    ));
+    let site = Site::start(&SiteOptions::default())?;
+    let mut idle = IdleClients::default();
+    let mut points = Vec::new();
+    load(&site, BESIDE_IDLE, Pace::Closed, Duration::from_millis(500))?;
+    for size in IDLE {
+        idle.grow(&site.host(1), size)?;
+        let run = load(&site, BESIDE_IDLE, Pace::Closed, SPAN)?;
+        let cost = 1e6 * run.busy.as_secs_f64() / count(&run);
+        points.push((number(size), cost));
+        outcome.figures.extend([
+            Figure::new(format!("{size}/host"), cost, "us/statement"),
+            failures(format!("{size}/failed"), &run),
+        ]);
+    }
+    let (base, slope, share) = fit_line(&points);
+    outcome.figures.extend([
+        Figure::new("fit/base", base, "us/statement"),
+        Figure::new("fit/each_thousand", 1e3 * slope, "us/statement"),
+        Figure::new("fit/r2", share, ""),
+    ]);
+    outcome.curves.push(Curve {
+        name: "cost".to_owned(),
+        across: "idle clients",
+        upward: "us of host per statement",
+        points,
+    });
+    Ok(outcome)
+}
+
 fn load(site: &Site, clients: usize, pace: Pace, span: Duration) -> Result<Run> {
     let load = Load {
         target: site.host(1),
--- a/crates/burdockslip_proxy/src/options.rs
+++ b/crates/burdockslip_proxy/src/options.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use burdockslip_peer::Tls;
 use burdockslip_types::{HostId, Zone};
 use burdockslip_wire::ServerTls;
 
@@ -19,6 +20,8 @@
     pub peer_address: SocketAddr,
     /// The certificate and key for clients, which then have to use TLS.
     pub tls: Option<ServerTls>,
+    /// What encrypts connections between hosts and authenticates both ends.
+    pub peer_tls: Option<Tls>,
     /// The secret that signs session tokens, the same on all hosts.
     pub token_secret: Vec<u8>,
     /// A former secret that is still accepted.
@@ -72,6 +75,7 @@
             client_address,
             peer_address,
             tls: None,
+            peer_tls: None,
             token_secret: Vec::new(),
             older_secret: None,
             upstream_password: String::new(),
--- a/crates/burdockslip_wire/src/connection.rs
+++ b/crates/burdockslip_wire/src/connection.rs
@@ -5,7 +5,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::ready;
+use std::task::Poll;
 use std::time::Duration;
 
 use burdockslip_runtime::timeout;
@@ -217,6 +217,9 @@
 
     /// Waits until bytes or the end of the stream can be read.
     ///
+    /// Asks the operating system, because the readiness that the runtime
+    /// remembers outlives the bytes it was about.
+    ///
     /// # Errors
     ///
     /// Returns `ConnectionLost` if the connection breaks.
@@ -255,11 +258,14 @@
         };
         let buffer = SCRATCH
             .with_borrow_mut(Option::take)
-            .unwrap_or_else(|| vec![0; READ_LEN]);
-        let (result, buffer) = io.read(buffer).await;
+            .unwrap_or_else(|| Vec::with_capacity(READ_LEN));
+        let (result, mut buffer) = io.read(buffer).await;
         let read = result.change_context(ErrorKind::ConnectionLost)?;
         self.input.extend_from_slice(&buffer[..read]);
-        SCRATCH.with_borrow_mut(|scratch| *scratch = Some(restore(buffer)));
+        // A read fills the capacity, so the buffer need not be cleared to its
+        // full length, which would cost more than most reads.
+        buffer.clear();
+        SCRATCH.with_borrow_mut(|scratch| *scratch = Some(buffer));
         Ok(read > 0)
     }
 }
@@ -279,10 +285,14 @@
 async fn fill_encrypted(io: &mut TlsStream, input: &mut BytesMut) -> Result<bool> {
     let read = poll_fn(|cx| {
         SCRATCH.with_borrow_mut(|scratch| {
-            let buffer = scratch.get_or_insert_with(|| vec![0; READ_LEN]);
-            let read = ready!(Pin::new(&mut *io).poll_read(cx, buffer))?;
-            input.extend_from_slice(&buffer[..read]);
-            std::task::Poll::Ready(Ok::<_, std::io::Error>(read))
+            let buffer = scratch.get_or_insert_default();
+            buffer.resize(READ_LEN, 0);
+            let polled = Pin::new(&mut *io).poll_read(cx, buffer);
+            if let Poll::Ready(Ok(read)) = &polled {
+                input.extend_from_slice(&buffer[..*read]);
+            }
+            buffer.clear();
+            polled
         })
     });
     let read = read.await.change_context(ErrorKind::ConnectionLost)?;
@@ -298,9 +308,3 @@
     }
     Ok(())
 }
-
-/// Restores the full length, which a read cuts to the bytes received.
-fn restore(mut buffer: Vec<u8>) -> Vec<u8> {
-    buffer.resize(READ_LEN, 0);
-    buffer
-}
