--- a/crates/burdockslip_proxy/src/options.rs
+++ b/crates/burdockslip_proxy/src/options.rs
@@ -5,6 +5,7 @@
 
 use burdockslip_peer::Tls;
 use burdockslip_types::{HostId, Zone};
+use burdockslip_wire::ServerTls;
 
 /// Sets the addresses, limits and statements of one host.
 #[derive(Debug, Clone)]
@@ -17,6 +18,8 @@
     pub client_address: SocketAddr,
     /// The address for other hosts.
     pub peer_address: SocketAddr,
+    /// The certificate and key for clients, which then have to use TLS.
+    pub tls: Option<ServerTls>,
     /// What encrypts connections between hosts and authenticates both ends.
     pub peer_tls: Option<Tls>,
     /// The secret that signs session tokens, the same on all hosts.
@@ -42,6 +45,11 @@
     pub client_limit: usize,
     /// The time within which a client has to authenticate.
     pub startup_timeout: Duration,
+    /// The time within which the rest of a unit has to follow its first byte.
+    pub unit_timeout: Duration,
+    /// The time within which a client has to take a part of its answer; a
+    /// slower one would hold memory for as long as it likes.
+    pub write_timeout: Duration,
     /// The time after which an idle client is disconnected.
     pub idle_timeout: Duration,
     /// The time after which a transaction without a request is rolled back,
@@ -66,6 +74,7 @@
             zone: zone.into(),
             client_address,
             peer_address,
+            tls: None,
             peer_tls: None,
             token_secret: Vec::new(),
             older_secret: None,
@@ -78,6 +87,8 @@
             unit_limit: 900_000,
             client_limit: 10_000,
             startup_timeout: Duration::from_secs(5),
+            unit_timeout: Duration::from_secs(30),
+            write_timeout: Duration::from_mins(1),
             idle_timeout: Duration::from_hours(1),
             transaction_timeout: Duration::from_mins(1),
             drain_timeout: Duration::from_secs(30),
--- a/crates/burdockslip_wire/src/client.rs
+++ b/crates/burdockslip_wire/src/client.rs
@@ -12,6 +12,7 @@
 
 use crate::connection::Connection;
 use crate::frame::Frame;
+use crate::tls::ServerTls;
 use crate::unit::{Unit, UnitKind};
 
 /// Limit of the first message, in bytes; a startup message holds a few short parameters.
@@ -26,12 +27,18 @@
 const CANCEL_REQUEST: u32 = 80_877_102;
 /// Major version of the protocol that is served.
 const MAJOR_VERSION: u32 = 3;
+/// Bounds the requests for encryption of one connection, one of each kind. A
+/// client that sends them without end would otherwise keep the host's only
+/// thread, since neither reads nor writes ever wait.
+const MAX_ENCRYPTION_REQUESTS: usize = 2;
 /// Bounds the messages of one unit, because they are gathered before they run.
 const MAX_FRAMES: usize = 10_000;
 
 /// Says what a new connection asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Opening {
+    /// A session without the encryption that the host demands.
+    Unencrypted,
     /// A session with the given startup parameters.
     Start(BTreeMap<String, String>),
     /// The cancellation of another session's statement.
@@ -59,23 +66,39 @@
         }
     }
 
-    /// Reads the first message; requests for encryption are declined.
+    /// Reads the first message, after a handshake if the client asks for one.
+    ///
+    /// With `tls` only cancel requests are taken without encryption, because
+    /// many client libraries send them so; without it TLS is declined.
     ///
     /// # Errors
     ///
     /// Returns `Protocol`, `TooLarge` or `ConnectionLost`.
-    pub async fn open(&mut self) -> Result<Opening> {
-        loop {
+    pub async fn open(&mut self, tls: Option<&ServerTls>) -> Result<Opening> {
+        for _ in 0..=MAX_ENCRYPTION_REQUESTS {
             let bytes = self.connection.read_untagged(STARTUP_LIMIT).await?;
             let code =
                 u32::from_be_bytes(bytes[4..8].try_into().change_context(ErrorKind::Internal)?);
             match code {
+                TLS_REQUEST if tls.is_some() && !self.connection.is_encrypted() => {
+                    self.write(Bytes::from_static(b"S")).await?;
+                    if let Some(tls) = tls {
+                        self.connection.encrypt(tls).await?;
+                    }
+                }
                 TLS_REQUEST | GSS_REQUEST => self.write(Bytes::from_static(b"N")).await?,
                 CANCEL_REQUEST => return decode_cancel(bytes),
+                _ if code >> 16 == MAJOR_VERSION
+                    && tls.is_some()
+                    && !self.connection.is_encrypted() =>
+                {
+                    return Ok(Opening::Unencrypted);
+                }
                 _ if code >> 16 == MAJOR_VERSION => return decode_startup(bytes),
                 _ => bail!(ErrorKind::Protocol),
             }
         }
+        bail!(ErrorKind::Protocol)
     }
 
     /// Reads the answer to a password request.
@@ -84,10 +107,14 @@
     ///
     /// Returns `Protocol` for another message, `ConnectionLost` if the client left.
     pub async fn read_password(&mut self) -> Result<String> {
-        let Some(frame) = self.connection.read_frame().await? else {
+        // The client has proved nothing yet, so a longer message is refused
+        // before it takes memory.
+        let frame = self.connection.read_frame_within(PASSWORD_LIMIT).await?;
+        let Some(frame) = frame else {
             bail!(ErrorKind::ConnectionLost);
         };
-        if frame.tag() != b'p' || frame.bytes().len() > PASSWORD_LIMIT {
+        // The decoder does not check that the text is terminated.
+        if frame.tag() != b'p' || frame.body().last() != Some(&0) {
             bail!(ErrorKind::Protocol);
         }
         let mut bytes = BytesMut::from(frame.bytes().as_ref());
@@ -149,8 +176,8 @@
     /// # Errors
     ///
     /// Returns `ConnectionLost` if the connection breaks.
-    pub async fn readable(&self) -> Result<()> {
-        self.connection.readable().await
+    pub async fn readable(&mut self) -> Result<()> {
+        self.connection.wait().await
     }
 
     /// Returns whether the client sent bytes that no message has consumed.
@@ -164,12 +191,16 @@
     }
 
     async fn skip_to_sync(&mut self) -> Result<()> {
-        while let Some(frame) = self.connection.read_frame().await? {
+        // The bound keeps a client that never sends `Sync` from occupying the thread.
+        for _ in 0..MAX_FRAMES {
+            let Some(frame) = self.connection.read_frame().await? else {
+                bail!(ErrorKind::ConnectionLost);
+            };
             if frame.tag() == b'S' {
                 return Ok(());
             }
         }
-        bail!(ErrorKind::ConnectionLost)
+        bail!(ErrorKind::TooLarge)
     }
 }
 
--- a/crates/burdockslip_wire/src/lib.rs
+++ b/crates/burdockslip_wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod name;
 mod statement;
 mod text;
+mod tls;
 mod unit;
 mod upstream;
 
@@ -23,6 +24,7 @@
 };
 pub use name::{Rewritten, StatementNames};
 pub use statement::{Access, Comment, Statement, Verb, classify};
+pub use tls::ServerTls;
 pub use unit::{Unit, UnitKind};
 pub use upstream::{
     CancelKey, Outcome, TransactionState, UpstreamStream, close_statements, decode_error,
--- a/crates/burdockslip_wire/tests/properties.rs
+++ b/crates/burdockslip_wire/tests/properties.rs
@@ -58,7 +58,9 @@
         });
         let (io, _) = listener.accept().await.expect("accepts");
         let mut client = ClientStream::new(io, LIMIT);
-        if has_startup && (client.open().await.is_err() || client.read_password().await.is_err()) {
+        if has_startup
+            && (client.open(None).await.is_err() || client.read_password().await.is_err())
+        {
             return 0;
         }
         let mut units = 0;
