Keep a conversation for the next request and end answers in one write

Cause, from docs/measurements.md: each statement opened a new stream or task at the holder, and an answer and what ends it went out in two writes. A session now keeps the conversation of its last request for one second, parts of an answer are held until the next event, and a read names the zone of the member it asks, so that its holder does not send it on.

Found on the way, by reading: when an answer broke off after a part of it had gone out, an error message was written behind a part that may end inside a message, which the client cannot parse; the session now ends there. A request inside a transaction could name another member than the transaction's (transactions_of_many_clients_do_not_mix failed on it once the holder checked). After a host's loss a read could be sent in a circle between holders (transaction_of_a_lost_host_is_rolled_back failed).

--- a/crates/burdockslip_proxy/src/conversation.rs
+++ b/crates/burdockslip_proxy/src/conversation.rs
@@ -5,11 +5,14 @@
 use burdockslip_peer::{StreamReceiver, StreamSender};
 use burdockslip_runtime::{Task, spawn};
 use burdockslip_types::{ErrorKind, HostId, Result};
+use burdockslip_wire::TransactionState;
 use error_stack::{Report, ResultExt};
 use futures::SinkExt;
 use futures::StreamExt;
 use futures::channel::mpsc;
+use futures::future::{Either, select};
 
+use crate::counter::Counted;
 use crate::exchange::{EXECUTE, Event, Failed, Run};
 use crate::holder::{self, Holder};
 use crate::host::Host;
@@ -58,8 +61,9 @@
     ///
     /// # Errors
     ///
-    /// Returns `ConnectionLost` if the host cannot be reached; the unit has
-    /// not run then.
+    /// Returns `ConnectionLost` if the host cannot be reached. The unit has not
+    /// run then: a host runs only messages that arrived whole, and an error
+    /// here means that some of its bytes were not handed over.
     pub(crate) async fn remote(host: &Host, peer: &HostId, first: &Run) -> Result<Self> {
         let (runs, events) = host.peers.stream(peer, EXECUTE, first).await?;
         Ok(Self::Remote { runs, events })
@@ -103,21 +107,25 @@
     let Ok(Some(first)) = receiver.next().await else {
         return;
     };
-    if host.is_draining.get() {
-        let failed = Failed::not_sent(ErrorKind::Draining, "holder is shutting down");
-        // The endpoint may be gone.
-        let _ = sender.send(&Event::Failed(failed)).await;
-        let _ = sender.close();
-        return;
-    }
     let Some(holder) = host.holder(&first.group, &first.member) else {
         return;
     };
-    let _counted = host.conversations.count();
+    let member = first.member.clone();
     let mut conversation = Conversation::local(holder);
-    let mut run = Some(first);
-    while let Some(unit) = run.take() {
-        if conversation.send(unit).await.is_err() {
+    let mut next = Some(first);
+    // A planned stop waits for units and transactions, not for idle conversations.
+    let mut transaction: Option<Counted> = None;
+    while let Some(run) = next.take() {
+        if run.member != member {
+            return;
+        }
+        if transaction.is_none() && host.is_draining.get() {
+            return refuse(sender).await;
+        }
+        let counted = transaction
+            .take()
+            .unwrap_or_else(|| host.conversations.count());
+        if conversation.send(run).await.is_err() {
             return;
         }
         // The endpoint sends nothing while a unit runs, so a message or an
@@ -125,25 +133,40 @@
         let finished = {
             let forward = std::pin::pin!(forward(&mut conversation, &mut sender));
             let watch = std::pin::pin!(receiver.next());
-            match futures::future::select(forward, watch).await {
-                futures::future::Either::Left((finished, _)) => finished,
-                futures::future::Either::Right(_) => return,
+            match select(forward, watch).await {
+                Either::Left((finished, _)) => finished,
+                Either::Right(_) => return,
             }
         };
-        if finished.is_err() {
-            return;
+        match finished {
+            Ok(TransactionState::Idle) => {}
+            Ok(_) => transaction = Some(counted),
+            Err(_) => return,
         }
-        run = receiver.next().await.ok().flatten();
+        next = receiver.next().await.ok().flatten();
     }
 }
 
-/// Passes the events of one unit on.
-async fn forward(conversation: &mut Conversation, sender: &mut StreamSender<Event>) -> Result<()> {
+/// Tells the endpoint that its unit has not run because the host stops.
+async fn refuse(mut sender: StreamSender<Event>) {
+    let failed = Failed::not_sent(ErrorKind::Draining, "holder is shutting down");
+    // The endpoint may be gone.
+    let _ = sender.send(&Event::Failed(failed)).await;
+    let _ = sender.close();
+}
+
+/// Passes the events of one unit on and returns the transaction state after it.
+async fn forward(
+    conversation: &mut Conversation,
+    sender: &mut StreamSender<Event>,
+) -> Result<TransactionState> {
     loop {
         let event = conversation.next().await?;
         sender.send(&event).await?;
-        if !matches!(event, Event::Part(_)) {
-            return Ok(());
+        match event {
+            Event::Part(_) => {}
+            Event::Done(done) => return Ok(done.state),
+            Event::Failed(_) => return Ok(TransactionState::Idle),
         }
     }
 }
--- a/crates/burdockslip_proxy/src/endpoint/mod.rs
+++ b/crates/burdockslip_proxy/src/endpoint/mod.rs
@@ -1,6 +1,7 @@
 //! Serves the clients of a host.
 
 mod cancel;
+mod carry;
 mod listener;
 mod parameter;
 mod registry;
--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -4,7 +4,7 @@
 
 use burdockslip_catalogue::ClassEntry;
 use burdockslip_limits::Permit;
-use burdockslip_runtime::{Instant, now};
+use burdockslip_runtime::{Instant, now, random_range};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Result};
 use burdockslip_wire as wire;
 use burdockslip_wire::{Statement, Verb};
@@ -56,12 +56,14 @@
         organisation: state.organisation.clone(),
         class: name.clone(),
         group: route.group.clone(),
-        member,
         access,
         proof: None,
         priority: u8::try_from(class.priority).unwrap_or(u8::MAX),
         floor: state.floors.get(&route.group).copied(),
-        zone: host.options.zone.clone(),
+        zone: host
+            .member_zone(&route.group, &member)
+            .unwrap_or_else(|| host.options.zone.clone()),
+        member,
         max_age: class.max_age,
         remaining: class.deadline,
         request,
@@ -135,13 +137,20 @@
     if access == Access::Write {
         return primary.or_else(|| members.keys().next().cloned());
     }
-    let mut replicas = members
+    let replicas: Vec<_> = members
         .iter()
-        .filter(|(name, _)| Some(*name) != primary.as_ref());
+        .filter(|(name, _)| Some(*name) != primary.as_ref())
+        .collect();
     let near = replicas
-        .clone()
+        .iter()
         .find(|(_, member)| member.zone == host.options.zone);
-    near.or_else(|| replicas.next())
-        .map(|(name, _)| name.clone())
+    // The others share the reads of hosts that have no replica in their zone.
+    let far = || replicas.get(random_index(replicas.len()));
+    near.or_else(far)
+        .map(|(name, _)| (*name).clone())
         .or(primary)
 }
+
+fn random_index(len: usize) -> usize {
+    usize::try_from(random_range(0..len as u64)).unwrap_or_default()
+}
