--- a/crates/burdockslip_measure/examples/measure.rs
+++ b/crates/burdockslip_measure/examples/measure.rs
@@ -15,6 +15,8 @@
 mod latency;
 #[path = "measure/memory.rs"]
 mod memory;
+#[path = "measure/propagation.rs"]
+mod propagation;
 #[path = "measure/rates.rs"]
 mod rates;
 #[path = "measure/reads.rs"]
--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -2,7 +2,7 @@
 
 use burdockslip_measure::Experiment;
 
-use crate::{failover, fairness, fleet, latency, memory, rates, reads, throughput};
+use crate::{failover, fairness, fleet, latency, memory, propagation, rates, reads, throughput};
 
 /// Returns all experiments in the order in which they run.
 pub(crate) fn experiments() -> Vec<Experiment> {
@@ -72,5 +72,10 @@
             about: "store calls of the budget authorities from 8 to 64 hosts",
             run: Box::new(|seed| Ok(fleet::run_store_calls(seed))),
         },
+        Experiment {
+            name: "propagation",
+            about: "time until a change is in force on the last host, from 14 to 670 hosts",
+            run: Box::new(|seed| Ok(propagation::run(seed))),
+        },
     ]
 }
