Divide rates by the catalogue's zone shares, and fix a part that never grants

Cause: the catalogue has shares per zone, but the limiter split equally. The directory now looks the shares up; an organisation without them is split equally as before.

Found on the way: the property tests of the bucket drew other numbers in each run and hit a burst of 4 at 625/s in three parts, where rounding left each bucket just below one token, so that no zone ever granted. Such a burst now gets two parts.

--- a/crates/burdockslip_host/src/rates.rs
+++ b/crates/burdockslip_host/src/rates.rs
@@ -97,13 +97,15 @@
 
     fn directory(self: &Rc<Self>, zones: Vec<Zone>) -> Directory {
         let own = self.membership.own().clone();
-        let (limits, lists, membership) =
-            (Rc::clone(self), Rc::clone(self), self.membership.clone());
+        let (limits, shares, lists) = (Rc::clone(self), Rc::clone(self), Rc::clone(self));
+        let membership = self.membership.clone();
+        let ordered = zones.clone();
         Directory {
             host: own.host,
             zone: own.zone,
             zones,
             limit: Rc::new(move |organisation| limits.limit(organisation)),
+            shares: Rc::new(move |organisation| shares.shares(organisation, &ordered)),
             hosts: Rc::new(move |zone| {
                 let listed = lists.listed.borrow();
                 listed.get(zone).cloned().unwrap_or_default()
@@ -120,6 +122,19 @@
         Some(Limit::new(u64::from(entry.rate), u64::from(entry.burst)))
     }
 
+    /// Returns the percentages of an organisation's limit in the order of `zones`.
+    fn shares(&self, organisation: &Organisation, zones: &[Zone]) -> Vec<u32> {
+        let catalogue = self.catalogue.borrow();
+        let Some(entry) = catalogue.organisation(organisation.as_str()) else {
+            return Vec::new();
+        };
+        if entry.shares.is_empty() {
+            return Vec::new();
+        }
+        let share = |zone| entry.shares.get(zone).copied().unwrap_or_default();
+        zones.iter().map(share).collect()
+    }
+
     /// Answers another host.
     pub(crate) fn handle(&self, envelope: Envelope) -> Reply {
         let running = self.running.borrow();
--- a/crates/burdockslip_limits/src/amount.rs
+++ b/crates/burdockslip_limits/src/amount.rs
@@ -123,6 +123,9 @@
     }
 }
 
+/// Tokens that rounding may take from the bucket of a part, in the unit of [`Tokens`].
+const ROUNDING: u64 = 1_000;
+
 impl Limit {
     /// Builds a limit from whole tokens.
     pub const fn new(rate: u64, burst: u64) -> Self {
@@ -138,7 +141,7 @@
     /// burst is therefore split into fewer parts, and the others are empty.
     #[must_use]
     pub fn part(self, index: usize, count: usize) -> Self {
-        let most = Tokens(self.burst.0 / 4 * 3).count();
+        let most = Tokens((self.burst.0 / 4 * 3).saturating_sub(ROUNDING)).count();
         let (index, count) = (to_u64(index), to_u64(count).min(most).max(1));
         if index >= count {
             return Self::default();
@@ -150,6 +153,21 @@
         }
     }
 
+    /// Returns what lies between two percentages; adjoining ranges from 0 to 100
+    /// add up to the whole.
+    #[must_use]
+    pub fn percentage(self, from: u32, to: u32) -> Self {
+        let at = |total: u64, percent: u32| {
+            let share = u128::from(total) * u128::from(percent.min(100)) / 100;
+            u64::try_from(share).unwrap_or(total)
+        };
+        let share = |total: u64| at(total, to).saturating_sub(at(total, from));
+        Self {
+            rate: Rate(share(self.rate.0)),
+            burst: Tokens(share(self.burst.0)),
+        }
+    }
+
     /// Returns how long granted tokens live, at most `longest`.
     ///
     /// The bucket is smaller than the burst by the rate over this time. Three
--- a/crates/burdockslip_limits/src/measure/fleet.rs
+++ b/crates/burdockslip_limits/src/measure/fleet.rs
@@ -193,6 +193,7 @@
             zone: self.network.zones[host].clone(),
             zones: self.zones.clone(),
             limit: Rc::new(move |organisation| limits.get(organisation).copied()),
+            shares: Rc::new(|_| Vec::new()),
             hosts: Rc::new(move |zone| hosts.hosts(zone)),
             rank: Rc::new(move |zone, shard| network.rank(&viewer, zone, shard)),
         }
--- a/crates/burdockslip_limits/src/settings.rs
+++ b/crates/burdockslip_limits/src/settings.rs
@@ -70,6 +70,7 @@
 }
 
 type LimitOf = dyn Fn(&Organisation) -> Option<Limit>;
+type SharesOf = dyn Fn(&Organisation) -> Vec<u32>;
 type HostsOf = dyn Fn(&Zone) -> Vec<HostId>;
 type RankOf = dyn Fn(&Zone, Shard) -> Vec<HostId>;
 
@@ -84,6 +85,8 @@
     pub zones: Vec<Zone>,
     /// Looks up the limit of an organisation in the catalogue.
     pub limit: Rc<LimitOf>,
+    /// Lists the percentages of an organisation's limit in the order of `zones`; none for equal parts.
+    pub shares: Rc<SharesOf>,
     /// Lists all hosts that the platform's list shows in a zone, also suspected ones: each must pledge.
     pub hosts: Rc<HostsOf>,
     /// Lists the live hosts of a zone by their rank for a shard.
@@ -94,7 +97,13 @@
     /// Returns the part of a limit that belongs to this zone.
     pub fn zone_part(&self, organisation: &Organisation) -> Option<Limit> {
         let index = self.zones.iter().position(|zone| *zone == self.zone)?;
-        Some((self.limit)(organisation)?.part(index, self.zones.len()))
+        let limit = (self.limit)(organisation)?;
+        let shares = (self.shares)(organisation);
+        if shares.len() != self.zones.len() {
+            return Some(limit.part(index, self.zones.len()));
+        }
+        let before: u32 = shares[..index].iter().sum();
+        Some(limit.percentage(before, before + shares[index]))
     }
 
     /// Lists the zones other than this host's.
--- a/crates/burdockslip_limits/tests/bucket.rs
+++ b/crates/burdockslip_limits/tests/bucket.rs
@@ -6,12 +6,36 @@
 use burdockslip_limits::{Bucket, Limit, Rate, Tokens};
 use burdockslip_runtime::Instant;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn micros(count: u64) -> Duration {
     Duration::from_micros(count)
 }
 
+/// Runs every property with the same numbers each time, so that a verdict depends on the tree alone.
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Guards against a part whose bucket misses a whole token by a rounding error,
+/// found with random numbers: thirds of a burst of four.
+#[test]
+fn thirds_of_four_tokens_can_grant() {
+    let limit = Limit::new(625, 4);
+    let life = limit.life(Duration::from_secs(1));
+    for index in 0..3 {
+        let part = limit.part(index, 3);
+        assert!(part == Limit::default() || part.capacity(life) >= Tokens::ONE);
+    }
+}
+
 proptest! {
+    #![proptest_config(fixed_seed())]
+
     /// Guards against parts of a limit that add up to more or less than the whole.
     #[test]
     fn parts_add_up(rate in 0..10_000_u64, burst in 0..100_000_u64, count in 1..20_usize) {
@@ -102,3 +126,19 @@
         prop_assert_eq!(bucket.take(wanted), wanted);
     }
 }
+
+/// Guards against zone shares that give out more or less than the whole.
+#[test]
+fn percentages_add_up_to_the_whole() {
+    let limit = Limit::new(997, 1_999);
+    let mut from = 0;
+    let mut rate = Rate::default();
+    let mut burst = Tokens::default();
+    for share in [34, 33, 0, 33] {
+        let part = limit.percentage(from, from + share);
+        rate = rate + part.rate;
+        burst += part.burst;
+        from += share;
+    }
+    assert_eq!((rate, burst), (limit.rate, limit.burst));
+}
--- a/crates/burdockslip_limits/tests/mechanisms.rs
+++ b/crates/burdockslip_limits/tests/mechanisms.rs
@@ -110,6 +110,7 @@
             zone: "zone-1".into(),
             zones: vec!["zone-1".into(), "zone-2".into()],
             limit: Rc::new(move |_| Some(limit)),
+            shares: Rc::new(|_| Vec::new()),
             hosts: Rc::new(|_| NAMES.map(HostId::from).to_vec()),
             rank: Rc::new(move |zone, _| {
                 let count = if *zone == Zone::from("zone-1") { 2 } else { 0 };
