Use the catalogue's weights and the settings' queue and connect limits

Cause, found by reading the wiring: holders gave every organisation the same weight, and limits.queue_length, limits.organisation_queue and timeouts.connect of the settings had no effect; the gauges of connections and of the configuration were never set. The tests of burdockslip and burdockslip_proxy pass; that a weight acts through a holder is tested in burdockslip_queue only.

--- a/crates/burdockslip_host/src/host.rs
+++ b/crates/burdockslip_host/src/host.rs
@@ -12,7 +12,7 @@
 use burdockslip_membership::{Gossip, Membership, Peer};
 use burdockslip_peer::{PeerPool, Router, Tls};
 use burdockslip_proxy::{Hooks, InForce, Proxy};
-use burdockslip_runtime::{Task, spawn};
+use burdockslip_runtime::{Task, sleep, spawn};
 use burdockslip_settings::Settings;
 use burdockslip_store::Store;
 use burdockslip_telemetry::{Admin, AdminServer, HostStatus, Metrics, RequestMetrics, serve_admin};
@@ -24,6 +24,9 @@
 use crate::rates::HostRates;
 use crate::{content, options};
 
+/// How often metrics that show a state are set; scrapes are rarer.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Runs an entry host until drained or dropped.
 pub struct Host {
     proxy: Rc<Proxy>,
@@ -33,6 +36,7 @@
     is_ready: Rc<Cell<bool>>,
     _admin: AdminServer,
     _following: Task<()>,
+    _gauging: Task<()>,
 }
 
 impl Host {
@@ -64,6 +68,7 @@
             hooks,
             router,
         )?);
+        let gauging = spawn(gauge(metrics.clone(), config.clone(), Rc::clone(&proxy)));
         let status = status(settings, &config, &proxy, &is_ready);
         let admin = serve_admin(settings.admin_address, Admin { metrics, status })?;
         let following = spawn(follow(
@@ -80,6 +85,7 @@
             is_ready,
             _admin: admin,
             _following: following,
+            _gauging: gauging,
         })
     }
 
@@ -180,6 +186,16 @@
     })
 }
 
+/// Keeps the metrics up to date that show a state.
+async fn gauge(metrics: Metrics, config: Config, proxy: Rc<Proxy>) {
+    loop {
+        metrics.set_connections(proxy.sessions() as u64);
+        let age = config.age().unwrap_or_default();
+        metrics.set_config(config.revision().0, age);
+        sleep(GAUGE_INTERVAL).await;
+    }
+}
+
 /// Puts every change of the configuration in force.
 async fn follow(config: Config, proxy: Rc<Proxy>, rates: Rc<HostRates>, membership: Membership) {
     let mut changes = config.changes();
--- a/crates/burdockslip_host/src/options.rs
+++ b/crates/burdockslip_host/src/options.rs
@@ -39,6 +39,9 @@
         marker_statement: settings.statements.marker.clone(),
         unit_limit: settings.limits.unit_bytes.min(UNIT_LIMIT),
         message_limit: settings.limits.message_bytes,
+        queue_length: settings.limits.queue_length,
+        organisation_queue: settings.limits.organisation_queue,
+        connect_timeout: settings.timeouts.connect,
         client_limit: settings.limits.connections,
         startup_timeout: settings.timeouts.handshake,
         upstream_password: settings
--- a/crates/burdockslip_proxy/src/holder/gate.rs
+++ b/crates/burdockslip_proxy/src/holder/gate.rs
@@ -10,6 +10,8 @@
 use error_stack::{Report, bail};
 use futures::channel::oneshot;
 
+use crate::options::Options;
+
 /// Cost that is assumed before any unit was measured.
 const FIRST_COST: Duration = Duration::from_millis(1);
 /// Weight of the newest unit in the running mean of costs, as a divisor.
@@ -55,8 +57,12 @@
 
 impl Gate {
     /// Builds a gate for `limit` units at a time.
-    pub(super) fn new(limit: usize) -> Self {
-        let settings = Settings::default();
+    pub(super) fn new(limit: usize, options: &Options) -> Self {
+        let settings = Settings {
+            lane_limit: options.organisation_queue,
+            total_limit: options.queue_length,
+            ..Settings::default()
+        };
         let max_delay = settings.max_delay;
         Self {
             shared: Rc::new(Shared {
@@ -69,6 +75,12 @@
         }
     }
 
+    /// Sets the weight of an organisation in the queue.
+    pub(super) fn set_weight(&self, organisation: &Organisation, weight: u32) {
+        let mut queue = self.shared.queue.borrow_mut();
+        queue.set_weight(organisation, weight);
+    }
+
     /// Waits until the unit may run.
     ///
     /// # Errors
--- a/crates/burdockslip_proxy/src/holder/mod.rs
+++ b/crates/burdockslip_proxy/src/holder/mod.rs
@@ -11,7 +11,7 @@
 
 use std::rc::Rc;
 
-use burdockslip_catalogue::{GroupEntry, MemberEntry};
+use burdockslip_catalogue::{Catalogue, GroupEntry, MemberEntry};
 use burdockslip_group::{Group, Member};
 use burdockslip_types::MemberName;
 use futures::channel::mpsc;
@@ -52,13 +52,22 @@
             group: watch,
             control: member::member(member, group, database, options),
             stamps: Rc::clone(stamps),
-            gate: Gate::new(slots.min(connections).max(1)),
+            gate: Gate::new(slots.min(connections).max(1), options),
             pool: Pool::open(group, database, connections, options),
             options: Rc::clone(options),
         })
     }
 }
 
+impl Holder {
+    /// Shares the database between organisations by their weights in the catalogue.
+    pub(crate) fn set_weights(&self, catalogue: &Catalogue) {
+        for (organisation, entry) in &catalogue.organisations {
+            self.gate.set_weight(organisation, entry.weight);
+        }
+    }
+}
+
 /// Runs the units of one conversation until the endpoint ends it.
 pub(crate) async fn serve(
     holder: Rc<Holder>,
--- a/crates/burdockslip_proxy/src/holder/pool.rs
+++ b/crates/burdockslip_proxy/src/holder/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use burdockslip_catalogue::{GroupEntry, MemberEntry};
-use burdockslip_runtime::{Instant, spawn, timeout, timeout_at};
+use burdockslip_runtime::{Instant, now, spawn, timeout, timeout_at};
 use burdockslip_types::{ErrorKind, Result};
 use burdockslip_wire::UpstreamStream;
 use error_stack::Report;
@@ -136,8 +136,9 @@
             names: BTreeSet::new(),
             is_busy: false,
         };
+        let limit = now() + shared.options.connect_timeout;
         let stream = timeout_at(
-            deadline,
+            deadline.min(limit),
             UpstreamStream::connect(
                 shared.address,
                 &shared.user,
--- a/crates/burdockslip_proxy/src/host.rs
+++ b/crates/burdockslip_proxy/src/host.rs
@@ -90,6 +90,7 @@
             &self.stamps,
             &self.options,
         );
+        holder.set_weights(&in_force.catalogue);
         self.holders
             .borrow_mut()
             .insert(member.clone(), Rc::clone(&holder));
@@ -143,7 +144,9 @@
             let is_own = self.holder_host(member, &database.zone) == self.options.host;
             if is_own {
                 // Watchers have to run before the first request, since they promote.
-                self.holder(group, member);
+                if let Some(holder) = self.holder(group, member) {
+                    holder.set_weights(&in_force.catalogue);
+                }
             } else {
                 self.holders.borrow_mut().remove(member);
             }
--- a/crates/burdockslip_proxy/src/options.rs
+++ b/crates/burdockslip_proxy/src/options.rs
@@ -41,6 +41,12 @@
     pub message_limit: usize,
     /// The longest unit, in bytes; it has to fit into one message between hosts.
     pub unit_limit: usize,
+    /// The most requests that wait for one database.
+    pub queue_length: usize,
+    /// The most requests of one organisation that wait for one database.
+    pub organisation_queue: usize,
+    /// The time within which a database has to accept a connection.
+    pub connect_timeout: Duration,
     /// The most clients connected at the same time.
     pub client_limit: usize,
     /// The time within which a client has to authenticate.
@@ -85,7 +91,10 @@
             marker_statement: "INSERT INTO burdockslip_marker (id) VALUES ({request})".to_owned(),
             message_limit: 16 << 20,
             unit_limit: 900_000,
-            client_limit: 10_000,
+            queue_length: 4_096,
+            organisation_queue: 1_024,
+            connect_timeout: Duration::from_secs(1),
+            client_limit: 20_000,
             startup_timeout: Duration::from_secs(5),
             unit_timeout: Duration::from_secs(30),
             write_timeout: Duration::from_mins(1),
