Name the endpoint's parts by the field's terms

Cause: the read-through met names that need explaining: carry, Kept, pass_on, turn_to, settle. They are dispatch, BoundConversation, forward_response, select_member and return_connection now. No change of behaviour; the tests of burdockslip and burdockslip_proxy pass.

--- a/crates/burdockslip_proxy/src/endpoint/carry.rs
+++ b/crates/burdockslip_proxy/src/endpoint/dispatch.rs
@@ -1,4 +1,4 @@
-//! Carries a request out: admission, the holder, retries and the answer.
+//! Dispatches a request: admission, the holder, retries and the response.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use futures::future::{Either, select};
 
 use super::request::Request;
-use super::session::{Kept, Session, Transaction};
+use super::session::{BoundConversation, Session, Transaction};
 use crate::conversation::Conversation;
 use crate::exchange::{Access, Done, EXPIRED, Event, Failed, Run};
 use crate::stamp::HolderProof;
@@ -30,7 +30,7 @@
         let start = now();
         let admitted = self.admit(&mut request).await;
         let outcome = match admitted {
-            Ok(()) => self.carry_out(&mut request).await?,
+            Ok(()) => self.dispatch(&mut request).await?,
             Err(failed) => Err(failed),
         };
         let finished = Rc::clone(&self.host.hooks.finished);
@@ -70,7 +70,7 @@
     /// Runs a request, again if that is safe, until its deadline.
     ///
     /// The outer error means that the client is gone.
-    async fn carry_out(&mut self, request: &mut Request) -> Result<Result<Done, Failed>> {
+    async fn dispatch(&mut self, request: &mut Request) -> Result<Result<Done, Failed>> {
         loop {
             request.run.remaining = request.deadline.remaining();
             let attempt = match self.attempt(request).await? {
@@ -96,9 +96,9 @@
                 if request.run.access == Access::Write {
                     self.host.set_primary(&request.run.group, member.clone());
                 }
-                self.turn_to(&mut request.run, member);
+                self.select_member(&mut request.run, member);
             } else {
-                self.ask_next_member(&mut request.run);
+                self.select_next_member(&mut request.run);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -113,7 +113,7 @@
     }
 
     /// Asks for a member, whose holder prefers it because of its zone.
-    fn turn_to(&self, run: &mut Run, member: MemberName) {
+    fn select_member(&self, run: &mut Run, member: MemberName) {
         if let Some(zone) = self.host.member_zone(&run.group, &member) {
             run.zone = zone;
         }
@@ -121,7 +121,7 @@
     }
 
     /// Turns to another member of the group, whose holder knows where to go.
-    fn ask_next_member(&self, run: &mut Run) {
+    fn select_next_member(&self, run: &mut Run) {
         let in_force = self.host.in_force();
         let Some(group) = in_force.catalogue.group(run.group.as_str()) else {
             return;
@@ -130,7 +130,7 @@
         if names.any(|name| *name == run.member)
             && let Some(next) = names.next()
         {
-            self.turn_to(run, next.clone());
+            self.select_member(run, next.clone());
         }
     }
 
@@ -173,7 +173,10 @@
                 return Ok(Err(Attempt { failed }));
             }
         };
-        match self.pass_on(&mut kept.conversation, request).await? {
+        match self
+            .forward_response(&mut kept.conversation, request)
+            .await?
+        {
             Ok(done) => {
                 self.keep(kept, &done, is_open, &request.run);
                 Ok(Ok(done))
@@ -187,7 +190,7 @@
     }
 
     /// Passes an answer on; its last part stays in `pending`.
-    async fn pass_on(
+    async fn forward_response(
         &mut self,
         conversation: &mut Conversation,
         request: &Request,
@@ -216,7 +219,7 @@
     }
 
     /// Keeps the conversation for its open transaction or for the next request.
-    fn keep(&mut self, kept: Kept, done: &Done, was_open: bool, run: &Run) {
+    fn keep(&mut self, kept: BoundConversation, done: &Done, was_open: bool, run: &Run) {
         if done.state == TransactionState::Idle {
             self.transaction = Transaction::default();
             // The holder of a transaction is not remembered, so that the next
@@ -255,7 +258,7 @@
 
     /// Sends the unit to the holder of the member, in the kept conversation if
     /// it is with that holder.
-    async fn open(&mut self, request: &Request) -> Result<Kept> {
+    async fn open(&mut self, request: &Request) -> Result<BoundConversation> {
         let mut run = request.run.clone();
         let zone = self
             .host
@@ -277,7 +280,7 @@
             Conversation::remote(&self.host, &holder, &run).await
         };
         let conversation = opened.inspect_err(|_| self.avoid(&holder))?;
-        Ok(Kept {
+        Ok(BoundConversation {
             holder,
             member,
             conversation,
@@ -315,7 +318,7 @@
 }
 
 /// Goes on with the conversation of the open transaction, which stays with its member.
-async fn resume(mut kept: Kept, request: &Request) -> Result<Kept> {
+async fn resume(mut kept: BoundConversation, request: &Request) -> Result<BoundConversation> {
     let run = Run {
         member: kept.member.clone(),
         ..request.run.clone()
--- a/crates/burdockslip_proxy/src/endpoint/mod.rs
+++ b/crates/burdockslip_proxy/src/endpoint/mod.rs
@@ -1,7 +1,7 @@
 //! Serves the clients of a host.
 
 mod cancel;
-mod carry;
+mod dispatch;
 mod listener;
 mod parameter;
 mod registry;
--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -34,12 +34,12 @@
     pub(super) is_renewed: bool,
 }
 
-/// Judges a unit by the configuration in force.
+/// Checks a unit against the configuration in force.
 ///
 /// # Errors
 ///
 /// Returns the kind of the first rule that the unit breaks; it has not run.
-pub(super) fn judge(host: &Host, state: &State, prepared: Prepared) -> Result<Request> {
+pub(super) fn authorize(host: &Host, state: &State, prepared: Prepared) -> Result<Request> {
     let in_force = host.in_force();
     check_key(&in_force, state)?;
     let catalogue = &in_force.catalogue;
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -41,14 +41,14 @@
     names: StatementNames,
     pub(super) transaction: Transaction,
     /// The conversation of the last request, outside of transactions.
-    pub(super) kept: Option<Kept>,
+    pub(super) kept: Option<BoundConversation>,
     /// The last part of an answer, which goes out with what ends the answer.
     pub(super) pending: Bytes,
     served_at: Instant,
 }
 
-/// Keeps a conversation for the next request to the same holder.
-pub(super) struct Kept {
+/// Holds a conversation with the holder and the member that it is bound to.
+pub(super) struct BoundConversation {
     pub(super) holder: HostId,
     pub(super) member: MemberName,
     pub(super) conversation: Conversation,
@@ -57,7 +57,7 @@
 /// Holds the transaction of a session.
 #[derive(Default)]
 pub(super) struct Transaction {
-    pub(super) conversation: Option<Kept>,
+    pub(super) conversation: Option<BoundConversation>,
     pub(super) names: BTreeSet<String>,
     pub(super) is_failed: bool,
 }
@@ -145,9 +145,9 @@
         loop {
             let epoch = signal.epoch();
             request::check_key(&self.host.in_force(), &self.state)?;
-            let limit = self.waiting_limit();
+            let limit = self.idle_deadline();
             if limit.is_past() {
-                self.give_up()?;
+                self.handle_idle_timeout()?;
                 continue;
             }
             if self.client.has_unread() {
@@ -162,7 +162,7 @@
     }
 
     /// Returns until when the session waits for its client.
-    fn waiting_limit(&self) -> Instant {
+    fn idle_deadline(&self) -> Instant {
         let options = &self.host.options;
         if self.is_leaving() {
             self.served_at + DRAIN_GRACE
@@ -177,7 +177,7 @@
 
     /// Lets go of a kept conversation, rolls an abandoned transaction back, or
     /// ends an idle session.
-    fn give_up(&mut self) -> Result<()> {
+    fn handle_idle_timeout(&mut self) -> Result<()> {
         if !self.is_leaving() && self.kept.take().is_some() {
             return Ok(());
         }
@@ -210,7 +210,7 @@
         match local {
             Some(Ok(answer)) => self.finish(answer).await,
             Some(Err(report)) => self.refuse_report(&report).await,
-            None => match request::judge(&self.host, &self.state, prepared) {
+            None => match request::authorize(&self.host, &self.state, prepared) {
                 Ok(request) => self.serve_request(request).await,
                 Err(report) => self.refuse_report(&report).await,
             },
--- a/crates/burdockslip_proxy/src/exchange.rs
+++ b/crates/burdockslip_proxy/src/exchange.rs
@@ -74,7 +74,7 @@
     pub(crate) state: TransactionState,
 }
 
-/// Reports why a unit did not end in order; the transaction is gone.
+/// Reports why a unit did not end in order; its transaction was rolled back.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Failed {
     /// The kind of error.
--- a/crates/burdockslip_proxy/src/holder/execute.rs
+++ b/crates/burdockslip_proxy/src/holder/execute.rs
@@ -52,7 +52,7 @@
         .map_err(|report| sent(&report))?;
     drop(permit);
     let state = answer.state;
-    settle(connection, state, pinned);
+    return_connection(connection, state, pinned);
     let mark = confirm(holder, &check, &answer, deadline).await?;
     if answer.is_duplicate {
         return Err(Failed::not_sent(ErrorKind::AlreadyRun, ""));
@@ -108,7 +108,7 @@
 }
 
 /// Returns a clean connection to the pool, or keeps it for an open transaction.
-fn settle(connection: Pooled, state: TransactionState, pinned: &mut Option<Pooled>) {
+fn return_connection(connection: Pooled, state: TransactionState, pinned: &mut Option<Pooled>) {
     match state {
         TransactionState::Idle if connection.has_unread() => drop(connection),
         TransactionState::Idle => connection.recycle(),
--- a/crates/burdockslip_proxy/src/in_force.rs
+++ b/crates/burdockslip_proxy/src/in_force.rs
@@ -1,4 +1,4 @@
-//! Holds the configuration that requests are judged by.
+//! Holds the configuration against which requests are checked.
 
 use std::rc::Rc;
 
--- a/crates/burdockslip_proxy/src/placement.rs
+++ b/crates/burdockslip_proxy/src/placement.rs
@@ -10,7 +10,7 @@
 use burdockslip_types::{HostId, MemberName, Zone};
 
 /// Time for which a host is avoided after it could not be reached; membership
-/// has judged it by then.
+/// has decided about it by then.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
 
 /// Finds holders by rendezvous hashing over the live hosts.
