Keep a session's reads at one replica

Cause: a host without a replica in its zone chose one at random for each statement, so half of the statements found a kept conversation with another holder and opened a new one; the extra hop had become slower than before conversations were kept. A session now stays with one replica, by its process number; sessions are still spread over all. Ruled out: keeping a conversation per member, which doubles the memory of an idle client's first second.

The tests of burdockslip and burdockslip_proxy pass.

--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -4,7 +4,7 @@
 
 use burdockslip_catalogue::ClassEntry;
 use burdockslip_limits::Permit;
-use burdockslip_runtime::{Instant, now, random_range};
+use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Result};
 use burdockslip_wire as wire;
 use burdockslip_wire::{Statement, Verb};
@@ -47,7 +47,7 @@
     let tag = prepared.statement.comment.class.as_deref();
     let (name, class) = catalogue.class_for(route, tag.or(state.class.as_deref()))?;
     let access = access(&prepared.statement, class)?;
-    let Some(member) = choose_member(host, &route.group, access) else {
+    let Some(member) = choose_member(host, state, &route.group, access) else {
         bail!(ErrorKind::NoPrimary);
     };
     let may_stream = access == Access::Read && !prepared.statement.has_control;
@@ -130,7 +130,15 @@
 }
 
 /// Returns the member whose holder is asked first; that one may name another.
-fn choose_member(host: &Host, group: &GroupName, access: Access) -> Option<MemberName> {
+///
+/// A session stays with one replica, so that it can keep its conversation;
+/// sessions of a host without a replica in its zone are spread over all.
+fn choose_member(
+    host: &Host,
+    state: &State,
+    group: &GroupName,
+    access: Access,
+) -> Option<MemberName> {
     let in_force = host.in_force();
     let members = &in_force.catalogue.group(group.as_str())?.members;
     let primary = host.primary(group);
@@ -144,13 +152,9 @@
     let near = replicas
         .iter()
         .find(|(_, member)| member.zone == host.options.zone);
-    // The others share the reads of hosts that have no replica in their zone.
-    let far = || replicas.get(random_index(replicas.len()));
+    let session = usize::try_from(state.entry.process).unwrap_or_default();
+    let far = || replicas.get(session % replicas.len().max(1));
     near.or_else(far)
         .map(|(name, _)| (*name).clone())
         .or(primary)
 }
-
-fn random_index(len: usize) -> usize {
-    usize::try_from(random_range(0..len as u64)).unwrap_or_default()
-}
