--- a/crates/burdockslip_measure/examples/measure.rs
+++ b/crates/burdockslip_measure/examples/measure.rs
@@ -5,6 +5,8 @@
 
 #[path = "measure/args.rs"]
 mod args;
+#[path = "measure/commits.rs"]
+mod commits;
 #[path = "measure/failover.rs"]
 mod failover;
 #[path = "measure/fairness.rs"]
--- a/crates/burdockslip_measure/examples/measure/table.rs
+++ b/crates/burdockslip_measure/examples/measure/table.rs
@@ -2,7 +2,9 @@
 
 use burdockslip_measure::Experiment;
 
-use crate::{failover, fairness, fleet, latency, memory, propagation, rates, reads, throughput};
+use crate::{
+    commits, failover, fairness, fleet, latency, memory, propagation, rates, reads, throughput,
+};
 
 /// Returns all experiments in the order in which they run.
 pub(crate) fn experiments() -> Vec<Experiment> {
@@ -42,6 +44,11 @@
             about: "write gap after the primary is killed, cut off or paused",
             run: Box::new(failover::run),
         },
+        Experiment {
+            name: "commits",
+            about: "queries and time for the confirmation of a commit, 1 to 1,000 in flight",
+            run: Box::new(|seed| Ok(commits::run(seed))),
+        },
         Experiment {
             name: "reads",
             about: "share of reads served by replicas, against fixed replica and primary only",
