Describe the statements of the database interface as they are used

Cause: the guide and the example named three columns for the status where the holder reads six, and said that a term is quoted. Found while reading the operators' guide. The tests of burdockslip_settings and burdockslipctl pass.

--- a/crates/burdockslip_settings/src/settings.rs
+++ b/crates/burdockslip_settings/src/settings.rs
@@ -131,10 +131,11 @@
 
 /// Holds the statements of the database interface.
 ///
-/// Names in braces are replaced by quoted literals.
+/// `{term}` is replaced by a number and `{request}` by a quoted literal.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Statements {
-    /// Returns the state of a member: term, position, role.
+    /// Returns one row of texts: member, promised term, term and position of
+    /// the last log entry, role, state.
     pub status: String,
     /// Grants `{term}` and refuses lower ones.
     pub fence: String,
