--- /dev/null
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -0,0 +1,288 @@
+//! Holds what is known from the store.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, Signal, Task, now, spawn};
+use burdockslip_store::{Entry, Store};
+use burdockslip_types::{GroupName, MemberName, Result, Revision};
+use tracing::{info, warn};
+
+use crate::follow;
+use crate::{Configuration, Member};
+
+/// How long a confirmed configuration may authorise requests.
+///
+/// The operators' bound for a withdrawn key is 5 s from its acknowledgement;
+/// 300 ms are kept back for clock rates and the way to the upstream.
+pub const KEY_VALIDITY: Duration = Duration::from_millis(4_700);
+
+/// How long a member whose record vanished stays usable. Records that lapse
+/// during a store outage return within about 2 s.
+const MISSING_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Says where things stand in the store and how an adapter reads them.
+#[derive(Debug, Clone, Copy)]
+pub struct Schema {
+    /// The key of the configuration.
+    pub configuration: &'static str,
+    /// The prefix of the members' records.
+    pub members: &'static str,
+    /// Reads a configuration.
+    pub read_configuration: fn(&[u8]) -> Result<Configuration>,
+    /// Reads a member's record; the name is the key without its prefix.
+    pub read_member: fn(&str, &[u8]) -> Result<Member>,
+}
+
+struct Known {
+    member: Rc<Member>,
+    missing: Option<Instant>,
+}
+
+pub(crate) struct Shared {
+    pub(crate) schema: Schema,
+    pub(crate) store: Store,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    configured: Cell<Revision>,
+    confirmed: Cell<Option<Instant>>,
+    members: RefCell<HashMap<MemberName, Known>>,
+    records: RefCell<BTreeMap<String, Entry>>,
+    changed: Signal,
+}
+
+/// Follows the store until the last clone is dropped.
+#[derive(Clone)]
+pub struct Directory {
+    shared: Rc<Shared>,
+    _following: Rc<(Task<()>, Task<()>)>,
+}
+
+impl Directory {
+    /// Starts to follow the store.
+    pub fn spawn(store: Store, schema: Schema) -> Self {
+        let shared = Rc::new(Shared {
+            schema,
+            store,
+            configuration: RefCell::default(),
+            configured: Cell::default(),
+            confirmed: Cell::default(),
+            members: RefCell::default(),
+            records: RefCell::default(),
+            changed: Signal::default(),
+        });
+        let watching = spawn(follow::watch(Rc::clone(&shared)));
+        let confirming = spawn(follow::confirm(Rc::clone(&shared)));
+        Self {
+            shared,
+            _following: Rc::new((watching, confirming)),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.shared.configuration.borrow().clone()
+    }
+
+    /// Returns the time since the configuration was last confirmed.
+    pub fn age(&self) -> Option<Duration> {
+        self.shared.confirmed.get().map(Instant::elapsed)
+    }
+
+    /// Returns whether the configuration is known recently enough to authorise requests.
+    pub fn is_current(&self) -> bool {
+        self.age().is_some_and(|age| age < KEY_VALIDITY)
+    }
+
+    /// Returns the members of a group that are not known to be gone.
+    pub fn members(&self, group: &GroupName) -> Vec<Rc<Member>> {
+        let mut members: Vec<_> = self
+            .shared
+            .members
+            .borrow()
+            .values()
+            .filter(|known| known.member.group == *group && known.is_usable())
+            .map(|known| Rc::clone(&known.member))
+            .collect();
+        members.sort_by(|left, right| left.name.cmp(&right.name));
+        members
+    }
+
+    /// Returns a member unless it is known to be gone.
+    pub fn member(&self, name: &MemberName) -> Option<Rc<Member>> {
+        let members = self.shared.members.borrow();
+        let known = members.get(name).filter(|known| known.is_usable())?;
+        Some(Rc::clone(&known.member))
+    }
+
+    /// Returns a record of the system's own.
+    pub fn record(&self, key: &str) -> Option<Entry> {
+        self.shared.records.borrow().get(key).cloned()
+    }
+
+    /// Returns the records of the system's own whose keys start with `prefix`.
+    pub fn records(&self, prefix: &str) -> Vec<Entry> {
+        let records = self.shared.records.borrow();
+        records
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, entry)| entry.clone())
+            .collect()
+    }
+
+    /// Takes over a record that was just written or read elsewhere.
+    pub fn learn(&self, entry: Entry) {
+        self.shared.put(entry);
+    }
+
+    /// Tells of every change.
+    pub fn changed(&self) -> &Signal {
+        &self.shared.changed
+    }
+
+    /// Returns the store that is followed.
+    pub fn store(&self) -> &Store {
+        &self.shared.store
+    }
+}
+
+impl fmt::Debug for Directory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Directory")
+    }
+}
+
+impl Known {
+    fn is_usable(&self) -> bool {
+        self.missing.is_none_or(|at| at.elapsed() < MISSING_GRACE)
+    }
+}
+
+impl Shared {
+    /// Takes over an entry unless a newer one is known.
+    pub(crate) fn put(&self, entry: Entry) {
+        if entry.key == self.schema.configuration {
+            self.configure(&entry);
+        } else if let Some(name) = entry.key.strip_prefix(self.schema.members) {
+            self.put_member(name, &entry.value);
+        } else {
+            let mut records = self.records.borrow_mut();
+            let known = records.get(&entry.key);
+            if known.is_some_and(|known| known.revision >= entry.revision) {
+                return;
+            }
+            records.insert(entry.key.clone(), entry);
+        }
+        self.changed.notify();
+    }
+
+    /// Drops a key that was deleted.
+    pub(crate) fn delete(&self, key: &str, revision: Revision) {
+        if let Some(name) = key.strip_prefix(self.schema.members) {
+            self.miss(name);
+        } else {
+            let mut records = self.records.borrow_mut();
+            if records.get(key).is_some_and(|known| known.revision < revision) {
+                records.remove(key);
+            }
+        }
+        self.changed.notify();
+    }
+
+    /// Takes over the whole content of the store.
+    pub(crate) fn replace(&self, entries: Vec<Entry>) {
+        let gone: Vec<String> = {
+            let members = self.members.borrow();
+            let prefix = self.schema.members;
+            let is_listed = |name: &MemberName| {
+                let key = entries.iter().filter_map(|entry| entry.key.strip_prefix(prefix));
+                key.into_iter().any(|listed| listed == name.as_str())
+            };
+            members
+                .keys()
+                .filter(|name| !is_listed(name))
+                .map(|name| name.as_str().to_owned())
+                .collect()
+        };
+        gone.iter().for_each(|name| self.miss(name));
+        self.records
+            .borrow_mut()
+            .retain(|key, _| entries.iter().any(|entry| entry.key == *key));
+        entries.into_iter().for_each(|entry| self.put(entry));
+    }
+
+    /// Notes that the configuration was the newest one at `moment`.
+    pub(crate) fn confirm(&self, moment: Instant) {
+        let latest = self.confirmed.get().map_or(moment, |known| known.max(moment));
+        self.confirmed.set(Some(latest));
+        self.changed.notify();
+    }
+
+    /// Returns the milliseconds since the last confirmation, for log lines.
+    pub(crate) fn age_ms(&self) -> Option<u128> {
+        self.confirmed.get().map(|at| at.elapsed().as_millis())
+    }
+
+    fn configure(&self, entry: &Entry) {
+        if entry.revision <= self.configured.get() {
+            return;
+        }
+        match (self.schema.read_configuration)(&entry.value) {
+            Ok(configuration) => {
+                info!(
+                    version = configuration.version,
+                    revision = entry.revision.0,
+                    routes = configuration.routes.len(),
+                    keys = configuration.keys.len(),
+                    "configuration in force"
+                );
+                self.configured.set(entry.revision);
+                *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+            }
+            Err(error) => warn!(revision = entry.revision.0, ?error, "configuration unreadable"),
+        }
+    }
+
+    fn put_member(&self, name: &str, value: &[u8]) {
+        match (self.schema.read_member)(name, value) {
+            Ok(member) => {
+                let mut members = self.members.borrow_mut();
+                let known = members.get(&member.name);
+                if known.is_some_and(|known| *known.member == member && known.missing.is_none()) {
+                    return;
+                }
+                info!(
+                    member = name,
+                    group = %member.group,
+                    address = %member.address,
+                    role = ?member.role,
+                    draining = member.is_draining,
+                    born = member.born,
+                    "member record changed"
+                );
+                let known = Known {
+                    member: Rc::new(member),
+                    missing: None,
+                };
+                members.insert(known.member.name.clone(), known);
+            }
+            Err(error) => {
+                warn!(member = name, ?error, "member record unreadable");
+                self.miss(name);
+            }
+        }
+    }
+
+    fn miss(&self, name: &str) {
+        let mut members = self.members.borrow_mut();
+        members.retain(|_, known| known.is_usable());
+        if let Some(known) = members.get_mut(name)
+            && known.missing.is_none()
+        {
+            info!(member = name, "member record gone");
+            known.missing = Some(now());
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -0,0 +1,173 @@
+//! Reports to the coordinator, and answers reports while this host is it.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::Directory;
+use burdockslip_failover::{Duty, Registration, Supervisor, keys};
+use burdockslip_peer::PeerPool;
+use burdockslip_runtime::{now, sleep, sleep_until, timeout};
+use burdockslip_session::Context;
+use burdockslip_shares::{Allocator, Demand, Grant};
+use burdockslip_types::{ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision};
+use error_stack::bail;
+use futures::future::select;
+use serde::{Deserialize, Serialize};
+use tracing::info;
+
+/// How often a host reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+
+/// How soon a host reports again if an operation was refused or a member is suspected.
+const URGENT_PERIOD: Duration = Duration::from_millis(120);
+
+/// Bounds a report, so that one that is lost does not delay the next.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long commits may hang before the primary is suspected to have lost its
+/// replicas. Ordinary commits take up to 100 ms.
+const COMMIT_LIMIT: Duration = Duration::from_millis(700);
+
+/// Tells the coordinator what a host sees and wants.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The members that the host cannot reach.
+    pub suspects: Vec<MemberName>,
+    /// What the host wants of the organisations' rates.
+    pub demands: Vec<Demand>,
+}
+
+/// Tells a host what it may use.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The fractions of the organisations' rates.
+    pub grants: Vec<Grant>,
+}
+
+/// Carries reports to the coordinator.
+#[derive(Debug)]
+pub struct ReportExchange;
+
+impl Exchange for ReportExchange {
+    type Request = Report;
+    type Reply = Verdict;
+    const NAME: &'static str = "report";
+}
+
+/// Answers the reports of all hosts while this host holds the duty.
+#[derive(Debug, Clone)]
+pub(crate) struct Coordinator {
+    duty: Duty,
+    directory: Directory,
+    supervisor: Supervisor,
+    allocator: Rc<RefCell<(Revision, Allocator)>>,
+}
+
+impl Coordinator {
+    pub(crate) fn new(duty: Duty, directory: Directory, supervisor: Supervisor) -> Self {
+        Self {
+            duty,
+            directory,
+            supervisor,
+            allocator: Rc::default(),
+        }
+    }
+
+    /// Takes in a report and returns the grants of the host that sent it.
+    pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
+        let Some(tenure) = self.duty.tenure() else {
+            bail!(ErrorKind::Conflict);
+        };
+        self.supervisor.report(host.clone(), report.suspects);
+        let organisations: Vec<Organisation> = self
+            .directory
+            .configuration()
+            .map(|configuration| configuration.accounts.keys().cloned().collect())
+            .unwrap_or_default();
+        let mut allocator = self.allocator.borrow_mut();
+        if allocator.0 != tenure.token {
+            *allocator = (tenure.token, Allocator::default());
+        }
+        let hosts = registered(&self.directory);
+        let grants = allocator.1.grant(host, report.demands, &organisations, &hosts);
+        Ok(Verdict { grants })
+    }
+}
+
+/// Returns the hosts that are registered.
+pub(crate) fn registered(directory: &Directory) -> HashSet<HostId> {
+    let entries = directory.records(keys::HOSTS);
+    let name = |key: &str| key.strip_prefix(keys::HOSTS).map(HostId::from);
+    entries.iter().filter_map(|entry| name(&entry.key)).collect()
+}
+
+/// Returns where a host is reached.
+pub(crate) fn address(directory: &Directory, host: &HostId) -> Option<std::net::SocketAddr> {
+    let entry = directory.record(&format!("{}{host}", keys::HOSTS))?;
+    Registration::read(&entry.value).ok().map(|own| own.address)
+}
+
+/// Reports again and again, and applies the grants that come back.
+pub(crate) async fn report(cx: Rc<Context>, host: HostId, coordinator: Coordinator, peers: PeerPool) {
+    let link: Link<ReportExchange> = peers.link();
+    let mut failed = None;
+    let mut suspected = Vec::new();
+    loop {
+        let sent = now();
+        let seen = cx.starved.epoch();
+        let suspects = cx.pools.suspects(COMMIT_LIMIT);
+        suspected.clone_from(&suspects);
+        let demands = cx.rates.borrow_mut().demands();
+        let report = Report { suspects, demands };
+        let outcome = deliver(&coordinator, &host, &link, report).await;
+        let error = outcome.as_ref().err().copied();
+        if error != failed {
+            info!(coordinator = ?coordinator.duty.holder().map(|host| host.to_string()),
+                outcome = ?error, "report to the coordinator");
+            failed = error;
+        }
+        if let Ok(verdict) = outcome
+            && let Some(configuration) = cx.directory.configuration()
+        {
+            let account = |name: &Organisation| configuration.accounts.get(name).cloned();
+            cx.rates.borrow_mut().apply(verdict.grants, account);
+        }
+        cx.pools.set_hosts(registered(&cx.directory).len());
+        sleep_until(sent + URGENT_PERIOD).await;
+        wait_news(&cx, seen, &suspected, sent + REPORT_PERIOD).await;
+    }
+}
+
+/// Waits until there is something urgent to report, or `until` at most.
+async fn wait_news(cx: &Context, seen: u64, known: &[MemberName], until: burdockslip_runtime::Instant) {
+    while !until.is_past() {
+        let pause = sleep(URGENT_PERIOD.min(until.remaining()));
+        select(Box::pin(cx.starved.changed(seen)), pause).await;
+        let has_news = cx.starved.epoch() != seen || cx.pools.suspects(COMMIT_LIMIT) != known;
+        if has_news {
+            return;
+        }
+    }
+}
+
+async fn deliver(
+    coordinator: &Coordinator,
+    host: &HostId,
+    link: &Link<ReportExchange>,
+    report: Report,
+) -> Result<Verdict, ErrorKind> {
+    let Some(holder) = coordinator.duty.holder() else {
+        return Err(ErrorKind::NoPrimary);
+    };
+    if holder == *host {
+        let verdict = coordinator.answer(host, report);
+        return verdict.map_err(|report| *report.current_context());
+    }
+    match timeout(REPORT_TIMEOUT, link.call(&holder, report)).await {
+        Ok(Ok(verdict)) => Ok(verdict),
+        Ok(Err(report)) => Err(*report.current_context()),
+        Err(_) => Err(ErrorKind::ConnectionLost),
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_entry/src/host.rs
@@ -0,0 +1,223 @@
+//! Starts the parts of an entry host and stops them.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::{Directory, Schema};
+use burdockslip_failover::{Duty, Permission, Promote, Registration, Supervisor};
+use burdockslip_peer::{PeerPool, PeerServer, Router};
+use burdockslip_runtime::{Task, now, sleep, sleep_until, spawn};
+use burdockslip_session::{Context, Limits, Listener, Stop};
+use burdockslip_statement::Dialect;
+use burdockslip_store::Store;
+use burdockslip_telemetry::{Admin, AdminServer, HostStatus, Metrics, serve_admin, serve_ready};
+use burdockslip_types::{Result, Revision};
+use burdockslip_upstream::Pools;
+use futures::future::ready;
+use tracing::{info, warn};
+
+use crate::coordination::{self, Coordinator, ReportExchange};
+use crate::{EntrySettings, registration};
+
+/// How often the state that decides about sessions and readiness is looked at.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How often the gauges are set, in ticks.
+const GAUGE_TICKS: u32 = 50;
+
+/// Beyond this age of the configuration new clients are better off at other
+/// hosts; requests are authorised for 4.7 s.
+const READY_AGE: Duration = Duration::from_millis(3_000);
+
+/// The part of the grace period after which sessions without a transaction
+/// end. The balancer notices within 2 s that the host is not ready.
+const CLOSE_IDLE_PART: f64 = 0.4;
+
+/// The part of the grace period after which waiting transactions are rolled back.
+const CLOSE_ALL_PART: f64 = 0.55;
+
+/// The part of the grace period after which the process ends.
+const END_PART: f64 = 0.95;
+
+/// Holds what an adapter supplies.
+pub struct Adapter {
+    /// Translates the messages of sessions.
+    pub dialect: Dialect,
+    /// Makes calls to the store.
+    pub store: Store,
+    /// Says where things stand in the store.
+    pub schema: Schema,
+    /// Orders a promotion.
+    pub promote: Promote,
+    /// The path at which the balancer asks whether the host is ready.
+    pub ready_path: &'static str,
+}
+
+impl fmt::Debug for Adapter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Adapter")
+    }
+}
+
+/// Runs an entry host until drained or dropped.
+pub struct Host {
+    cx: Rc<Context>,
+    stop: Rc<Stop>,
+    duty: Duty,
+    is_draining: Rc<Cell<bool>>,
+    grace: Duration,
+    _listener: Listener,
+    _servers: (AdminServer, AdminServer, PeerServer),
+    _tasks: [Task<()>; 3],
+}
+
+impl Host {
+    /// Starts a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns `InvalidInput` or `ConnectionLost` if an address cannot be bound.
+    pub fn bind(settings: &EntrySettings, adapter: Adapter) -> Result<Self> {
+        let directory = Directory::spawn(adapter.store, adapter.schema);
+        let pools = Pools::spawn(adapter.dialect, directory.clone());
+        let permission = Permission::spawn(directory.clone(), pools.clone());
+        let duty = Duty::spawn(settings.host.clone(), directory.clone());
+        let promote = adapter.promote;
+        let supervisor = Supervisor::spawn(directory.clone(), pools.clone(), duty.clone(), promote);
+        let coordinator = Coordinator::new(duty.clone(), directory.clone(), supervisor);
+        let metrics = Metrics::new()?;
+        let limits = Limits {
+            sessions: settings.sessions,
+        };
+        let cx = Rc::new(Context::new(
+            adapter.dialect,
+            directory.clone(),
+            pools,
+            permission,
+            metrics.clone(),
+            limits,
+        ));
+        let resolver = directory.clone();
+        let peers = PeerPool::new(settings.host.clone(), move |host| {
+            coordination::address(&resolver, host)
+        });
+        let answering = coordinator.clone();
+        let router = Router::default().on(ReportExchange, move |host, report| {
+            ready(answering.answer(&host, report))
+        });
+        let peer_server = PeerServer::bind(settings.peer_address, router)?;
+        let stop = Rc::new(Stop::default());
+        let is_draining = Rc::new(Cell::new(false));
+        let status = status(settings, &cx, &is_draining);
+        let admin = Admin {
+            metrics,
+            status: Rc::clone(&status),
+        };
+        let admin_server = serve_admin(settings.admin_address, admin)?;
+        let is_ready = Rc::new(move || status().is_ready);
+        let ready_server = serve_ready(settings.ready_address, adapter.ready_path, is_ready)?;
+        let listener = Listener::bind(settings.client_address, Rc::clone(&cx), Rc::clone(&stop))?;
+        let own = Registration {
+            address: settings.peer_address,
+            zone: settings.zone.clone(),
+        };
+        let host = settings.host.clone();
+        let tasks = [
+            spawn(registration::run(directory, host.clone(), own)),
+            spawn(coordination::report(Rc::clone(&cx), host, coordinator, peers)),
+            spawn(tend(Rc::clone(&cx), Rc::clone(&stop), Rc::clone(&is_draining))),
+        ];
+        info!(host = %settings.host, zone = %settings.zone, client = %listener.address(), "host started");
+        Ok(Self {
+            cx,
+            stop,
+            duty,
+            is_draining,
+            grace: settings.grace,
+            _listener: listener,
+            _servers: (admin_server, ready_server, peer_server),
+            _tasks: tasks,
+        })
+    }
+
+    /// Stops without cutting a statement; returns the sessions left at the deadline.
+    pub async fn drain(&self) -> usize {
+        let started = now();
+        let at = |part: f64| started + self.grace.mul_f64(part);
+        info!(sessions = self.cx.open.get(), "planned stop started");
+        self.is_draining.set(true);
+        self.duty.leave();
+        sleep_until(at(CLOSE_IDLE_PART)).await;
+        self.stop.close_idle();
+        sleep_until(at(CLOSE_ALL_PART)).await;
+        self.stop.close_all();
+        while self.cx.open.get() > 0 && !at(END_PART).is_past() {
+            sleep(TICK).await;
+        }
+        let left = self.cx.open.get();
+        if left > 0 {
+            warn!(sessions = left, "planned stop ends at its deadline");
+        } else {
+            info!("planned stop finished");
+        }
+        left
+    }
+}
+
+impl fmt::Debug for Host {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Host")
+    }
+}
+
+fn status(
+    settings: &EntrySettings,
+    cx: &Rc<Context>,
+    is_draining: &Rc<Cell<bool>>,
+) -> Rc<dyn Fn() -> HostStatus> {
+    let (cx, is_draining) = (Rc::clone(cx), Rc::clone(is_draining));
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    Rc::new(move || HostStatus {
+        host: host.clone(),
+        zone: zone.clone(),
+        is_ready: !is_draining.get() && cx.directory.age().is_some_and(|age| age < READY_AGE),
+        revision: Revision(cx.directory.configuration().map_or(0, |known| known.version)),
+        age_millis: millis(cx.directory.age().unwrap_or_default()),
+        connections: u64::try_from(cx.open.get()).unwrap_or(u64::MAX),
+    })
+}
+
+/// Ends idle sessions while the host may not authorise requests, so that their
+/// clients reach other hosts, and sets gauges.
+async fn tend(cx: Rc<Context>, stop: Rc<Stop>, is_draining: Rc<Cell<bool>>) {
+    let mut was_current = true;
+    let mut ticks = 0_u32;
+    loop {
+        sleep(TICK).await;
+        ticks = ticks.wrapping_add(1);
+        if ticks.is_multiple_of(GAUGE_TICKS) {
+            let version = cx.directory.configuration().map_or(0, |configuration| configuration.version);
+            cx.metrics.set_connections(u64::try_from(cx.open.get()).unwrap_or(u64::MAX));
+            cx.metrics.set_config(version, cx.directory.age().unwrap_or_default());
+        }
+        let is_current = cx.directory.is_current();
+        if is_current == was_current || is_draining.get() {
+            continue;
+        }
+        was_current = is_current;
+        let age = cx.directory.age().map(|age| age.as_millis());
+        if is_current {
+            info!(age, "configuration current again, serving");
+            stop.reopen();
+        } else {
+            warn!(age, "configuration too old, requests are refused");
+            stop.close_idle();
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/burdockslip_entry/src/settings.rs
@@ -0,0 +1,27 @@
+//! Defines the settings of an entry host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use burdockslip_types::{HostId, Zone};
+
+/// Holds the settings of an entry host, as an adapter reads them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// The name of the host.
+    pub host: HostId,
+    /// The availability zone.
+    pub zone: Zone,
+    /// Where clients connect.
+    pub client_address: SocketAddr,
+    /// Where the balancer asks whether the host is ready.
+    pub ready_address: SocketAddr,
+    /// Where other hosts connect.
+    pub peer_address: SocketAddr,
+    /// Where metrics are served.
+    pub admin_address: SocketAddr,
+    /// Client connections that may be open at once.
+    pub sessions: usize,
+    /// How long a planned stop may take.
+    pub grace: Duration,
+}
--- /dev/null
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -0,0 +1,204 @@
+//! Elects the host that holds the duty to promote.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::Directory;
+use burdockslip_runtime::{Instant, Signal, Task, now, random_range, sleep, spawn, timeout};
+use burdockslip_store::{Compare, LeaseId, Operation, Txn};
+use burdockslip_types::{ErrorKind, HostId, Result, Revision};
+use error_stack::Report;
+use futures::future::{Either, select};
+use tracing::{info, warn};
+
+use crate::records::keys;
+
+/// How long the duty stays with a silent holder.
+const LEASE_TTL: Duration = Duration::from_millis(1_800);
+
+/// How often the holder renews its lease.
+const RENEW_PERIOD: Duration = Duration::from_millis(400);
+
+/// Bounds a call, so that two renewals fit into a lease.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Kept back from the lease for calls that are on their way.
+const SAFETY_MARGIN: Duration = Duration::from_millis(400);
+
+/// Spreads the candidates, in milliseconds, so that one usually wins unopposed.
+const CANDIDATE_MS: (u64, u64) = (20, 250);
+
+/// Proves that this host holds the duty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tenure {
+    /// Rises with each change of the holder: the revision of the duty's record.
+    pub token: Revision,
+    /// The moment after which the duty may be somebody else's.
+    pub until: Instant,
+}
+
+struct Shared {
+    host: HostId,
+    directory: Directory,
+    tenure: Cell<Option<Tenure>>,
+    is_leaving: Cell<bool>,
+    leaving: Signal,
+}
+
+/// Takes part in the election; clones share the result.
+#[derive(Clone)]
+pub struct Duty {
+    shared: Rc<Shared>,
+    _running: Rc<Task<()>>,
+}
+
+impl Duty {
+    /// Starts to take part in the election for `host`.
+    pub fn spawn(host: HostId, directory: Directory) -> Self {
+        let shared = Rc::new(Shared {
+            host,
+            directory,
+            tenure: Cell::new(None),
+            is_leaving: Cell::new(false),
+            leaving: Signal::default(),
+        });
+        Self {
+            _running: Rc::new(spawn(run(Rc::clone(&shared)))),
+            shared,
+        }
+    }
+
+    /// Returns the tenure if this host holds the duty now.
+    pub fn tenure(&self) -> Option<Tenure> {
+        self.shared.tenure.get().filter(|tenure| !tenure.until.is_past())
+    }
+
+    /// Returns the host that holds the duty, as far as is known.
+    pub fn holder(&self) -> Option<HostId> {
+        let entry = self.shared.directory.record(keys::DUTY)?;
+        let text = String::from_utf8(entry.value).ok()?;
+        Some(HostId::from(text))
+    }
+
+    /// Gives the duty up and takes part no longer.
+    pub fn leave(&self) {
+        self.shared.is_leaving.set(true);
+        self.shared.leaving.notify();
+    }
+}
+
+impl fmt::Debug for Duty {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Duty").field(&self.shared.host).finish()
+    }
+}
+
+async fn run(shared: Rc<Shared>) {
+    loop {
+        wait_vacant(&shared).await;
+        if shared.is_leaving.get() {
+            return;
+        }
+        let (least, most) = CANDIDATE_MS;
+        sleep(Duration::from_millis(random_range(least..most))).await;
+        if shared.directory.record(keys::DUTY).is_some() {
+            continue;
+        }
+        match claim(&shared).await {
+            Ok(Some((lease, tenure))) => {
+                shared.tenure.set(Some(tenure));
+                info!(token = tenure.token.0, "duty taken");
+                hold(&shared, lease, tenure).await;
+                shared.tenure.set(None);
+            }
+            Ok(None) => {}
+            Err(error) => {
+                info!(?error, "duty not claimed");
+                sleep(RENEW_PERIOD).await;
+            }
+        }
+    }
+}
+
+async fn wait_vacant(shared: &Shared) {
+    loop {
+        let seen = shared.directory.changed().epoch();
+        let is_synced = shared.directory.configuration().is_some();
+        if shared.is_leaving.get() || (is_synced && shared.directory.record(keys::DUTY).is_none()) {
+            return;
+        }
+        shared.directory.changed().changed(seen).await;
+    }
+}
+
+async fn claim(shared: &Shared) -> Result<Option<(LeaseId, Tenure)>> {
+    let store = shared.directory.store();
+    let sent = now();
+    let lease = within(store.grant_lease(LEASE_TTL)).await?;
+    let reply = within(store.txn(Txn {
+        compares: vec![Compare::Revision(keys::DUTY.to_owned(), Revision(0))],
+        operations: vec![Operation::Put(
+            keys::DUTY.to_owned(),
+            shared.host.as_str().as_bytes().to_vec(),
+            Some(lease),
+        )],
+    }))
+    .await;
+    let is_won = matches!(&reply, Ok(reply) if reply.is_applied);
+    if !is_won {
+        // A claim whose answer was lost must not keep the duty.
+        if let Err(error) = within(store.revoke_lease(lease)).await {
+            info!(?error, "unused lease left to lapse");
+        }
+    }
+    let reply = reply?;
+    let tenure = Tenure {
+        token: reply.revision,
+        until: sent + (LEASE_TTL - SAFETY_MARGIN),
+    };
+    Ok(reply.is_applied.then_some((lease, tenure)))
+}
+
+async fn hold(shared: &Shared, lease: LeaseId, mut tenure: Tenure) {
+    let store = shared.directory.store();
+    loop {
+        let seen = shared.leaving.epoch();
+        let leaving = shared.leaving.changed(seen);
+        if !shared.is_leaving.get()
+            && let Either::Right(_) = select(Box::pin(sleep(RENEW_PERIOD)), leaving).await
+        {
+            continue;
+        }
+        if shared.is_leaving.get() {
+            shared.tenure.set(None);
+            let outcome = within(store.revoke_lease(lease)).await;
+            info!(token = tenure.token.0, given_up = outcome.is_ok(), "duty left");
+            return;
+        }
+        let sent = now();
+        match within(store.keep_lease(lease)).await {
+            Ok(left) if !left.is_zero() => {
+                tenure.until = sent + (LEASE_TTL - SAFETY_MARGIN);
+                shared.tenure.set(Some(tenure));
+            }
+            Ok(_) => {
+                info!(token = tenure.token.0, "duty lost, lease ended");
+                return;
+            }
+            Err(error) if (tenure.until + SAFETY_MARGIN).is_past() => {
+                warn!(token = tenure.token.0, ?error, "duty lost, lease not renewed");
+                return;
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+async fn within<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
+    match timeout(CALL_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_) => Err(Report::new(ErrorKind::StoreUnavailable).attach("no answer in time")),
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -0,0 +1,20 @@
+//! Replaces primaries so that no acknowledged commit is lost and no two
+//! primaries serve at once.
+//!
+//! One host at a time, the coordinator, holds the duty to promote. Hosts use a
+//! primary only under a permission that they renew; see `docs/platform.md`,
+//! "The old primary".
+
+mod duty;
+mod permission;
+mod promotion;
+mod records;
+mod supervisor;
+mod votes;
+
+pub use duty::{Duty, Tenure};
+pub use permission::{PERMISSION_SPAN, Permission};
+pub use promotion::{Promote, Promoted};
+pub use records::{GroupRecord, Phase, Registration, keys};
+pub use supervisor::Supervisor;
+pub use votes::Votes;
--- /dev/null
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -0,0 +1,237 @@
+//! Decides whether this host may use a primary.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::{Directory, Role};
+use burdockslip_runtime::{Instant, Task, now, random_range, sleep, spawn, timeout};
+use burdockslip_statement::Command;
+use burdockslip_store::LeaseId;
+use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result};
+use burdockslip_upstream::Pools;
+use error_stack::Report;
+use tracing::{info, warn};
+
+use crate::records::{self, GroupRecord, Phase, keys};
+
+/// How long a permission lasts after the moment at which it was proved. A
+/// promotion takes 300 ms or more by itself, so that a longer span would delay
+/// the new primary.
+pub const PERMISSION_SPAN: Duration = Duration::from_millis(900);
+
+/// How often the permission is renewed.
+const RENEW_PERIOD: Duration = Duration::from_millis(250);
+
+/// Bounds a renewal; a slow store takes up to about 0.5 s.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The age of the proof at which replicas are asked instead of the store.
+const REPLICA_CHECK_AGE: Duration = Duration::from_millis(450);
+
+/// Bounds the question to a replica.
+const REPLICA_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
+struct Shared {
+    directory: Directory,
+    pools: Pools,
+    proof: Cell<Option<Instant>>,
+    group_proofs: RefCell<HashMap<GroupName, Instant>>,
+    asking: RefCell<HashMap<GroupName, Task<()>>>,
+    has_store: Cell<bool>,
+}
+
+/// Keeps the permission to use primaries; clones share it.
+#[derive(Clone)]
+pub struct Permission {
+    shared: Rc<Shared>,
+    _renewing: Rc<(Task<()>, Task<()>)>,
+}
+
+impl Permission {
+    /// Starts to renew the permission.
+    pub fn spawn(directory: Directory, pools: Pools) -> Self {
+        let shared = Rc::new(Shared {
+            directory,
+            pools,
+            proof: Cell::new(None),
+            group_proofs: RefCell::default(),
+            asking: RefCell::default(),
+            has_store: Cell::new(true),
+        });
+        let renewing = spawn(renew(Rc::clone(&shared)));
+        let checking = spawn(check_replicas(Rc::clone(&shared)));
+        Self {
+            shared,
+            _renewing: Rc::new((renewing, checking)),
+        }
+    }
+
+    /// Returns the primary of a group if this host may use it now.
+    pub fn primary(&self, group: &GroupName) -> Option<MemberName> {
+        let record = self.shared.record(group)?;
+        let is_usable = record.phase == Phase::Stable && self.is_proved(group);
+        is_usable.then_some(record.primary)
+    }
+
+    /// Returns whether a group is being given a new primary.
+    pub fn is_changing(&self, group: &GroupName) -> bool {
+        let record = self.shared.record(group);
+        record.is_some_and(|record| record.phase == Phase::Changing)
+    }
+
+    /// Returns the age of the proof for a group, for log lines.
+    pub fn age(&self, group: &GroupName) -> Option<Duration> {
+        self.shared.proof(group).map(Instant::elapsed)
+    }
+
+    fn is_proved(&self, group: &GroupName) -> bool {
+        self.age(group).is_some_and(|age| age < PERMISSION_SPAN)
+    }
+}
+
+impl fmt::Debug for Permission {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Permission")
+    }
+}
+
+impl Shared {
+    fn record(&self, group: &GroupName) -> Option<GroupRecord> {
+        let entry = self.directory.record(&keys::group(group))?;
+        match GroupRecord::read(&entry.value) {
+            Ok(record) => Some(record),
+            Err(error) => {
+                warn!(%group, ?error, "group record unreadable");
+                None
+            }
+        }
+    }
+
+    fn proof(&self, group: &GroupName) -> Option<Instant> {
+        let own = self.group_proofs.borrow().get(group).copied();
+        self.proof.get().max(own)
+    }
+
+    fn fence(&self) -> Option<LeaseId> {
+        let entry = self.directory.record(keys::FENCE)?;
+        records::decode(&entry.value).ok()
+    }
+
+    /// Renews the shared lease, or reads the records again if it has ended.
+    async fn prove(&self) -> Result<Instant> {
+        let sent = now();
+        let store = self.directory.store();
+        if let Some(lease) = self.fence()
+            && !store.keep_lease(lease).await?.is_zero()
+        {
+            return Ok(sent);
+        }
+        let sent = now();
+        let page = store.range(keys::ROOT).await?;
+        page.entries.into_iter().for_each(|entry| self.directory.learn(entry));
+        Ok(sent)
+    }
+
+    fn note_store(&self, is_reachable: bool, error: Option<&Report<ErrorKind>>) {
+        if self.has_store.replace(is_reachable) == is_reachable {
+            return;
+        }
+        let age = self.proof.get().map(|at| at.elapsed().as_millis());
+        if is_reachable {
+            info!(age, "permission renewed at the store again");
+        } else {
+            warn!(age, ?error, "permission not renewed at the store, asking replicas");
+        }
+    }
+}
+
+async fn renew(shared: Rc<Shared>) {
+    loop {
+        match timeout(RENEW_TIMEOUT, shared.prove()).await {
+            Ok(Ok(sent)) => {
+                shared.proof.set(shared.proof.get().max(Some(sent)));
+                shared.note_store(true, None);
+            }
+            Ok(Err(error)) => shared.note_store(false, Some(&error)),
+            Err(_) => shared.note_store(false, None),
+        }
+        sleep(RENEW_PERIOD).await;
+    }
+}
+
+/// Asks a replica of each group while the store gives no proof.
+///
+/// A promotion stops every replica at a higher term first, so a replica that
+/// still receives in the known term proves that none has happened.
+async fn check_replicas(shared: Rc<Shared>) {
+    loop {
+        sleep(RENEW_PERIOD).await;
+        let is_fresh = |at: Instant| at.elapsed() < REPLICA_CHECK_AGE;
+        if shared.proof.get().is_some_and(is_fresh) || !shared.directory.is_current() {
+            continue;
+        }
+        let Some(configuration) = shared.directory.configuration() else {
+            continue;
+        };
+        for group in configuration.services.keys() {
+            let record = shared.record(group);
+            if let Some(record) = record.filter(|record| record.phase == Phase::Stable) {
+                ask_replica(&shared, group, record);
+            }
+        }
+    }
+}
+
+fn ask_replica(shared: &Rc<Shared>, group: &GroupName, record: GroupRecord) {
+    if shared.asking.borrow().contains_key(group) {
+        return;
+    }
+    let mut replicas = shared.directory.members(group);
+    replicas.retain(|member| {
+        member.name != record.primary
+            && member.role == Role::Replica
+            && !shared.pools.of(member).health.is_suspected()
+    });
+    if replicas.is_empty() {
+        return;
+    }
+    let last = u64::try_from(replicas.len()).unwrap_or(1);
+    let index = usize::try_from(random_range(0..last)).unwrap_or_default();
+    let replica = replicas.swap_remove(index);
+    let (shared_, group_) = (Rc::clone(shared), group.clone());
+    let task = spawn(async move {
+        let sent = now();
+        let status = shared_
+            .pools
+            .control(&replica, Command::Status, REPLICA_CHECK_TIMEOUT)
+            .await;
+        match status {
+            Ok(status) if status.term <= record.term && status.held <= record.term => {
+                shared_.group_proofs.borrow_mut().insert(group_.clone(), sent);
+            }
+            Ok(status) => info!(
+                group = %group_,
+                replica = %replica.name,
+                known = record.term.0,
+                term = status.term.0,
+                held = status.held.0,
+                "replica reports a higher term, primary not used"
+            ),
+            Err(error) => info!(group = %group_, replica = %replica.name, ?error, "replica gives no proof"),
+        }
+        shared_.asking.borrow_mut().remove(&group_);
+    });
+    shared.asking.borrow_mut().insert(group.clone(), task);
+}
+
+/// Returns whether a mark may be compared with the group's record; kept here
+/// because a floor from a deposed primary proves nothing.
+impl Permission {
+    /// Returns `mark` if this host may use the member that reported it.
+    pub fn confirm_mark(&self, group: &GroupName, member: &MemberName, mark: Mark) -> Option<Mark> {
+        (self.primary(group).as_ref() == Some(member)).then_some(mark)
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -0,0 +1,293 @@
+//! Replaces the primary of one group.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::{Directory, Member};
+use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout};
+use burdockslip_statement::{Command, MemberStatus};
+use burdockslip_store::{Compare, Entry, Operation, Txn};
+use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result, Revision, Term};
+use burdockslip_upstream::Pools;
+use error_stack::{Report, bail, ensure};
+use futures::future::{LocalBoxFuture, join_all};
+use tracing::{info, warn};
+
+use crate::records::{self, GroupRecord, Phase, keys};
+use crate::{Duty, PERMISSION_SPAN, Tenure};
+
+/// Added to the permissions' span for differences of clocks' rates.
+const PERMISSION_MARGIN: Duration = Duration::from_millis(50);
+
+/// Bounds a control command to a member.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Bounds a call to the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Bounds the order to the platform, well below the margin of the duty.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Pauses between attempts and between looks at the new primary.
+const STEP_PAUSE: Duration = Duration::from_millis(40);
+
+/// How long the chosen member may take to lead.
+const LEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// How long the lease behind all permissions lasts without renewals.
+const FENCE_TTL: Duration = Duration::from_secs(600);
+
+/// Reports what became of an order to promote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Promoted {
+    /// The member is to lead.
+    Accepted,
+    /// The member cannot lead.
+    Refused,
+}
+
+/// Orders the platform to promote a member, as the holder of a duty.
+pub type Promote =
+    Rc<dyn Fn(GroupName, MemberName, Revision) -> LocalBoxFuture<'static, Result<Promoted>>>;
+
+/// Holds what a change of primary needs.
+#[derive(Clone)]
+pub(crate) struct Promotion {
+    pub(crate) directory: Directory,
+    pub(crate) pools: Pools,
+    pub(crate) duty: Duty,
+    pub(crate) promote: Promote,
+}
+
+impl Promotion {
+    /// Replaces the primary in `entry`, or finishes what another holder began.
+    pub(crate) async fn run(&self, group: &GroupName, entry: Entry, reason: &str) -> Result<()> {
+        let started = now();
+        let record = GroupRecord::read(&entry.value)?;
+        let old = record.primary.clone();
+        info!(%group, primary = %old, term = record.term.0, reason, "change of primary started");
+        let term = record.term.next();
+        let record = GroupRecord {
+            term,
+            phase: Phase::Changing,
+            ..record
+        };
+        let revision = self.write(group, &record, entry.revision).await?;
+        self.withdraw_permissions().await?;
+        let fenced = now();
+        let (chosen, suspended) = self.choose(group, &old, term).await?;
+        let term = self.lead(group, &chosen, term).await?;
+        sleep_until(fenced.max(suspended) + PERMISSION_SPAN + PERMISSION_MARGIN).await;
+        let record = GroupRecord {
+            primary: chosen.name.clone(),
+            term,
+            phase: Phase::Stable,
+        };
+        self.write(group, &record, revision).await?;
+        info!(
+            %group,
+            old = %old,
+            primary = %chosen.name,
+            term = term.0,
+            took_ms = started.elapsed().as_millis(),
+            "change of primary finished"
+        );
+        self.release_replicas(group, &chosen.name, term).await;
+        Ok(())
+    }
+
+    /// Records the first known primary of a group.
+    pub(crate) async fn adopt(&self, group: &GroupName) -> Result<()> {
+        let members = self.directory.members(group);
+        let statuses = self.ask(&members, &Command::Status).await;
+        let leader = statuses
+            .iter()
+            .filter(|(_, status)| status.is_primary)
+            .max_by_key(|(_, status)| status.term);
+        let Some((primary, status)) = leader else {
+            bail!(Report::new(ErrorKind::NoPrimary).attach("no member acts as primary"));
+        };
+        let record = GroupRecord {
+            primary: primary.clone(),
+            term: status.term,
+            phase: Phase::Stable,
+        };
+        self.write(group, &record, Revision(0)).await?;
+        info!(%group, %primary, term = status.term.0, "primary adopted");
+        Ok(())
+    }
+
+    /// Creates the lease behind all permissions if it is missing or has ended.
+    pub(crate) async fn ensure_fence(&self) -> Result<()> {
+        let store = self.directory.store();
+        if let Some(entry) = self.directory.record(keys::FENCE) {
+            let lease = records::decode(&entry.value)?;
+            if !within(store.keep_lease(lease)).await?.is_zero() {
+                return Ok(());
+            }
+        }
+        self.replace_fence().await
+    }
+
+    async fn withdraw_permissions(&self) -> Result<()> {
+        let store = self.directory.store();
+        if let Some(entry) = self.directory.record(keys::FENCE) {
+            within(store.revoke_lease(records::decode(&entry.value)?)).await?;
+        }
+        self.replace_fence().await
+    }
+
+    async fn replace_fence(&self) -> Result<()> {
+        let lease = within(self.directory.store().grant_lease(FENCE_TTL)).await?;
+        let known = self.directory.record(keys::FENCE);
+        let known = known.map_or(Revision(0), |entry| entry.revision);
+        self.put(keys::FENCE, records::encode(&lease)?, known).await?;
+        Ok(())
+    }
+
+    async fn write(&self, group: &GroupName, record: &GroupRecord, known: Revision) -> Result<Revision> {
+        self.put(&keys::group(group), records::encode(record)?, known).await
+    }
+
+    /// Writes a record if it is unchanged and this host still holds the duty.
+    async fn put(&self, key: &str, value: Vec<u8>, known: Revision) -> Result<Revision> {
+        let tenure = self.tenure()?;
+        let reply = within(self.directory.store().txn(Txn {
+            compares: vec![
+                Compare::Revision(keys::DUTY.to_owned(), tenure.token),
+                Compare::Revision(key.to_owned(), known),
+            ],
+            operations: vec![Operation::Put(key.to_owned(), value.clone(), None)],
+        }))
+        .await?;
+        ensure!(reply.is_applied, ErrorKind::Conflict);
+        self.directory.learn(Entry {
+            key: key.to_owned(),
+            value,
+            revision: reply.revision,
+        });
+        Ok(reply.revision)
+    }
+
+    fn tenure(&self) -> Result<Tenure> {
+        let lost = || Report::new(ErrorKind::Conflict).attach("duty lost");
+        self.duty.tenure().ok_or_else(lost)
+    }
+
+    /// Stops the replicas and picks the one that holds most.
+    ///
+    /// Every replica that may hold an acknowledged commit has to answer: the
+    /// old primary acknowledges a commit as soon as one replica has it. A
+    /// replica counts as gone when its record is gone.
+    async fn choose(
+        &self,
+        group: &GroupName,
+        old: &MemberName,
+        term: Term,
+    ) -> Result<(Rc<Member>, Instant)> {
+        loop {
+            self.tenure()?;
+            let members = self.directory.members(group);
+            let (primary, replicas): (Vec<_>, Vec<_>) =
+                members.into_iter().partition(|member| member.name == *old);
+            self.step_down(&primary, term).await;
+            let statuses = self.ask(&replicas, &Command::Suspend(term)).await;
+            let is_complete = replicas.iter().all(|member| statuses.contains_key(&member.name));
+            let best = best(&replicas, &statuses);
+            info!(%group, term = term.0, answered = statuses.len(), of = replicas.len(),
+                best = ?best.as_ref().map(|member| member.name.as_str()),
+                statuses = ?statuses.values().map(|status| status.received).collect::<Vec<Mark>>(),
+                "replicas stopped");
+            if let Some(best) = best.filter(|_| is_complete) {
+                return Ok((best, now()));
+            }
+            sleep(STEP_PAUSE).await;
+        }
+    }
+
+    /// Ends the writes of an old primary that is still reachable.
+    async fn step_down(&self, primary: &[Rc<Member>], term: Term) {
+        let reachable: Vec<_> = primary
+            .iter()
+            .filter(|member| !self.pools.of(member).health.is_suspected())
+            .cloned()
+            .collect();
+        self.ask(&reachable, &Command::Demote(term)).await;
+    }
+
+    async fn ask(
+        &self,
+        members: &[Rc<Member>],
+        command: &Command,
+    ) -> HashMap<MemberName, MemberStatus> {
+        let asks = members.iter().map(|member| async move {
+            let status = self.pools.control(member, command.clone(), CONTROL_TIMEOUT).await;
+            (member, status)
+        });
+        let mut statuses = HashMap::new();
+        for (member, status) in join_all(asks).await {
+            match status {
+                Ok(status) => {
+                    statuses.insert(member.name.clone(), status);
+                }
+                Err(error) => info!(member = %member.name, ?command, ?error, "control command failed"),
+            }
+        }
+        statuses
+    }
+
+    /// Orders the promotion and waits until the member leads.
+    async fn lead(&self, group: &GroupName, chosen: &Rc<Member>, term: Term) -> Result<Term> {
+        let tenure = self.tenure()?;
+        let order = (self.promote)(group.clone(), chosen.name.clone(), tenure.token);
+        match timeout(ORDER_TIMEOUT, order).await {
+            Ok(Ok(Promoted::Accepted)) => {}
+            Ok(Ok(Promoted::Refused)) => {
+                bail!(Report::new(ErrorKind::NoPrimary).attach("promotion refused"));
+            }
+            Ok(Err(error)) => return Err(error),
+            // The order may have been carried out; the member's term tells.
+            Err(_) => warn!(%group, member = %chosen.name, "promotion not answered in time"),
+        }
+        let deadline = now() + LEAD_TIMEOUT;
+        while !deadline.is_past() {
+            let status = self.pools.control(chosen, Command::Status, CONTROL_TIMEOUT).await;
+            if let Ok(status) = status
+                && status.is_primary
+                && status.term >= term
+            {
+                return Ok(status.term);
+            }
+            sleep(STEP_PAUSE).await;
+        }
+        bail!(Report::new(ErrorKind::NoPrimary).attach("promoted member does not lead"))
+    }
+
+    /// Lets the other members follow the new primary.
+    async fn release_replicas(&self, group: &GroupName, primary: &MemberName, term: Term) {
+        let mut members = self.directory.members(group);
+        members.retain(|member| member.name != *primary);
+        self.ask(&members, &Command::Resume).await;
+        self.ask(&members, &Command::Demote(term)).await;
+    }
+}
+
+/// Picks the member with the newest log; among equals one that stays.
+fn best(
+    members: &[Rc<Member>],
+    statuses: &HashMap<MemberName, MemberStatus>,
+) -> Option<Rc<Member>> {
+    members
+        .iter()
+        .filter_map(|member| Some((member, statuses.get(&member.name)?)))
+        .max_by_key(|(member, status)| (status.received, !member.is_draining))
+        .map(|(member, _)| Rc::clone(member))
+}
+
+async fn within<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
+    match timeout(STORE_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_) => Err(Report::new(ErrorKind::StoreUnavailable).attach("no answer in time")),
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -0,0 +1,153 @@
+//! Watches the groups while this host holds the duty.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::Directory;
+use burdockslip_runtime::{Task, sleep, spawn};
+use burdockslip_store::Entry;
+use burdockslip_types::{GroupName, HostId, MemberName};
+use burdockslip_upstream::Pools;
+use tracing::{info, warn};
+
+use crate::promotion::{Promote, Promotion};
+use crate::records::{GroupRecord, Phase, keys};
+use crate::{Duty, Votes};
+
+/// How often the groups are looked at.
+const TICK: Duration = Duration::from_millis(60);
+
+/// How often the lease behind all permissions is looked at, in ticks.
+const FENCE_TICKS: u32 = 8;
+
+/// Pauses after a change that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+struct Shared {
+    promotion: Promotion,
+    votes: RefCell<Votes>,
+    changes: RefCell<HashMap<GroupName, Task<()>>>,
+}
+
+/// Watches the groups; clones share the state.
+#[derive(Clone)]
+pub struct Supervisor {
+    shared: Rc<Shared>,
+    _running: Rc<Task<()>>,
+}
+
+impl Supervisor {
+    /// Starts to watch; nothing is done while another host holds the duty.
+    pub fn spawn(directory: Directory, pools: Pools, duty: Duty, promote: Promote) -> Self {
+        let shared = Rc::new(Shared {
+            promotion: Promotion {
+                directory,
+                pools,
+                duty,
+                promote,
+            },
+            votes: RefCell::default(),
+            changes: RefCell::default(),
+        });
+        Self {
+            _running: Rc::new(spawn(run(Rc::clone(&shared)))),
+            shared,
+        }
+    }
+
+    /// Takes in which members a host cannot reach.
+    pub fn report(&self, host: HostId, suspects: Vec<MemberName>) {
+        self.shared.votes.borrow_mut().record(host, suspects);
+    }
+}
+
+impl fmt::Debug for Supervisor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Supervisor")
+    }
+}
+
+async fn run(shared: Rc<Shared>) {
+    let mut ticks = 0_u32;
+    loop {
+        sleep(TICK).await;
+        if shared.promotion.duty.tenure().is_none() {
+            shared.changes.borrow_mut().clear();
+            continue;
+        }
+        if ticks.is_multiple_of(FENCE_TICKS)
+            && shared.changes.borrow().is_empty()
+            && let Err(error) = shared.promotion.ensure_fence().await
+        {
+            info!(?error, "permission lease not checked");
+        }
+        ticks = ticks.wrapping_add(1);
+        let Some(configuration) = shared.promotion.directory.configuration() else {
+            continue;
+        };
+        for group in configuration.services.keys() {
+            shared.look_at(group);
+        }
+    }
+}
+
+impl Shared {
+    fn look_at(self: &Rc<Self>, group: &GroupName) {
+        if self.changes.borrow().contains_key(group) {
+            return;
+        }
+        let Some(entry) = self.promotion.directory.record(&keys::group(group)) else {
+            self.start(group, None, "no record");
+            return;
+        };
+        let record = match GroupRecord::read(&entry.value) {
+            Ok(record) => record,
+            Err(error) => {
+                warn!(%group, ?error, "group record unreadable");
+                return;
+            }
+        };
+        if let Some(reason) = self.reason(&record) {
+            self.start(group, Some(entry), reason);
+        }
+    }
+
+    /// Returns why the primary has to be replaced, if so.
+    fn reason(&self, record: &GroupRecord) -> Option<&'static str> {
+        if record.phase == Phase::Changing {
+            return Some("unfinished change");
+        }
+        let Some(primary) = self.promotion.directory.member(&record.primary) else {
+            return Some("primary gone");
+        };
+        if primary.is_draining {
+            return Some("primary leaves");
+        }
+        let (against, total) = self.votes.borrow().count(&record.primary);
+        if total > 0 && self.votes.borrow().is_lost(&record.primary) {
+            info!(primary = %record.primary, against, total, "primary unreachable for most hosts");
+            return Some("primary unreachable");
+        }
+        None
+    }
+
+    /// Runs a change of the group's record as a task of its own.
+    fn start(self: &Rc<Self>, group: &GroupName, entry: Option<Entry>, reason: &'static str) {
+        let (shared, name) = (Rc::clone(self), group.clone());
+        let task = spawn(async move {
+            let outcome = match entry {
+                Some(entry) => shared.promotion.run(&name, entry, reason).await,
+                None => shared.promotion.adopt(&name).await,
+            };
+            if let Err(error) = outcome {
+                info!(group = %name, reason, ?error, "change of primary not finished");
+                sleep(RETRY_PAUSE).await;
+            }
+            shared.changes.borrow_mut().remove(&name);
+        });
+        self.changes.borrow_mut().insert(group.clone(), task);
+    }
+}
--- a/crates/burdockslip_runtime/src/clock.rs
+++ b/crates/burdockslip_runtime/src/clock.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures::future::{Either, select};
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::paused;
 
@@ -69,14 +70,26 @@
     }
 }
 
-static START: OnceLock<std::time::Instant> = OnceLock::new();
+static START: OnceLock<Duration> = OnceLock::new();
+
+/// Reads the time since the machine booted, which goes on while it is suspended.
+///
+/// Leases and permissions would seem younger than they are after a suspension
+/// if they were measured with a clock that stops.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
 
 /// Returns the current time of the clock in use on this thread.
 pub fn now() -> Instant {
     if let Some(time) = paused::current_time() {
         return time;
     }
-    Instant(START.get_or_init(std::time::Instant::now).elapsed())
+    let now = since_boot();
+    Instant(now.saturating_sub(*START.get_or_init(|| now)))
 }
 
 /// Waits for `span`.
--- /dev/null
+++ b/crates/burdockslip_session/src/context.rs
@@ -0,0 +1,124 @@
+//! Holds what all sessions of a host share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::{Configuration, Directory, Route};
+use burdockslip_failover::Permission;
+use burdockslip_runtime::{Signal, Task};
+use burdockslip_shares::LocalRates;
+use burdockslip_statement::Dialect;
+use burdockslip_telemetry::Metrics;
+use burdockslip_types::{ErrorKind, GroupName, Organisation};
+use burdockslip_upstream::Pools;
+use tracing::info;
+
+use crate::freshness::Freshness;
+
+/// Holds the limits of a host.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Client connections that may be open at once.
+    pub sessions: usize,
+}
+
+/// Holds what all sessions of a host share.
+pub struct Context {
+    /// Translates messages.
+    pub dialect: Dialect,
+    /// Knows the configuration and the members.
+    pub directory: Directory,
+    /// Keeps connections to members.
+    pub pools: Pools,
+    /// Decides whether primaries may be used.
+    pub permission: Permission,
+    /// Admits operations within the rates.
+    pub rates: Rc<RefCell<LocalRates>>,
+    /// Wakes the task that reports demand, because an operation was refused.
+    pub starved: Rc<Signal>,
+    /// Knows positions of the groups' logs.
+    pub freshness: Freshness,
+    /// Counts and measures requests.
+    pub metrics: Metrics,
+    /// The limits of this host.
+    pub limits: Limits,
+    /// The open client connections.
+    pub open: Cell<usize>,
+    pub(crate) refreshing: RefCell<HashMap<GroupName, Task<()>>>,
+}
+
+impl Context {
+    /// Builds the context of a host.
+    pub fn new(
+        dialect: Dialect,
+        directory: Directory,
+        pools: Pools,
+        permission: Permission,
+        metrics: Metrics,
+        limits: Limits,
+    ) -> Self {
+        Self {
+            dialect,
+            directory,
+            pools,
+            permission,
+            rates: Rc::default(),
+            starved: Rc::default(),
+            freshness: Freshness::default(),
+            metrics,
+            limits,
+            open: Cell::new(0),
+            refreshing: RefCell::default(),
+        }
+    }
+
+    /// Returns the configuration if it is recent enough to authorise requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConfigMissing` if there is none, or it was confirmed too long ago.
+    pub(crate) fn current(&self) -> Result<Rc<Configuration>, ErrorKind> {
+        let configuration = self.directory.configuration();
+        configuration
+            .filter(|_| self.directory.is_current())
+            .ok_or(ErrorKind::ConfigMissing)
+    }
+
+    /// Charges an operation to its organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns `RateExceeded` if the host's part of the rate is used up.
+    pub(crate) fn admit(&self, organisation: &Organisation, id: &str) -> Result<(), ErrorKind> {
+        let configuration = self.current()?;
+        // A caller of an open route has no account and no limit.
+        let Some(account) = configuration.accounts.get(organisation) else {
+            return Ok(());
+        };
+        let outcome = self.rates.borrow_mut().admit(account);
+        outcome.map_err(|refusal| {
+            self.starved.notify();
+            info!(id, %organisation, fraction = refusal.fraction,
+                wait_ms = refusal.wait.map(|wait| wait.as_millis()),
+                version = configuration.version, "operation refused, rate exceeded");
+            ErrorKind::RateExceeded
+        })
+    }
+}
+
+impl fmt::Debug for Context {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Context")
+    }
+}
+
+/// Returns how long an operation may wait for a place before it is refused.
+///
+/// A refusal after a quarter of the objective comes too late for the caller to
+/// try elsewhere.
+pub(crate) fn patience(route: &Route) -> Duration {
+    route.objective.mul_f64(0.23)
+}
--- /dev/null
+++ b/crates/burdockslip_session/src/lib.rs
@@ -0,0 +1,17 @@
+//! Serves client sessions: decides where each statement runs and what a client is told.
+//!
+//! See `docs/platform.md`, "A statement's way".
+
+mod context;
+mod freshness;
+mod outcome;
+mod place;
+mod read;
+mod serve;
+mod session;
+mod transaction;
+mod write;
+
+pub use context::{Context, Limits};
+pub use freshness::Freshness;
+pub use serve::{Listener, Stop};
--- /dev/null
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -0,0 +1,211 @@
+//! Runs one statement at one member and reports what became of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::Route;
+use burdockslip_runtime::{Instant, now, timeout_at};
+use burdockslip_statement::{Access, Command, Failure, Reply};
+use burdockslip_types::{ErrorKind, Mark, Organisation};
+use burdockslip_upstream::{Connection, Lent, MemberPool, SessionState, Shape};
+use bytes::Bytes;
+use tracing::debug;
+
+use crate::context::{Context, patience};
+
+/// Bounds the preparation of a connection, which takes no slot at the member.
+const ADOPT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Says what a statement runs.
+#[derive(Debug, Clone)]
+pub(crate) enum Work {
+    /// A text, passed on unchanged.
+    Direct(Bytes),
+    /// A prepared statement with its arguments.
+    Prepared(Shape, Bytes),
+}
+
+/// Holds a statement that is to run.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) id: Bytes,
+    pub(crate) work: Work,
+    pub(crate) access: Access,
+    pub(crate) route: Rc<Route>,
+    pub(crate) organisation: Organisation,
+    pub(crate) state: Rc<SessionState>,
+    /// The position of the session's last commit, if the class reads its own writes.
+    pub(crate) own: Option<Mark>,
+    pub(crate) started: Instant,
+}
+
+/// Says why there is no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Lost {
+    /// The statement was not sent.
+    NotSent(ErrorKind),
+    /// The connection broke after the statement was sent.
+    Broken,
+    /// The time ran out after the statement was sent.
+    TimedOut,
+}
+
+impl Job {
+    /// Returns the request id for log lines.
+    pub(crate) fn id(&self) -> &str {
+        std::str::from_utf8(&self.id).unwrap_or("?")
+    }
+
+    /// Returns the moment at which the statement's time runs out.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.started + self.route.timeout
+    }
+
+    /// Returns the moment until which the statement may wait for a place.
+    pub(crate) fn patience(&self) -> Instant {
+        self.started + patience(&self.route)
+    }
+
+    /// Returns the client's text, for statements that are passed on as they are.
+    pub(crate) fn text(&self) -> Bytes {
+        match &self.work {
+            Work::Direct(text) | Work::Prepared(_, text) => text.clone(),
+        }
+    }
+
+    fn shape(&self) -> Option<&Shape> {
+        match &self.work {
+            Work::Direct(_) => None,
+            Work::Prepared(shape, _) => Some(shape),
+        }
+    }
+
+    fn command(&self, name: Option<Bytes>, floor: Option<Mark>) -> Command {
+        match (&self.work, name) {
+            (Work::Prepared(_, arguments), Some(name)) => Command::Execute {
+                id: self.id.clone(),
+                name,
+                arguments: arguments.clone(),
+                floor,
+            },
+            (Work::Direct(text) | Work::Prepared(_, text), _) => Command::Forward {
+                id: self.id.clone(),
+                text: text.clone(),
+                floor,
+            },
+        }
+    }
+}
+
+/// Lends a connection to a member.
+pub(crate) async fn lend(pool: &Rc<MemberPool>, job: &Job, until: Instant) -> Result<Lent, Lost> {
+    let lent = pool.lend(&job.organisation, &job.state, until).await;
+    lent.map_err(|report| {
+        debug!(id = job.id(), member = %pool.member().name, error = ?report, "no connection");
+        Lost::NotSent(*report.current_context())
+    })
+}
+
+/// Runs a statement outside of transactions on a lent connection.
+///
+/// Without a floor only the primary may answer, and only while this host has
+/// the permission to use it.
+pub(crate) async fn run(
+    cx: &Context,
+    lent: &mut Lent,
+    job: &Job,
+    floor: Option<Mark>,
+) -> Result<Reply, Lost> {
+    let name = adopt(lent, job).await?;
+    // The permission may have ended while the connection was made ready.
+    if floor.is_none() && !may_use(cx, job, lent) {
+        return Err(Lost::NotSent(ErrorKind::NoPrimary));
+    }
+    let command = job.command(name, floor);
+    send(cx, lent, job, command, job.access == Access::Write).await
+}
+
+/// Runs a statement of a transaction, which sees one log throughout.
+pub(crate) async fn run_pinned(cx: &Context, lent: &mut Lent, job: &Job) -> Result<Reply, Lost> {
+    let name = adopt(lent, job).await?;
+    let command = job.command(name, None);
+    send(cx, lent, job, command, false).await
+}
+
+/// Gives the connection the session's values and its prepared statement.
+async fn adopt(lent: &mut Lent, job: &Job) -> Result<Option<Bytes>, Lost> {
+    let until = job.deadline().min(now() + ADOPT_TIMEOUT);
+    match timeout_at(until, lent.adopt(&job.state, job.shape())).await {
+        Ok(Ok(name)) => Ok(name),
+        Ok(Err(_)) | Err(_) => Err(Lost::NotSent(ErrorKind::ConnectionLost)),
+    }
+}
+
+/// Returns whether the member is the group's primary and may be used.
+pub(crate) fn may_use(cx: &Context, job: &Job, lent: &Lent) -> bool {
+    cx.permission.primary(&job.route.group).as_ref() == Some(&lent.member().name)
+}
+
+/// Sends one command and notes what its answer tells about the member.
+pub(crate) async fn send(
+    cx: &Context,
+    lent: &mut Lent,
+    job: &Job,
+    command: Command,
+    is_commit: bool,
+) -> Result<Reply, Lost> {
+    let pool = Rc::clone(lent.pool());
+    let sent = now();
+    pool.health.start(is_commit);
+    let outcome = timeout_at(job.deadline(), lent.call(command)).await;
+    pool.health.end(is_commit, matches!(outcome, Ok(Ok(_))));
+    match outcome {
+        Ok(Ok(reply)) => {
+            pool.health.hear(reply.mark);
+            note(cx, &pool, job, sent, &reply);
+            Ok(reply)
+        }
+        Ok(Err(report)) => {
+            debug!(id = job.id(), member = %pool.member().name, error = ?report, "connection broke");
+            Err(Lost::Broken)
+        }
+        Err(_) => Err(Lost::TimedOut),
+    }
+}
+
+fn note(cx: &Context, pool: &MemberPool, job: &Job, sent: Instant, reply: &Reply) {
+    match reply.result {
+        Ok(_) => pool.health.measure(sent.elapsed()),
+        Err(Failure::Busy) => pool.health.mark_busy(),
+        Err(Failure::Behind) => pool.health.mark_behind(),
+        Err(_) => {}
+    }
+    let group = &job.route.group;
+    let member = &pool.member().name;
+    let mark = reply.mark.and_then(|mark| cx.permission.confirm_mark(group, member, mark));
+    if let Some(mark) = mark {
+        cx.freshness.note(group, sent, mark);
+    }
+}
+
+/// Gives a connection back if it is outside of transactions, else closes it.
+pub(crate) fn settle(lent: Lent, reply: &Reply) {
+    if Connection::is_reusable(reply) {
+        lent.give_back();
+    }
+}
+
+/// Maps a member's failure to the error that the client gets.
+pub(crate) const fn kind_of(failure: Failure) -> ErrorKind {
+    match failure {
+        Failure::Busy | Failure::TooManyConnections => ErrorKind::QueueFull,
+        Failure::Behind => ErrorKind::NoFreshData,
+        Failure::ReadOnly => ErrorKind::NoPrimary,
+        Failure::WrongMember => ErrorKind::ConnectionLost,
+        Failure::UnknownStatement => ErrorKind::UnknownStatement,
+        Failure::Failed => ErrorKind::StatementFailed,
+        Failure::Timeout => ErrorKind::StatementTimeout,
+        Failure::Aborted => ErrorKind::TransactionAborted,
+        Failure::Other => ErrorKind::OutcomeUnknown,
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_session/src/place.rs
@@ -0,0 +1,152 @@
+//! Chooses the member that runs a statement.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::{Consistency, Route};
+use burdockslip_runtime::{random_range, spawn, timeout};
+use burdockslip_statement::{Access, Command};
+use burdockslip_types::{ErrorKind, Mark, MemberName};
+use burdockslip_upstream::MemberPool;
+use tracing::debug;
+
+use crate::context::Context;
+use crate::outcome::{self, Job, Lost};
+
+/// Makes the primary less attractive for reads that a replica can serve, since
+/// only it can serve writes.
+const PRIMARY_WEIGHT: f64 = 1.6;
+
+/// Stands for the cost of opening a connection, in milliseconds.
+const CONNECT_COST_MS: f64 = 12.0;
+
+/// Spreads the choice, in percent, so that hosts do not all pick the same member.
+const SPREAD_PERCENT: (u64, u64) = (100, 130);
+
+/// The age at which the position of a primary is asked for again.
+const REFRESH_AGE: Duration = Duration::from_millis(400);
+
+/// Bounds the question for a position.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Holds a member with the position that its log must hold.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub(crate) pool: Rc<MemberPool>,
+    pub(crate) floor: Option<Mark>,
+}
+
+/// Returns the primary of the statement's group if it may be used.
+pub(crate) fn primary(cx: &Context, route: &Route) -> Option<Place> {
+    let name = cx.permission.primary(&route.group)?;
+    let member = cx.directory.member(&name)?;
+    Some(Place {
+        pool: cx.pools.of(&member),
+        floor: None,
+    })
+}
+
+/// Chooses the member for a read, apart from those in `tried`.
+pub(crate) fn choose(cx: &Rc<Context>, job: &Rc<Job>, tried: &[MemberName]) -> Option<Place> {
+    let primary = primary(cx, &job.route).filter(|place| !is_tried(place, tried));
+    let Consistency::Bounded { staleness, .. } = job.route.consistency else {
+        return primary;
+    };
+    let age = cx.freshness.age(&job.route.group);
+    if age.is_none_or(|age| age > REFRESH_AGE) {
+        refresh(cx, job);
+    }
+    let floor = cx.freshness.floor(&job.route.group, staleness).max(job.own);
+    let replicas = floor.map(|floor| replicas(cx, job, floor, tried)).unwrap_or_default();
+    let score = |place: &Place, weight: f64| {
+        let (least, most) = SPREAD_PERCENT;
+        let spread = f64::from(u32::try_from(random_range(least..most)).unwrap_or(100));
+        cost(place, job) * weight * spread
+    };
+    let scored = replicas
+        .into_iter()
+        .map(|place| (score(&place, 1.0), place))
+        .chain(primary.map(|place| (score(&place, PRIMARY_WEIGHT), place)));
+    let best = scored.min_by(|(left, _), (right, _)| left.total_cmp(right));
+    best.map(|(_, place)| place)
+}
+
+fn replicas(cx: &Context, job: &Job, floor: Mark, tried: &[MemberName]) -> Vec<Place> {
+    let leader = cx.permission.primary(&job.route.group);
+    let mut places: Vec<_> = cx
+        .directory
+        .members(&job.route.group)
+        .into_iter()
+        .filter(|member| Some(&member.name) != leader.as_ref() && !member.is_draining)
+        .map(|member| Place {
+            pool: cx.pools.of(&member),
+            floor: Some(floor),
+        })
+        .filter(|place| !is_tried(place, tried) && !place.pool.health.is_suspected())
+        .collect();
+    if places.iter().any(|place| !place.pool.health.is_avoided()) {
+        places.retain(|place| !place.pool.health.is_avoided());
+    }
+    places
+}
+
+fn is_tried(place: &Place, tried: &[MemberName]) -> bool {
+    tried.contains(&place.pool.member().name)
+}
+
+/// Estimates the time until the member answers, in milliseconds.
+fn cost(place: &Place, job: &Job) -> f64 {
+    let running = u32::try_from(place.pool.health.running()).unwrap_or(u32::MAX);
+    let slots = f64::from(place.pool.member().slots.max(1));
+    let queue = 1.0 + f64::from(running) / slots;
+    let connect = if place.pool.has_idle(&job.organisation) {
+        0.0
+    } else {
+        CONNECT_COST_MS
+    };
+    place.pool.health.latency_ms() * queue + connect
+}
+
+/// Asks the primary for its position, once at a time for each group.
+///
+/// An empty transaction takes no slot and leaves the connection as it was.
+fn refresh(cx: &Rc<Context>, job: &Rc<Job>) {
+    let group = job.route.group.clone();
+    let Some(place) = primary(cx, &job.route) else {
+        return;
+    };
+    if cx.refreshing.borrow().contains_key(&group) {
+        return;
+    }
+    let (context, job) = (Rc::clone(cx), Rc::clone(job));
+    let name = group.clone();
+    let task = spawn(async move {
+        let outcome = timeout(REFRESH_TIMEOUT, ask_position(&context, &place, &job)).await;
+        if !matches!(outcome, Ok(Ok(()))) {
+            debug!(group = %name, ?outcome, "position not learned");
+        }
+        context.refreshing.borrow_mut().remove(&name);
+    });
+    cx.refreshing.borrow_mut().insert(group, task);
+}
+
+async fn ask_position(cx: &Context, place: &Place, job: &Job) -> Result<(), Lost> {
+    let mut lent = outcome::lend(&place.pool, job, job.deadline()).await?;
+    let begin = Command::Begin {
+        access: Access::Read,
+        floor: None,
+    };
+    outcome::send(cx, &mut lent, job, begin, false).await?;
+    let reply = outcome::send(cx, &mut lent, job, Command::Rollback, false).await?;
+    outcome::settle(lent, &reply);
+    Ok(())
+}
+
+/// Says why no member could be chosen.
+pub(crate) fn refusal(cx: &Context, job: &Job) -> ErrorKind {
+    if cx.permission.primary(&job.route.group).is_none() {
+        ErrorKind::NoPrimary
+    } else {
+        ErrorKind::QueueFull
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_session/src/serve.rs
@@ -0,0 +1,249 @@
+//! Accepts client connections and carries their messages.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, Signal, Task, sleep, sleep_until, spawn, timeout};
+use burdockslip_statement::{Inbound, Response, Transaction};
+use burdockslip_types::{ErrorKind, Result};
+use burdockslip_upstream::{Framed, configure_socket};
+use bytes::BytesMut;
+use error_stack::Report;
+use futures::future::{Either, select};
+use monoio::net::{TcpListener, TcpStream};
+use tracing::{info, warn};
+
+use crate::Context;
+use crate::session::Session;
+
+/// How long a new connection may take to say what it wants.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bounds the time to send an answer to a client that does not read.
+const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Waits this long after a failed accept, which happens when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Says how far a host has stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Level {
+    Open,
+    ClosingIdle,
+    ClosingAll,
+}
+
+/// Tells sessions to end.
+#[derive(Debug)]
+pub struct Stop {
+    level: Cell<Level>,
+    changed: Signal,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self {
+            level: Cell::new(Level::Open),
+            changed: Signal::default(),
+        }
+    }
+}
+
+impl Stop {
+    /// Lets sessions go on.
+    pub fn reopen(&self) {
+        self.set(Level::Open);
+    }
+
+    /// Ends sessions as soon as they have no transaction.
+    pub fn close_idle(&self) {
+        self.set(Level::ClosingIdle);
+    }
+
+    /// Rolls transactions back that wait for their client, and ends all sessions.
+    pub fn close_all(&self) {
+        self.set(Level::ClosingAll);
+    }
+
+    fn set(&self, level: Level) {
+        if self.level.replace(level) != level {
+            self.changed.notify();
+        }
+    }
+}
+
+/// Listens for clients until dropped.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    _task: Task<()>,
+}
+
+impl Listener {
+    /// Listens on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `InvalidInput` if the address cannot be bound.
+    pub fn bind(address: SocketAddr, cx: Rc<Context>, stop: Rc<Stop>) -> Result<Self> {
+        let failed = |error| {
+            Report::new(error)
+                .attach(format!("client address {address}"))
+                .change_context(ErrorKind::InvalidInput)
+        };
+        let listener = TcpListener::bind(address).map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        Ok(Self {
+            address,
+            _task: spawn(accept(listener, cx, stop)),
+        })
+    }
+
+    /// Returns the address on which it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn accept(listener: TcpListener, cx: Rc<Context>, stop: Rc<Stop>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) if cx.open.get() >= cx.limits.sessions => {
+                warn!(%peer, open = cx.open.get(), "client connection refused, too many are open");
+                drop(stream);
+            }
+            Ok((stream, _)) => {
+                cx.open.set(cx.open.get() + 1);
+                let (cx, stop) = (Rc::clone(&cx), Rc::clone(&stop));
+                spawn(async move {
+                    configure_socket(&stream);
+                    serve(&cx, &stop, stream).await;
+                    cx.open.set(cx.open.get() - 1);
+                })
+                .detach();
+            }
+            Err(error) => {
+                warn!(%error, "client connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(cx: &Rc<Context>, stop: &Stop, stream: TcpStream) {
+    let mut framed = Framed::new(stream);
+    let Ok(first) = timeout(CONNECT_TIMEOUT, framed.next(cx.dialect.read_inbound)).await else {
+        return;
+    };
+    let opened = match first {
+        Ok(Inbound::Connect { database, key }) => {
+            let opened = Session::open(Rc::clone(cx), database.clone(), key);
+            if let Err(kind) = &opened {
+                info!(database, outcome = ?kind, "session refused");
+            }
+            opened
+        }
+        Ok(Inbound::Release) => return,
+        Ok(Inbound::Query(_) | Inbound::Malformed) => Err(ErrorKind::Protocol),
+        Err(report) => match *report.current_context() {
+            ErrorKind::ConnectionLost => return,
+            kind => Err(kind),
+        },
+    };
+    match opened {
+        Ok(mut session) => {
+            let hello = ready();
+            if send(cx, &mut framed, &hello, true).await {
+                converse(cx, stop, &mut framed, &mut session).await;
+            }
+            session.abort("client gone");
+        }
+        Err(kind) => {
+            send(cx, &mut framed, &Response::failed(kind, Transaction::Idle), true).await;
+        }
+    }
+}
+
+/// Answers a new session: there is a state, but no result.
+const fn ready() -> Response {
+    Response::done(Transaction::Idle)
+}
+
+async fn converse(cx: &Rc<Context>, stop: &Stop, framed: &mut Framed, session: &mut Session) {
+    loop {
+        let query = match receive(cx, stop, framed, session).await {
+            Some(Inbound::Query(query)) => query,
+            Some(Inbound::Malformed | Inbound::Connect { .. }) => {
+                let response = Response::failed(ErrorKind::Protocol, session.transaction());
+                send(cx, framed, &response, false).await;
+                return;
+            }
+            Some(Inbound::Release) | None => return,
+        };
+        let verdict = session.handle(query).await;
+        if !send(cx, framed, &verdict.response, false).await || verdict.is_final {
+            return;
+        }
+    }
+}
+
+/// Waits for the next message; `None` ends the session.
+async fn receive(
+    cx: &Rc<Context>,
+    stop: &Stop,
+    framed: &mut Framed,
+    session: &mut Session,
+) -> Option<Inbound> {
+    loop {
+        let seen = stop.changed.epoch();
+        let is_idle = session.transaction() == Transaction::Idle;
+        match stop.level.get() {
+            Level::ClosingIdle | Level::ClosingAll if is_idle && framed.is_quiet() => return None,
+            Level::ClosingAll if framed.is_quiet() => session.abort("host stops"),
+            _ => {}
+        }
+        let limit = session.idle_limit();
+        let message = Box::pin(framed.next(cx.dialect.read_inbound));
+        let interrupt = Box::pin(interrupt(stop, seen, limit));
+        match select(message, interrupt).await {
+            Either::Left((Ok(message), _)) => return Some(message),
+            Either::Left((Err(report), _)) => {
+                let kind = *report.current_context();
+                return (kind != ErrorKind::ConnectionLost).then_some(Inbound::Malformed);
+            }
+            Either::Right((Interrupt::Idle, _)) => session.abort("idle for too long"),
+            Either::Right((Interrupt::Stop, _)) => {}
+        }
+    }
+}
+
+enum Interrupt {
+    Idle,
+    Stop,
+}
+
+async fn interrupt(stop: &Stop, seen: u64, limit: Option<Instant>) -> Interrupt {
+    let changed = stop.changed.changed(seen);
+    let Some(limit) = limit else {
+        changed.await;
+        return Interrupt::Stop;
+    };
+    match select(changed, sleep_until(limit)).await {
+        Either::Left(_) => Interrupt::Stop,
+        Either::Right(_) => Interrupt::Idle,
+    }
+}
+
+/// Sends an answer and returns whether the connection still works.
+async fn send(cx: &Context, framed: &mut Framed, response: &Response, is_opening: bool) -> bool {
+    let mut bytes = BytesMut::new();
+    let write = if is_opening {
+        cx.dialect.write_opening
+    } else {
+        cx.dialect.write_response
+    };
+    write(response, &mut bytes);
+    matches!(timeout(SEND_TIMEOUT, framed.send(bytes)).await, Ok(Ok(())))
+}
--- /dev/null
+++ b/crates/burdockslip_session/src/session.rs
@@ -0,0 +1,353 @@
+//! Runs the statements of one session.
+
+use std::rc::Rc;
+
+use burdockslip_directory::{Consistency, Route};
+use burdockslip_runtime::{Instant, now};
+use burdockslip_statement::{Access, Query, Reply, Response, Statement, Transaction};
+use burdockslip_telemetry::RequestMetrics;
+use burdockslip_types::{ClassName, ErrorKind, GroupName, Mark, Organisation};
+use burdockslip_upstream::{SessionState, Shape};
+use bytes::Bytes;
+use tracing::info;
+
+use crate::context::Context;
+use crate::outcome::{Job, Work, kind_of};
+use crate::transaction::Open;
+use crate::{read, write};
+
+/// Is charged for callers of open routes, which need no key.
+const PUBLIC: &str = "public";
+
+/// Holds the state of one client's session.
+#[derive(Debug)]
+pub(crate) struct Session {
+    cx: Rc<Context>,
+    database: String,
+    key: String,
+    organisation: Organisation,
+    state: Rc<SessionState>,
+    own: Option<(GroupName, Mark)>,
+    open: Option<Open>,
+    has_failed: bool,
+    metrics: RequestMetrics,
+}
+
+/// Says what a client is told and whether the session ends.
+#[derive(Debug)]
+pub(crate) struct Verdict {
+    pub(crate) response: Response,
+    pub(crate) is_final: bool,
+}
+
+impl Session {
+    /// Opens a session for a caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConfigMissing`, `UnknownRoute` or `BadKey`.
+    pub(crate) fn open(cx: Rc<Context>, database: String, key: String) -> Result<Self, ErrorKind> {
+        let (route, organisation) = authorise(&cx, &database, &key)?;
+        let class = ClassName::from(route.name.as_str());
+        Ok(Self {
+            metrics: cx.metrics.requests_of(&organisation, &class),
+            cx,
+            database,
+            key,
+            organisation,
+            state: Rc::default(),
+            own: None,
+            open: None,
+            has_failed: false,
+        })
+    }
+
+    /// Returns the state that clients are told.
+    pub(crate) const fn transaction(&self) -> Transaction {
+        if self.has_failed {
+            Transaction::Failed
+        } else if self.open.is_some() {
+            Transaction::Open
+        } else {
+            Transaction::Idle
+        }
+    }
+
+    /// Returns the moment at which an idle transaction is rolled back.
+    pub(crate) fn idle_limit(&self) -> Option<Instant> {
+        let limit = self.cx.directory.configuration()?.transaction_idle?;
+        Some(self.open.as_ref()?.used + limit)
+    }
+
+    /// Rolls an open transaction back; the client learns it from the next answer.
+    pub(crate) fn abort(&mut self, reason: &str) {
+        if let Some(open) = self.open.take() {
+            info!(organisation = %self.organisation, database = self.database, reason,
+                "transaction rolled back");
+            let job = self.job(&open.route, Bytes::from_static(b"-"), Work::Direct(Bytes::new()), Access::Read);
+            open.roll_back(&self.cx, job);
+            self.has_failed = true;
+        }
+    }
+
+    /// Runs a statement.
+    pub(crate) async fn handle(&mut self, query: Query) -> Verdict {
+        let started = now();
+        let Some(statement) = query.statement.clone() else {
+            return self.verdict(Response::failed(ErrorKind::Protocol, self.transaction()));
+        };
+        let route = match authorise(&self.cx, &self.database, &self.key) {
+            Ok((route, organisation)) if organisation == self.organisation => route,
+            Ok(_) => return self.expel(&query, ErrorKind::BadKey),
+            Err(ErrorKind::BadKey) => return self.expel(&query, ErrorKind::KeyRevoked),
+            Err(kind) => return self.expel(&query, kind),
+        };
+        let is_upstream = !matches!(
+            statement,
+            Statement::Begin(_) | Statement::Set { .. } | Statement::Prepare { .. } | Statement::Deallocate(_)
+        );
+        let id = query.id.clone();
+        let response = if self.has_failed {
+            self.handle_failed(&statement)
+        } else {
+            self.dispatch(&route, query, statement).await
+        };
+        if is_upstream || response.result.is_err() {
+            self.record(&id, &route, started, &response);
+        }
+        self.verdict(response)
+    }
+
+    fn verdict(&self, response: Response) -> Verdict {
+        Verdict {
+            response,
+            is_final: false,
+        }
+    }
+
+    /// Ends a session whose caller may not go on.
+    fn expel(&mut self, query: &Query, kind: ErrorKind) -> Verdict {
+        info!(id = text(&query.id), organisation = %self.organisation, database = self.database,
+            outcome = ?kind, config_age_ms = self.cx.directory.age().map(|age| age.as_millis()),
+            "session ended, caller not authorised");
+        self.abort("caller not authorised");
+        self.has_failed = false;
+        Verdict {
+            response: Response::failed(kind, Transaction::Idle),
+            is_final: true,
+        }
+    }
+
+    /// Answers in a failed transaction, which can only be ended.
+    fn handle_failed(&mut self, statement: &Statement) -> Response {
+        match statement {
+            Statement::Rollback => {
+                self.has_failed = false;
+                Response::done(Transaction::Idle)
+            }
+            Statement::Commit => {
+                self.has_failed = false;
+                Response::failed(ErrorKind::TransactionAborted, Transaction::Idle)
+            }
+            _ => Response::failed(ErrorKind::Protocol, Transaction::Failed),
+        }
+    }
+
+    async fn dispatch(&mut self, route: &Rc<Route>, query: Query, statement: Statement) -> Response {
+        match statement {
+            Statement::Begin(access) => self.begin(route, access, &query),
+            Statement::Commit => self.commit(route, query).await,
+            Statement::Rollback => self.roll_back(query),
+            Statement::Direct(access) => {
+                let work = Work::Direct(query.text);
+                self.execute(route, query.id, work, access).await
+            }
+            Statement::Execute { name, arguments } => {
+                let Some(shape) = self.state.prepared.get(&name).cloned() else {
+                    return self.fail(ErrorKind::UnknownStatement);
+                };
+                let access = shape.access;
+                self.execute(route, query.id, Work::Prepared(shape, arguments), access)
+                    .await
+            }
+            Statement::Set { name, value } => {
+                Rc::make_mut(&mut self.state).values.insert(name, value);
+                Response::done(self.transaction())
+            }
+            Statement::Prepare {
+                name,
+                access,
+                shape,
+            } => {
+                let shape = Shape {
+                    access,
+                    text: shape,
+                };
+                Rc::make_mut(&mut self.state).prepared.insert(name, shape);
+                Response::done(self.transaction())
+            }
+            Statement::Deallocate(name) => {
+                Rc::make_mut(&mut self.state).prepared.remove(&name);
+                Response::done(self.transaction())
+            }
+        }
+    }
+
+    fn begin(&mut self, route: &Rc<Route>, access: Access, query: &Query) -> Response {
+        if self.open.is_some() {
+            return self.fail(ErrorKind::Protocol);
+        }
+        if let Err(kind) = self.cx.admit(&self.organisation, text(&query.id)) {
+            return Response::failed(kind, Transaction::Idle);
+        }
+        self.open = Some(Open::new(access, Rc::clone(route)));
+        Response::done(Transaction::Open)
+    }
+
+    async fn commit(&mut self, route: &Rc<Route>, query: Query) -> Response {
+        let Some(open) = self.open.take() else {
+            return Response::failed(ErrorKind::Protocol, Transaction::Idle);
+        };
+        let group = open.route.group.clone();
+        let job = self.job(route, query.id, Work::Direct(query.text), Access::Write);
+        let reply = open.commit(&self.cx, &job).await;
+        self.note_commit(&group, &reply);
+        let mut response = self.respond(reply);
+        if response.result == Err(ErrorKind::NoPrimary) {
+            response.result = Err(ErrorKind::TransactionAborted);
+        }
+        response.state = Transaction::Idle;
+        response
+    }
+
+    fn roll_back(&mut self, query: Query) -> Response {
+        let Some(open) = self.open.take() else {
+            return Response::failed(ErrorKind::Protocol, Transaction::Idle);
+        };
+        let job = self.job(&open.route, query.id, Work::Direct(query.text), Access::Read);
+        open.roll_back(&self.cx, job);
+        Response::done(Transaction::Idle)
+    }
+
+    async fn execute(&mut self, route: &Rc<Route>, id: Bytes, work: Work, access: Access) -> Response {
+        if let Some(open) = self.open.take() {
+            return self.execute_in(open, id, work, access).await;
+        }
+        if let Err(kind) = self.cx.admit(&self.organisation, text(&id)) {
+            return Response::failed(kind, Transaction::Idle);
+        }
+        let job = self.job(route, id, work, access);
+        if access == Access::Read {
+            let reply = read::run(&self.cx, &job).await;
+            return self.respond(reply);
+        }
+        let reply = write::run(&self.cx, &job).await;
+        self.note_commit(&route.group, &reply);
+        self.respond(reply)
+    }
+
+    async fn execute_in(&mut self, mut open: Open, id: Bytes, work: Work, access: Access) -> Response {
+        let route = Rc::clone(&open.route);
+        let job = self.job(&route, id, work, access);
+        let reply = open.run(&self.cx, &job).await;
+        let is_open = matches!(&reply, Ok(reply) if reply.state == Transaction::Open);
+        if is_open {
+            self.open = Some(open);
+        } else {
+            // The member has rolled back or will, as its connection is closed.
+            self.has_failed = true;
+            open.roll_back(&self.cx, job);
+        }
+        self.respond(reply)
+    }
+
+    /// Ends a transaction that the proxy itself cannot carry on.
+    fn fail(&mut self, kind: ErrorKind) -> Response {
+        self.abort("statement refused");
+        Response::failed(kind, self.transaction())
+    }
+
+    fn respond(&self, reply: Result<Reply, ErrorKind>) -> Response {
+        let state = self.transaction();
+        match reply {
+            Ok(reply) => Response {
+                rows: reply.rows,
+                result: reply.result.map(Some).map_err(kind_of),
+                state,
+                mark: reply.mark,
+            },
+            Err(kind) => Response::failed(kind, state),
+        }
+    }
+
+    /// Remembers the position that later reads of this session must see.
+    fn note_commit(&mut self, group: &GroupName, reply: &Result<Reply, ErrorKind>) {
+        if let Ok(reply) = reply
+            && reply.result.is_ok()
+            && let Some(mark) = reply.mark
+        {
+            let known = self.own.take().filter(|(known, _)| known == group);
+            let mark = known.map_or(mark, |(_, known)| known.max(mark));
+            self.own = Some((group.clone(), mark));
+        }
+    }
+
+    fn job(&self, route: &Rc<Route>, id: Bytes, work: Work, access: Access) -> Rc<Job> {
+        let reads_own = matches!(
+            route.consistency,
+            Consistency::Bounded {
+                is_session: true,
+                ..
+            }
+        );
+        let own = self.own.as_ref().filter(|(group, _)| reads_own && *group == route.group);
+        Rc::new(Job {
+            id,
+            work,
+            access,
+            route: Rc::clone(route),
+            organisation: self.organisation.clone(),
+            state: Rc::clone(&self.state),
+            own: own.map(|(_, mark)| *mark),
+            started: now(),
+        })
+    }
+
+    fn record(&self, id: &Bytes, route: &Route, started: Instant, response: &Response) {
+        let result = response.result.as_ref().map(|_| ()).map_err(|kind| *kind);
+        let took = started.elapsed();
+        self.metrics.record(result, took);
+        info!(
+            id = text(id),
+            organisation = %self.organisation,
+            database = self.database,
+            group = %route.group,
+            outcome = ?result.err(),
+            took_ms = took.as_millis(),
+            position = ?response.mark.map(|mark| (mark.term.0, mark.position.0)),
+            primary_age_ms = self.cx.permission.age(&route.group).map(|age| age.as_millis()),
+            config_age_ms = self.cx.directory.age().map(|age| age.as_millis()),
+            "statement answered"
+        );
+    }
+}
+
+/// Returns the route and the organisation of a caller.
+fn authorise(
+    cx: &Context,
+    database: &str,
+    key: &str,
+) -> Result<(Rc<Route>, Organisation), ErrorKind> {
+    let configuration = cx.current()?;
+    let route = configuration.routes.get(database).ok_or(ErrorKind::UnknownRoute)?;
+    let organisation = configuration.keys.get(key).cloned();
+    match organisation {
+        Some(organisation) => Ok((Rc::clone(route), organisation)),
+        None if route.is_open => Ok((Rc::clone(route), Organisation::from(PUBLIC))),
+        None => Err(ErrorKind::BadKey),
+    }
+}
+
+fn text(id: &Bytes) -> &str {
+    std::str::from_utf8(id).unwrap_or("?")
+}
--- a/crates/burdockslip_telemetry/src/admin.rs
+++ b/crates/burdockslip_telemetry/src/admin.rs
@@ -82,23 +82,37 @@
 ///
 /// Returns `ConnectionLost` if the address cannot be bound.
 pub fn serve_admin(address: SocketAddr, admin: Admin) -> Result<AdminServer> {
-    let failed = |error| Report::new(error).change_context(ErrorKind::ConnectionLost);
+    listen(address, move |path| admin.answer(path))
+}
+
+/// Listens on `address` and answers requests by their paths.
+pub(crate) fn listen(
+    address: SocketAddr,
+    answer: impl Fn(&str) -> Response + 'static,
+) -> Result<AdminServer> {
+    let failed = |error| {
+        Report::new(error)
+            .attach(format!("address {address}"))
+            .change_context(ErrorKind::ConnectionLost)
+    };
     let listener = TcpListener::bind(address).map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
     Ok(AdminServer {
         address,
-        _task: spawn(accept(listener, admin)),
+        _task: spawn(accept(listener, Rc::new(answer))),
     })
 }
 
-async fn accept(listener: TcpListener, admin: Admin) {
+type Answer = Rc<dyn Fn(&str) -> Response>;
+
+async fn accept(listener: TcpListener, answer: Answer) {
     let open = Rc::new(Cell::new(0_usize));
     loop {
         match listener.accept().await {
             // A connection over the bound is closed at once.
             Ok((stream, _)) if open.get() < MAX_CONNECTIONS => {
                 let guard = Guard::new(&open);
-                spawn(serve(stream, admin.clone(), guard)).detach();
+                spawn(serve(stream, Rc::clone(&answer), guard)).detach();
             }
             Ok(_) => {}
             Err(error) => {
@@ -109,16 +123,23 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, admin: Admin, guard: Guard) {
-    answer_connection(&mut stream, &admin).await;
+async fn serve(mut stream: TcpStream, answer: Answer, guard: Guard) {
+    exchange(&mut stream, &*answer).await;
     drop(guard);
 }
 
 /// Answers one request on a connection within [`EXCHANGE_DEADLINE`] for each direction.
 pub async fn answer_connection<S: AsyncReadRent + AsyncWriteRent>(stream: &mut S, admin: &Admin) {
+    exchange(stream, &|path| admin.answer(path)).await;
+}
+
+async fn exchange<S: AsyncReadRent + AsyncWriteRent>(
+    stream: &mut S,
+    answer: &dyn Fn(&str) -> Response,
+) {
     let path = timeout(EXCHANGE_DEADLINE, http::read_path(stream)).await;
     let response = match path {
-        Ok(Ok(path)) => admin.answer(&path),
+        Ok(Ok(path)) => answer(&path),
         Ok(Err(response)) => response,
         Err(_) => Response::text(408, "request too slow\n"),
     };
--- a/crates/burdockslip_telemetry/src/lib.rs
+++ b/crates/burdockslip_telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 mod http;
 mod logs;
 mod metrics;
+mod ready;
 mod redact;
 mod status;
 
@@ -14,4 +15,5 @@
 pub use http::{EXCHANGE_DEADLINE, MAX_REQUEST, MAX_RESPONSE, Response, fetch};
 pub use logs::{install_logs, subscriber};
 pub use metrics::{Metrics, RequestMetrics, Source};
+pub use ready::serve_ready;
 pub use status::HostStatus;
--- a/crates/burdockslip_telemetry/src/logs.rs
+++ b/crates/burdockslip_telemetry/src/logs.rs
@@ -14,14 +14,14 @@
 
 use crate::redact::{WITHHELD, is_secret_field, without_keys};
 
-/// Sends the events of this process that pass `filter` to standard error.
+/// Sends the events of this process that pass `filter` to standard output.
 ///
 /// # Errors
 ///
 /// Returns `InvalidInput` if the filter is malformed, and `Internal` if logs
 /// were installed before.
 pub fn install_logs(filter: &str) -> Result<()> {
-    let subscriber = subscriber(filter, std::io::stderr)?;
+    let subscriber = subscriber(filter, std::io::stdout)?;
     tracing::subscriber::set_global_default(subscriber)
         .map_err(|error| Report::new(error).change_context(ErrorKind::Internal))
 }
--- a/crates/burdockslip_types/src/error.rs
+++ b/crates/burdockslip_types/src/error.rs
@@ -55,6 +55,16 @@
         InvalidInput,
         /// A fault of the program itself.
         Internal,
+        /// No route has the name of the database.
+        UnknownRoute,
+        /// The session has no prepared statement of that name.
+        UnknownStatement,
+        /// The transaction was rolled back before its commit was sent.
+        TransactionAborted,
+        /// The statement ran at the upstream and failed.
+        StatementFailed,
+        /// The statement ran into its time limit and may have run.
+        StatementTimeout,
     }
 }
 
@@ -169,6 +179,31 @@
             ),
             Self::InvalidInput => not_run("22023", "invalid input", "Correct the reported faults."),
             Self::Internal => unsure("XX000", "internal error", "Report it with the host's log."),
+            Self::UnknownRoute => not_run(
+                "3D000",
+                "unknown database",
+                "Use a database name that the configuration lists.",
+            ),
+            Self::UnknownStatement => not_run(
+                "26000",
+                "unknown prepared statement, not run",
+                "Prepare the statement in this session.",
+            ),
+            Self::TransactionAborted => not_run(
+                "25P02",
+                "transaction rolled back, nothing kept",
+                "Run the transaction again.",
+            ),
+            Self::StatementFailed => unsure(
+                "38000",
+                "statement failed at the upstream",
+                "Repeat reads; read back before repeating a write.",
+            ),
+            Self::StatementTimeout => unsure(
+                "57015",
+                "statement timed out",
+                "Read back before repeating a write.",
+            ),
         }
     }
 
--- /dev/null
+++ b/crates/burdockslip_upstream/src/connection.rs
@@ -0,0 +1,242 @@
+//! Talks to one member over one connection.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use burdockslip_directory::Member;
+use burdockslip_runtime::{Instant, now};
+use burdockslip_statement::{Access, Answer, Command, Dialect, Failure, Reply, Transaction};
+use burdockslip_types::{ErrorKind, Organisation, Result};
+use bytes::{Bytes, BytesMut};
+use error_stack::{Report, bail};
+use monoio::net::TcpStream;
+
+use crate::{Framed, configure_socket};
+
+/// Bounds the prepared statements of a connection, since each takes memory
+/// here and at the member.
+const MAX_PREPARED: usize = 64;
+
+/// Identifies what a prepared statement does, independent of its name.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Shape {
+    /// Whether it writes.
+    pub access: Access,
+    /// The prepared text.
+    pub text: Bytes,
+}
+
+/// Holds what a client's session has set.
+#[derive(Debug, Clone, Default)]
+pub struct SessionState {
+    /// The session values.
+    pub values: BTreeMap<Bytes, Bytes>,
+    /// The prepared statements by the client's names.
+    pub prepared: HashMap<Bytes, Shape>,
+}
+
+/// Holds an open connection to a member for one organisation.
+#[derive(Debug)]
+pub struct Connection {
+    dialect: Dialect,
+    framed: Framed,
+    member: Rc<Member>,
+    organisation: Organisation,
+    values: BTreeMap<Bytes, Bytes>,
+    prepared: HashMap<Shape, Bytes>,
+    named: u64,
+    is_open: bool,
+    used: Instant,
+}
+
+impl Connection {
+    /// Connects to a member; the caller bounds the time.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` if the member cannot be reached, `QueueFull` if
+    /// it has no connection left and `RouteDenied` if another member answers.
+    pub async fn open(
+        dialect: Dialect,
+        member: Rc<Member>,
+        organisation: Organisation,
+    ) -> Result<Self> {
+        let lost = |error| Report::new(error).change_context(ErrorKind::ConnectionLost);
+        let stream = TcpStream::connect(member.address).await.map_err(lost)?;
+        configure_socket(&stream);
+        let command = Command::Connect {
+            group: member.group.clone(),
+            organisation: organisation.clone(),
+            member: member.name.clone(),
+        };
+        let mut connection = Self {
+            dialect,
+            framed: Framed::new(stream),
+            member,
+            organisation,
+            values: BTreeMap::new(),
+            prepared: HashMap::new(),
+            named: 0,
+            is_open: false,
+            used: now(),
+        };
+        connection.send(&[command]).await?;
+        match connection.answer().await? {
+            Answer::Ready(..) => Ok(connection),
+            Answer::Failed(Failure::TooManyConnections | Failure::Busy) => {
+                bail!(ErrorKind::QueueFull)
+            }
+            Answer::Failed(Failure::WrongMember) => bail!(ErrorKind::RouteDenied),
+            other => bail!(Report::new(ErrorKind::Protocol).attach(format!("{other:?}"))),
+        }
+    }
+
+    /// Returns the member.
+    pub const fn member(&self) -> &Rc<Member> {
+        &self.member
+    }
+
+    /// Returns the organisation for which the connection was opened.
+    pub const fn organisation(&self) -> &Organisation {
+        &self.organisation
+    }
+
+    /// Returns whether the session values are those of `state`.
+    pub fn has_values(&self, state: &SessionState) -> bool {
+        self.values == state.values
+    }
+
+    /// Returns the time of the last use.
+    pub const fn used(&self) -> Instant {
+        self.used
+    }
+
+    /// Returns whether the connection can be used again.
+    pub fn is_quiet(&self) -> bool {
+        self.framed.is_quiet()
+    }
+
+    /// Gives the connection the values of a session and, if one is named, its
+    /// prepared statement, whose name on this connection is returned.
+    ///
+    /// Statements are named by what they do, so sessions whose names collide
+    /// share a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` if the connection breaks and `Protocol` if the
+    /// member refuses; the connection must not be used then.
+    pub async fn adopt(
+        &mut self,
+        state: &SessionState,
+        shape: Option<&Shape>,
+    ) -> Result<Option<Bytes>> {
+        let mut commands = Vec::new();
+        let is_superset = self.values.keys().all(|name| state.values.contains_key(name));
+        let is_full = self.prepared.len() >= MAX_PREPARED && !self.is_open;
+        if !is_superset || is_full {
+            commands.push(Command::Reset);
+            self.values.clear();
+            self.prepared.clear();
+        }
+        for (name, value) in &state.values {
+            if self.values.get(name) != Some(value) {
+                commands.push(Command::Set {
+                    name: name.clone(),
+                    value: value.clone(),
+                });
+            }
+        }
+        self.values.clone_from(&state.values);
+        let name = shape.map(|shape| self.name(shape, &mut commands));
+        if commands.is_empty() {
+            return Ok(name);
+        }
+        for reply in self.exchange(&commands).await? {
+            if let Err(failure) = reply.result {
+                bail!(Report::new(ErrorKind::Protocol).attach(format!("setup refused: {failure:?}")));
+            }
+        }
+        Ok(name)
+    }
+
+    fn name(&mut self, shape: &Shape, commands: &mut Vec<Command>) -> Bytes {
+        if let Some(name) = self.prepared.get(shape) {
+            return name.clone();
+        }
+        self.named += 1;
+        let name = Bytes::from(format!("p{}", self.named));
+        commands.push(Command::Prepare {
+            name: name.clone(),
+            access: shape.access,
+            shape: shape.text.clone(),
+        });
+        self.prepared.insert(shape.clone(), name.clone());
+        name
+    }
+
+    /// Sends commands together and reads one reply for each.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` or `Protocol`; commands may have run then, and
+    /// the connection must not be used again.
+    pub async fn exchange(&mut self, commands: &[Command]) -> Result<Vec<Reply>> {
+        self.send(commands).await?;
+        let mut replies = Vec::with_capacity(commands.len());
+        for _ in commands {
+            replies.push(self.reply().await?);
+        }
+        self.is_open = replies.last().is_some_and(|reply| reply.state != Transaction::Idle);
+        self.used = now();
+        Ok(replies)
+    }
+
+    /// Sends one command and reads its reply.
+    ///
+    /// # Errors
+    ///
+    /// See [`Connection::exchange`].
+    pub async fn call(&mut self, command: Command) -> Result<Reply> {
+        let mut replies = self.exchange(&[command]).await?;
+        replies.pop().ok_or_else(|| Report::new(ErrorKind::Internal))
+    }
+
+    async fn send(&mut self, commands: &[Command]) -> Result<()> {
+        let mut bytes = BytesMut::new();
+        for command in commands {
+            (self.dialect.write_command)(command, &mut bytes);
+        }
+        self.framed.send(bytes).await
+    }
+
+    async fn answer(&mut self) -> Result<Answer> {
+        self.framed.next(self.dialect.read_answer).await
+    }
+
+    async fn reply(&mut self) -> Result<Reply> {
+        let mut rows = Vec::new();
+        let result = loop {
+            match self.answer().await? {
+                Answer::Row(row) => rows.push(row),
+                Answer::Complete(signature) => break Ok(signature),
+                Answer::Failed(failure) => break Err(failure),
+                Answer::Ready(..) => bail!(Report::new(ErrorKind::Protocol).attach("no result")),
+            }
+        };
+        match self.answer().await? {
+            Answer::Ready(state, mark) => Ok(Reply {
+                rows,
+                result,
+                state,
+                mark,
+            }),
+            other => bail!(Report::new(ErrorKind::Protocol).attach(format!("{other:?}"))),
+        }
+    }
+
+    /// Returns whether a reply leaves the connection outside of transactions.
+    pub fn is_reusable(reply: &Reply) -> bool {
+        reply.state == Transaction::Idle
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_upstream/src/lib.rs
@@ -0,0 +1,18 @@
+//! Connects to members and keeps the connections for reuse.
+//!
+//! A connection belongs to one organisation, because members are told for whom
+//! it is opened; see `docs/platform.md`, "Connections".
+
+mod connection;
+mod framed;
+mod health;
+mod member_pool;
+mod pools;
+mod settings;
+
+pub use connection::{Connection, SessionState, Shape};
+pub use framed::Framed;
+pub use health::Health;
+pub use member_pool::{Lent, MemberPool};
+pub use pools::Pools;
+pub use settings::configure_socket;
--- /dev/null
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -0,0 +1,229 @@
+//! Keeps the pools of all members.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::{Directory, Member};
+use burdockslip_runtime::{Task, sleep, spawn, timeout};
+use burdockslip_statement::{Command, Dialect, MemberStatus};
+use burdockslip_types::{ErrorKind, GroupName, MemberName, Organisation, Result};
+use error_stack::{Report, bail};
+use tracing::{debug, info};
+
+use crate::{Connection, MemberPool};
+
+/// How often silent members are looked for.
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
+
+/// How often idle connections are looked through.
+const SWEEP_TICKS: u32 = 10;
+
+/// How long statements may wait without an answer before the member is probed.
+/// Ordinary statements take up to 300 ms.
+const PROBE_AFTER: Duration = Duration::from_millis(350);
+
+/// Bounds a probe: connecting and one status.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+
+struct Shared {
+    dialect: Dialect,
+    directory: Directory,
+    hosts: Cell<usize>,
+    pools: RefCell<HashMap<MemberName, Rc<MemberPool>>>,
+    probing: RefCell<HashMap<MemberName, Task<()>>>,
+}
+
+/// Keeps the pools of all members; clones share them.
+#[derive(Clone)]
+pub struct Pools {
+    shared: Rc<Shared>,
+    _watching: Rc<Task<()>>,
+}
+
+impl Pools {
+    /// Starts to keep pools for the members in the directory.
+    pub fn spawn(dialect: Dialect, directory: Directory) -> Self {
+        let shared = Rc::new(Shared {
+            dialect,
+            directory,
+            hosts: Cell::new(1),
+            pools: RefCell::default(),
+            probing: RefCell::default(),
+        });
+        Self {
+            _watching: Rc::new(spawn(watch(Rc::clone(&shared)))),
+            shared,
+        }
+    }
+
+    /// Sets the number of hosts that share the members' connections.
+    pub fn set_hosts(&self, hosts: usize) {
+        self.shared.hosts.set(hosts.max(1));
+    }
+
+    /// Returns the pool of a member.
+    pub fn of(&self, member: &Rc<Member>) -> Rc<MemberPool> {
+        let mut pools = self.shared.pools.borrow_mut();
+        if let Some(pool) = pools.get(&member.name)
+            && pool.member().address == member.address
+            && pool.member().born == member.born
+        {
+            return Rc::clone(pool);
+        }
+        let pool = Rc::new(MemberPool::new(self.shared.dialect, Rc::clone(member)));
+        pool.set_share(self.shared.share(&member.group));
+        pools.insert(member.name.clone(), Rc::clone(&pool));
+        pool
+    }
+
+    /// Returns the names of the members that cannot be reached from here, or
+    /// whose commits hang.
+    pub fn suspects(&self, commit_limit: Duration) -> Vec<MemberName> {
+        let pools = self.shared.pools.borrow();
+        let is_suspect = |pool: &&Rc<MemberPool>| {
+            let health = &pool.health;
+            health.is_suspected() || health.commit_silence().is_some_and(|span| span > commit_limit)
+        };
+        pools
+            .values()
+            .filter(is_suspect)
+            .map(|pool| pool.member().name.clone())
+            .collect()
+    }
+
+    /// Sends a control command to a member over a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConnectionLost` if the member gives no answer within `span`
+    /// and `QueueFull` if it is too busy.
+    pub async fn control(
+        &self,
+        member: &Rc<Member>,
+        command: Command,
+        span: Duration,
+    ) -> Result<MemberStatus> {
+        self.shared.control(member, command, span).await
+    }
+}
+
+impl fmt::Debug for Pools {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Pools")
+    }
+}
+
+impl Shared {
+    fn share(&self, group: &GroupName) -> usize {
+        let configuration = self.directory.configuration();
+        let limit = configuration
+            .as_ref()
+            .and_then(|configuration| configuration.services.get(group))
+            .map_or(1, |service| service.connections);
+        (limit / self.hosts.get()).max(1)
+    }
+
+    /// Members want the name of an organisation; any one will do for control.
+    fn control_name(&self) -> Organisation {
+        let configuration = self.directory.configuration();
+        let first = configuration
+            .as_ref()
+            .and_then(|configuration| configuration.accounts.keys().min().cloned());
+        first.unwrap_or_else(|| Organisation::from("burdockslip"))
+    }
+
+    async fn control(
+        &self,
+        member: &Rc<Member>,
+        command: Command,
+        span: Duration,
+    ) -> Result<MemberStatus> {
+        let organisation = self.control_name();
+        let exchange = async {
+            let mut connection =
+                Connection::open(self.dialect, Rc::clone(member), organisation).await?;
+            connection.call(command).await
+        };
+        let reply = match timeout(span, exchange).await {
+            Ok(reply) => reply?,
+            Err(_) => bail!(Report::new(ErrorKind::ConnectionLost).attach("no answer in time")),
+        };
+        match (reply.result, reply.rows.first()) {
+            (Ok(_), Some(row)) => (self.dialect.read_status)(row),
+            (Ok(_), None) => bail!(ErrorKind::Protocol),
+            (Err(failure), _) if failure.is_not_run() => bail!(ErrorKind::QueueFull),
+            (Err(_), _) => bail!(ErrorKind::StatementFailed),
+        }
+    }
+}
+
+async fn watch(shared: Rc<Shared>) {
+    let mut ticks = 0_u32;
+    loop {
+        sleep(WATCH_PERIOD).await;
+        ticks = ticks.wrapping_add(1);
+        let pools: Vec<_> = shared.pools.borrow().values().cloned().collect();
+        for pool in pools {
+            let is_known = shared.directory.member(&pool.member().name).is_some_and(|member| {
+                member.address == pool.member().address && member.born == pool.member().born
+            });
+            if !is_known {
+                pool.clear();
+                shared.pools.borrow_mut().retain(|_, kept| !Rc::ptr_eq(kept, &pool));
+                continue;
+            }
+            if ticks.is_multiple_of(SWEEP_TICKS) {
+                pool.set_share(shared.share(&pool.member().group));
+                pool.sweep();
+            }
+            let is_silent = pool.health.silence().is_some_and(|span| span > PROBE_AFTER);
+            if is_silent || pool.health.is_suspected() {
+                probe(&shared, pool);
+            }
+        }
+    }
+}
+
+/// Asks a silent member for its status, once at a time.
+fn probe(shared: &Rc<Shared>, pool: Rc<MemberPool>) {
+    let name = pool.member().name.clone();
+    if shared.probing.borrow().contains_key(&name) {
+        return;
+    }
+    let task = spawn(run_probe(Rc::clone(shared), pool));
+    shared.probing.borrow_mut().insert(name, task);
+}
+
+async fn run_probe(shared: Rc<Shared>, pool: Rc<MemberPool>) {
+    let member = pool.member();
+    let outcome = shared.control(member, Command::Status, PROBE_TIMEOUT).await;
+    let was_suspected = pool.health.is_suspected();
+    match outcome {
+        Ok(_) => pool.health.hear(None),
+        // A busy member is alive.
+        Err(report) if *report.current_context() == ErrorKind::QueueFull => {
+            pool.health.hear(None);
+        }
+        Err(report) => {
+            pool.health.suspect();
+            debug!(member = %member.name, error = ?report, "probe failed");
+        }
+    }
+    let is_suspected = pool.health.is_suspected();
+    if was_suspected != is_suspected {
+        info!(
+            member = %member.name,
+            group = %member.group,
+            address = %member.address,
+            reachable = !is_suspected,
+            "member reachability changed"
+        );
+    }
+    if is_suspected {
+        pool.clear();
+    }
+    shared.probing.borrow_mut().remove(&member.name);
+}
--- a/crates/burdockslipctl/tests/guide.rs
+++ b/crates/burdockslipctl/tests/guide.rs
@@ -9,7 +9,7 @@
 const CATALOGUE: &str =
     include_str!("../../burdockslip_catalogue/tests/fixtures/catalogue.example.jsonc");
 
-const KINDS: [ErrorKind; 22] = [
+const KINDS: [ErrorKind; 27] = [
     BadKey,
     KeyRevoked,
     RouteDenied,
@@ -32,6 +32,11 @@
     Conflict,
     InvalidInput,
     Internal,
+    UnknownRoute,
+    UnknownStatement,
+    TransactionAborted,
+    StatementFailed,
+    StatementTimeout,
 ];
 
 /// Guards against an error that clients get and cannot look up.
