--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -1,16 +1,16 @@
 //! Reports to the coordinator, and answers reports while this host is it.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::Directory;
+use burdockslip_directory::{Account, Directory};
 use burdockslip_failover::{Duty, Registration, Supervisor, keys};
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{now, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
-use burdockslip_shares::{Allocator, Demand, Grant};
+use burdockslip_shares::{Allocator, Demand, Grant, Limits};
 use burdockslip_types::{ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision};
 use error_stack::bail;
 use futures::future::select;
@@ -20,8 +20,11 @@
 /// How often a host reports.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
 
-/// How soon a host reports again if an operation was refused or a member is suspected.
-const URGENT_PERIOD: Duration = Duration::from_millis(120);
+/// Spaces reports for more tokens and about members that are newly suspected.
+const URGENT_PERIOD: Duration = Duration::from_millis(8);
+
+/// How often the suspected members are compared with those reported.
+const NEWS_PERIOD: Duration = Duration::from_millis(100);
 
 /// Bounds a report, so that one that is lost does not delay the next.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -81,11 +84,16 @@
             bail!(ErrorKind::Conflict);
         };
         self.supervisor.report(host.clone(), report.suspects);
-        let organisations: Vec<Organisation> = self
-            .directory
-            .configuration()
-            .map(|configuration| configuration.accounts.keys().cloned().collect())
-            .unwrap_or_default();
+        let configuration = self.directory.configuration().unwrap_or_default();
+        let limits = |account: &Account| Limits {
+            rate: account.rate,
+            burst: account.burst,
+        };
+        let organisations: HashMap<Organisation, Limits> = configuration
+            .accounts
+            .iter()
+            .map(|(name, account)| (name.clone(), limits(account)))
+            .collect();
         let mut allocator = self.allocator.borrow_mut();
         if allocator.0 != tenure.token {
             *allocator = (tenure.token, Allocator::default());
@@ -128,12 +136,10 @@
                 outcome = ?error, "report to the coordinator");
             failed = error;
         }
-        if let Ok(verdict) = outcome
-            && let Some(configuration) = cx.directory.configuration()
-        {
-            let account = |name: &Organisation| configuration.accounts.get(name).cloned();
-            cx.rates.borrow_mut().apply(verdict.grants, account);
+        if let Ok(verdict) = outcome {
+            cx.rates.borrow_mut().apply(verdict.grants);
         }
+        cx.granted.notify();
         cx.pools.set_hosts(registered(&cx.directory).len());
         sleep_until(sent + URGENT_PERIOD).await;
         wait_news(&cx, seen, &suspected, sent + REPORT_PERIOD).await;
@@ -143,7 +149,7 @@
 /// Waits until there is something urgent to report, or `until` at most.
 async fn wait_news(cx: &Context, seen: u64, known: &[MemberName], until: burdockslip_runtime::Instant) {
     while !until.is_past() {
-        let pause = sleep(URGENT_PERIOD.min(until.remaining()));
+        let pause = sleep(NEWS_PERIOD.min(until.remaining()));
         select(Box::pin(cx.starved.changed(seen)), pause).await;
         let has_news = cx.starved.epoch() != seen || cx.pools.suspects(COMMIT_LIMIT) != known;
         if has_news {
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -8,8 +8,8 @@
 
 use burdockslip_directory::{Configuration, Directory, Route};
 use burdockslip_failover::Permission;
-use burdockslip_runtime::{Signal, Task};
-use burdockslip_shares::LocalRates;
+use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
+use burdockslip_shares::{Admission, LocalRates};
 use burdockslip_statement::Dialect;
 use burdockslip_telemetry::Metrics;
 use burdockslip_types::{ErrorKind, GroupName, Organisation};
@@ -18,6 +18,10 @@
 
 use crate::freshness::Freshness;
 
+/// How long an operation may wait for a token; the coordinator answers within
+/// a few milliseconds.
+const TOKEN_WAIT: Duration = Duration::from_millis(40);
+
 /// Holds the limits of a host.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -37,8 +41,10 @@
     pub permission: Permission,
     /// Admits operations within the rates.
     pub rates: Rc<RefCell<LocalRates>>,
-    /// Wakes the task that reports demand, because an operation was refused.
+    /// Wakes the task that reports demand, because tokens are running low.
     pub starved: Rc<Signal>,
+    /// Wakes operations that wait for tokens.
+    pub granted: Rc<Signal>,
     /// Knows positions of the groups' logs.
     pub freshness: Freshness,
     /// Counts and measures requests.
@@ -67,6 +73,7 @@
             permission,
             rates: Rc::default(),
             starved: Rc::default(),
+            granted: Rc::default(),
             freshness: Freshness::default(),
             metrics,
             limits,
@@ -91,21 +98,43 @@
     ///
     /// # Errors
     ///
-    /// Returns `RateExceeded` if the host's part of the rate is used up.
-    pub(crate) fn admit(&self, organisation: &Organisation, id: &str) -> Result<(), ErrorKind> {
+    /// Returns `RateExceeded` if the organisation's rate is used up.
+    pub(crate) async fn admit(&self, organisation: &Organisation, id: &str) -> Result<(), ErrorKind> {
         let configuration = self.current()?;
         // A caller of an open route has no account and no limit.
         let Some(account) = configuration.accounts.get(organisation) else {
             return Ok(());
         };
-        let outcome = self.rates.borrow_mut().admit(account);
-        outcome.map_err(|refusal| {
-            self.starved.notify();
-            info!(id, %organisation, fraction = refusal.fraction,
-                wait_ms = refusal.wait.map(|wait| wait.as_millis()),
-                version = configuration.version, "operation refused, rate exceeded");
-            ErrorKind::RateExceeded
-        })
+        self.rates.borrow_mut().want(organisation);
+        let until = now() + TOKEN_WAIT;
+        loop {
+            let seen = self.granted.epoch();
+            let admission = self.rates.borrow_mut().admit(account);
+            let refusal = match admission {
+                Admission::Granted => {
+                    if self.rates.borrow().is_low() {
+                        self.starved.notify();
+                    }
+                    return Ok(());
+                }
+                Admission::Wait => None,
+                Admission::Refused(refusal) => Some(refusal),
+            };
+            if refusal.is_some() || until.is_past() {
+                info!(id, %organisation, ?refusal, version = configuration.version,
+                    "operation refused, rate exceeded");
+                return Err(ErrorKind::RateExceeded);
+            }
+            self.wait_for_tokens(organisation, seen, until).await;
+        }
+    }
+
+    async fn wait_for_tokens(&self, organisation: &Organisation, seen: u64, until: Instant) {
+        self.rates.borrow_mut().wait(organisation);
+        self.starved.notify();
+        // Time running out shows in the next look at the tokens.
+        let _ = timeout_at(until, self.granted.changed(seen)).await;
+        self.rates.borrow_mut().end_wait(organisation);
     }
 }
 
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -155,7 +155,7 @@
 
     async fn dispatch(&mut self, route: &Rc<Route>, query: Query, statement: Statement) -> Response {
         match statement {
-            Statement::Begin(access) => self.begin(route, access, &query),
+            Statement::Begin(access) => self.begin(route, access, &query).await,
             Statement::Commit => self.commit(route, query).await,
             Statement::Rollback => self.roll_back(query),
             Statement::Direct(access) => {
@@ -193,11 +193,11 @@
         }
     }
 
-    fn begin(&mut self, route: &Rc<Route>, access: Access, query: &Query) -> Response {
+    async fn begin(&mut self, route: &Rc<Route>, access: Access, query: &Query) -> Response {
         if self.open.is_some() {
             return self.fail(ErrorKind::Protocol);
         }
-        if let Err(kind) = self.cx.admit(&self.organisation, text(&query.id)) {
+        if let Err(kind) = self.cx.admit(&self.organisation, text(&query.id)).await {
             return Response::failed(kind, Transaction::Idle);
         }
         self.open = Some(Open::new(access, Rc::clone(route)));
@@ -233,7 +233,7 @@
         if let Some(open) = self.open.take() {
             return self.execute_in(open, id, work, access).await;
         }
-        if let Err(kind) = self.cx.admit(&self.organisation, text(&id)) {
+        if let Err(kind) = self.cx.admit(&self.organisation, text(&id)).await {
             return Response::failed(kind, Transaction::Idle);
         }
         let job = self.job(route, id, work, access);
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -19,21 +19,16 @@
 ///
 /// Only an answer that proves that the write did not run lets it be sent again.
 pub(crate) async fn run(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Reply, ErrorKind> {
-    let mut last = ErrorKind::NoPrimary;
     loop {
-        match attempt(cx, job).await {
+        let last = match attempt(cx, job).await {
             Ok(reply) => match reply.result {
-                Err(failure) if failure.is_not_run() => {
-                    last = outcome::kind_of(failure);
-                    if failure == Failure::Busy {
-                        return Err(last);
-                    }
-                }
+                Err(Failure::Busy) => return Err(ErrorKind::QueueFull),
+                Err(failure) if failure.is_not_run() => outcome::kind_of(failure),
                 _ => return Ok(reply),
             },
-            Err(Lost::NotSent(kind)) => last = kind,
+            Err(Lost::NotSent(kind)) => kind,
             Err(Lost::Broken | Lost::TimedOut) => return Err(ErrorKind::OutcomeUnknown),
-        }
+        };
         if job.patience().is_past() {
             return Err(last);
         }
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -1,12 +1,12 @@
-//! Grants fractions of rates to hosts.
+//! Hands out tokens and fractions of rates at the coordinator.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{HostId, Organisation};
-use tracing::info;
 
+use crate::bucket::Bucket;
 use crate::{Demand, Grant};
 
 /// How long a silent host is taken to use what it was granted. Hosts stop
@@ -25,6 +25,18 @@
 /// Counts demand below this rate as none, in operations a second.
 const LEAST_DEMAND: f64 = 0.05;
 
+/// A host that has not reported for this long is taken to use its fraction.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
+
+/// Limits an organisation over all hosts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Operations a second.
+    pub rate: f64,
+    /// Operations at once.
+    pub burst: f64,
+}
+
 #[derive(Debug)]
 struct HostState {
     reported: Instant,
@@ -37,51 +49,65 @@
 #[derive(Debug, Default)]
 pub struct Allocator {
     hosts: HashMap<HostId, HostState>,
+    buckets: HashMap<Organisation, Bucket>,
     begun: Option<Instant>,
 }
 
 impl Allocator {
-    /// Forgets everything, because another host is the coordinator.
-    pub fn clear(&mut self) {
-        self.hosts.clear();
-        self.begun = None;
-    }
-
     /// Answers a host's report; `registered` lists the hosts that may hold grants.
     pub fn grant(
         &mut self,
         host: &HostId,
         demands: Vec<Demand>,
-        organisations: &[Organisation],
+        organisations: &HashMap<Organisation, Limits>,
         registered: &HashSet<HostId>,
     ) -> Vec<Grant> {
         let begun = *self.begun.get_or_insert_with(now);
         self.hosts.retain(|_, state| state.reported.elapsed() < GRANT_MEMORY);
+        let asked: HashMap<_, _> = demands
+            .iter()
+            .map(|demand| (demand.organisation.clone(), demand.tokens))
+            .collect();
         self.record(host, demands);
-        let is_known = |host: &HostId| self.hosts.contains_key(host);
-        let is_blind = begun.elapsed() < GRANT_MEMORY && !registered.iter().all(is_known);
+        let unknown = registered.iter().filter(|name| !self.hosts.contains_key(*name)).count();
+        let unknown = if begun.elapsed() < GRANT_MEMORY { unknown } else { 0 };
         let count = registered.len().max(self.hosts.len()).max(1);
-        let grants: Vec<_> = organisations
-            .iter()
-            .map(|organisation| Grant {
+        let unknown_part = to_float(unknown) / to_float(count);
+        let mut grants = Vec::new();
+        for (organisation, limits) in organisations {
+            let fraction = self.fraction(host, organisation, count, unknown > 0);
+            let silent = self.silent_part(organisation) + unknown_part;
+            let rate = limits.rate * (1.0 - silent).max(0.0);
+            let bucket = self.buckets.entry(organisation.clone()).or_insert_with(Bucket::empty);
+            bucket.fill(rate, limits.burst);
+            grants.push(Grant {
                 organisation: organisation.clone(),
-                fraction: self.fraction(host, organisation, count, is_blind),
-            })
-            .collect();
-        let state = self.hosts.get_mut(host);
-        if let Some(state) = state {
-            for grant in &grants {
-                let bound = state.bound.entry(grant.organisation.clone()).or_default();
-                if grant.fraction < *bound * 0.5 {
-                    info!(%host, organisation = %grant.organisation, from = *bound,
-                        to = grant.fraction, "grant lowered");
-                }
-                *bound = bound.max(grant.fraction);
-            }
+                tokens: bucket.take(asked.get(organisation).copied().unwrap_or_default()),
+                fraction,
+            });
         }
+        self.bind(host, &grants);
         grants
     }
 
+    /// Remembers the largest fraction that the host may use.
+    fn bind(&mut self, host: &HostId, grants: &[Grant]) {
+        let Some(state) = self.hosts.get_mut(host) else {
+            return;
+        };
+        for grant in grants {
+            let bound = state.bound.entry(grant.organisation.clone()).or_default();
+            *bound = bound.max(grant.fraction);
+        }
+    }
+
+    /// Returns the part of a rate that hosts may be using by themselves.
+    fn silent_part(&self, organisation: &Organisation) -> f64 {
+        let is_silent = |state: &&HostState| state.reported.elapsed() > SILENT_AFTER;
+        let part = |state: &HostState| state.bound.get(organisation).copied().unwrap_or_default();
+        self.hosts.values().filter(is_silent).map(part).sum()
+    }
+
     fn record(&mut self, host: &HostId, demands: Vec<Demand>) {
         let state = HostState {
             reported: now(),
--- a/crates/burdockslip_shares/src/lib.rs
+++ b/crates/burdockslip_shares/src/lib.rs
@@ -1,13 +1,15 @@
 //! Divides the rates of organisations among the hosts.
 //!
-//! The coordinator grants each host a fraction of every organisation's rate
-//! and burst. Fractions of all hosts add up to one at most, so no window holds
-//! more than rate × window + burst; see `docs/platform.md`, "Rates".
+//! The coordinator keeps one bucket for each organisation and hands out its
+//! tokens. It also tells each host the fraction of the rate that the host may
+//! use by itself while it cannot reach the coordinator; see
+//! `docs/platform.md`, "Rates".
 
 mod allocator;
+mod bucket;
 mod local;
 mod message;
 
-pub use allocator::{Allocator, GRANT_MEMORY};
-pub use local::{LocalRates, Refusal};
+pub use allocator::{Allocator, GRANT_MEMORY, Limits};
+pub use local::{Admission, LocalRates, Refusal};
 pub use message::{Demand, Grant};
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -1,4 +1,4 @@
-//! Admits operations of one host within the fractions granted to it.
+//! Admits operations of one host with tokens from the coordinator.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,109 +9,169 @@
 
 use crate::{Demand, Grant};
 
-/// Weighs the demand of the last second in the moving average.
+/// The time over which demand is averaged.
 const DEMAND_SPAN: Duration = Duration::from_millis(1_500);
 
 /// Drops an organisation that was not used for this long.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-/// Reports that an operation exceeds the host's part of the rate.
+/// Tokens are held for the demand of this time, so that most operations need
+/// not wait for the coordinator.
+const HOLD_SPAN: Duration = Duration::from_millis(300);
+
+/// Below this part of what should be held, more is asked for.
+const LOW_PART: f64 = 0.5;
+
+/// How long operations are refused at once after the coordinator had no token.
+const DENIAL_SPAN: Duration = Duration::from_millis(100);
+
+/// How long after the last answer the host falls back to its fraction. The
+/// coordinator takes a host for silent a little earlier.
+const FALLBACK_AFTER: Duration = Duration::from_millis(900);
+
+/// The part of an organisation's burst that a fraction includes.
+const FALLBACK_BURST: f64 = 0.3;
+
+/// Says whether an operation may run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Admission {
+    /// It may run.
+    Granted,
+    /// The coordinator has to be asked for tokens.
+    Wait,
+    /// It exceeds the rate.
+    Refused(Refusal),
+}
+
+/// Reports why an operation exceeds the rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Refusal {
-    /// The fraction of the organisation's rate that this host holds.
+    /// The fraction that the host may use without the coordinator.
     pub fraction: f64,
-    /// The time until the next operation would be admitted, if the rate is not zero.
-    pub wait: Option<Duration>,
+    /// The time since the coordinator last answered.
+    pub age: Duration,
 }
 
 #[derive(Debug)]
-struct Bucket {
-    fraction: f64,
+struct Holding {
     tokens: f64,
+    fraction: f64,
     filled: Instant,
     wanted: f64,
     measured: Instant,
+    waiting: usize,
+    denied: Option<Instant>,
 }
 
-/// Keeps the buckets of one host.
-#[derive(Debug, Default)]
+/// Keeps the tokens of one host.
+#[derive(Debug)]
 pub struct LocalRates {
-    buckets: HashMap<Organisation, Bucket>,
+    holdings: HashMap<Organisation, Holding>,
+    answered: Instant,
+}
+
+impl Default for LocalRates {
+    fn default() -> Self {
+        Self {
+            holdings: HashMap::new(),
+            answered: now(),
+        }
+    }
 }
 
 impl LocalRates {
-    /// Takes one operation of an organisation into account.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`Refusal`] if the host's part of the rate is used up.
-    pub fn admit(&mut self, account: &Account) -> Result<(), Refusal> {
-        let bucket = self.buckets.entry(account.name.clone()).or_insert_with(Bucket::empty);
-        bucket.want();
-        bucket.fill(account);
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
-            return Ok(());
+    /// Notes that a client asks for an operation.
+    pub fn want(&mut self, organisation: &Organisation) {
+        let holding = self.holding(organisation);
+        holding.wanted = holding.wanted_now() + 1.0 / DEMAND_SPAN.as_secs_f64();
+        holding.measured = now();
+    }
+
+    /// Takes a token for an operation, if there is one.
+    pub fn admit(&mut self, account: &Account) -> Admission {
+        let age = self.answered.elapsed();
+        let is_alone = age > FALLBACK_AFTER;
+        let holding = self.holding(&account.name);
+        holding.fill(account, is_alone);
+        if holding.tokens >= 1.0 {
+            holding.tokens -= 1.0;
+            return Admission::Granted;
         }
-        let rate = bucket.fraction * account.rate;
-        let wait = (rate > 0.0).then(|| Duration::from_secs_f64((1.0 - bucket.tokens) / rate));
-        Err(Refusal {
-            fraction: bucket.fraction,
-            wait,
-        })
+        let is_denied = holding.denied.is_some_and(|until| !until.is_past());
+        if is_alone || is_denied {
+            return Admission::Refused(Refusal {
+                fraction: holding.fraction,
+                age,
+            });
+        }
+        Admission::Wait
+    }
+
+    /// Counts an operation that waits for tokens.
+    pub fn wait(&mut self, organisation: &Organisation) {
+        self.holding(organisation).waiting += 1;
+    }
+
+    /// Counts an operation that no longer waits.
+    pub fn end_wait(&mut self, organisation: &Organisation) {
+        let holding = self.holding(organisation);
+        holding.waiting = holding.waiting.saturating_sub(1);
+    }
+
+    /// Returns whether some organisation's tokens are running low.
+    pub fn is_low(&self) -> bool {
+        self.holdings.values().any(|holding| holding.tokens < holding.level() * LOW_PART)
     }
 
     /// Returns what the coordinator should know.
     pub fn demands(&mut self) -> Vec<Demand> {
-        self.buckets
-            .retain(|_, bucket| bucket.measured.elapsed() < FORGET_AFTER);
-        let demand = |(name, bucket): (&Organisation, &Bucket)| Demand {
+        self.holdings
+            .retain(|_, holding| holding.measured.elapsed() < FORGET_AFTER);
+        let demand = |(name, holding): (&Organisation, &Holding)| Demand {
             organisation: name.clone(),
-            wanted: bucket.wanted_now(),
-            held: bucket.fraction,
+            wanted: holding.wanted_now(),
+            tokens: holding.lack(),
+            held: holding.fraction,
         };
-        self.buckets.iter().map(demand).collect()
+        self.holdings.iter().map(demand).collect()
     }
 
-    /// Takes over grants; tokens above a smaller burst are lost, and a larger
-    /// burst fills at the rate.
-    pub fn apply(&mut self, grants: Vec<Grant>, account: impl Fn(&Organisation) -> Option<Account>) {
+    /// Takes over what the coordinator granted.
+    pub fn apply(&mut self, grants: Vec<Grant>) {
+        self.answered = now();
         for grant in grants {
-            let Some(account) = account(&grant.organisation) else {
-                continue;
-            };
-            let bucket = self
-                .buckets
-                .entry(grant.organisation)
-                .or_insert_with(Bucket::empty);
-            bucket.fill(&account);
-            bucket.fraction = grant.fraction.clamp(0.0, 1.0);
-            bucket.fill(&account);
+            let holding = self.holding(&grant.organisation);
+            let was_lacking = holding.waiting > 0 && holding.lack() > 0.0;
+            holding.tokens += grant.tokens.max(0.0);
+            holding.fraction = grant.fraction.clamp(0.0, 1.0);
+            let is_denied = was_lacking && grant.tokens < 1.0 && holding.tokens < 1.0;
+            holding.denied = is_denied.then(|| now() + DENIAL_SPAN);
         }
     }
-}
 
-impl Bucket {
-    fn empty() -> Self {
-        Self {
-            fraction: 0.0,
+    fn holding(&mut self, organisation: &Organisation) -> &mut Holding {
+        self.holdings.entry(organisation.clone()).or_insert_with(|| Holding {
             tokens: 0.0,
+            fraction: 0.0,
             filled: now(),
             wanted: 0.0,
             measured: now(),
-        }
+            waiting: 0,
+            denied: None,
+        })
     }
+}
 
-    fn fill(&mut self, account: &Account) {
+impl Holding {
+    /// Fills by the host's fraction while the coordinator cannot be reached.
+    fn fill(&mut self, account: &Account, is_alone: bool) {
         let span = self.filled.elapsed().as_secs_f64();
         self.filled = now();
-        let burst = (self.fraction * account.burst).max(self.fraction.signum());
-        self.tokens = (self.tokens + span * self.fraction * account.rate).min(burst);
-    }
-
-    fn want(&mut self) {
-        self.wanted = self.wanted_now() + 1.0 / DEMAND_SPAN.as_secs_f64();
-        self.measured = now();
+        if is_alone {
+            let burst = (self.fraction * account.burst * FALLBACK_BURST).max(self.fraction.signum());
+            let filled = (self.tokens + span * self.fraction * account.rate).min(burst);
+            self.tokens = self.tokens.max(filled);
+        }
     }
 
     /// Returns the moving average, which decays while nothing is asked for.
@@ -119,4 +179,15 @@
         let spans = self.measured.elapsed().as_secs_f64() / DEMAND_SPAN.as_secs_f64();
         self.wanted * (-spans).exp()
     }
+
+    /// Returns the tokens that should be held.
+    fn level(&self) -> f64 {
+        (self.wanted_now() * HOLD_SPAN.as_secs_f64()).ceil()
+    }
+
+    /// Returns the tokens to ask for.
+    fn lack(&self) -> f64 {
+        let waiting = u32::try_from(self.waiting).map_or(0.0, f64::from);
+        (self.level() + waiting - self.tokens).ceil().max(0.0)
+    }
 }
--- a/crates/burdockslip_shares/src/message.rs
+++ b/crates/burdockslip_shares/src/message.rs
@@ -10,15 +10,19 @@
     pub organisation: Organisation,
     /// The operations a second that clients asked for lately.
     pub wanted: f64,
-    /// The fraction of the rate that the host holds.
+    /// The tokens that the host asks for.
+    pub tokens: f64,
+    /// The fraction of the rate that the host may use without the coordinator.
     pub held: f64,
 }
 
-/// Tells a host the fraction of an organisation's rate that it now holds.
+/// Tells a host what it may use of an organisation's rate.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
     /// The organisation.
     pub organisation: Organisation,
-    /// The fraction of the rate and the burst.
+    /// The tokens handed out, each good for one operation.
+    pub tokens: f64,
+    /// The fraction of the rate that the host may use without the coordinator.
     pub fraction: f64,
 }
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Member;
-use burdockslip_runtime::{Instant, Signal, now, timeout};
+use burdockslip_runtime::{Instant, Signal, timeout};
 use burdockslip_statement::Dialect;
 use burdockslip_types::{ErrorKind, Organisation, Result};
 use error_stack::bail;
@@ -17,8 +17,11 @@
 /// when their slots are taken.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long a host keeps to its share after a member has run out of connections.
-const SHARE_PERIOD: Duration = Duration::from_secs(3);
+/// How often a host that keeps to its share may open one connection more, in sweeps.
+const GROWTH_SWEEPS: u32 = 4;
+
+/// Closes a connection above the share that was not used for this time.
+const SURPLUS_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Closes an unused connection after this time, below the members' own limit.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
@@ -31,7 +34,8 @@
     idle: RefCell<Vec<Connection>>,
     open: Cell<usize>,
     share: Cell<usize>,
-    limited: Cell<Option<Instant>>,
+    surplus: Cell<usize>,
+    sweeps: Cell<u32>,
     returned: Signal,
     /// The state of the member as seen by this host.
     pub health: Health,
@@ -46,7 +50,8 @@
             idle: RefCell::default(),
             open: Cell::new(0),
             share: Cell::new(1),
-            limited: Cell::new(None),
+            surplus: Cell::new(1),
+            sweeps: Cell::new(0),
             returned: Signal::default(),
             health: Health::default(),
         }
@@ -73,15 +78,10 @@
         self.share.set(share.max(1));
     }
 
-    /// Hosts may take twice their share while the member has connections left,
+    /// Hosts may exceed their share while the member has connections left,
     /// because load is spread unevenly.
     fn limit(&self) -> usize {
-        let is_limited = self.limited.get().is_some_and(|until| !until.is_past());
-        if is_limited {
-            self.share.get()
-        } else {
-            self.share.get() * 2
-        }
+        self.share.get() + self.surplus.get().min(self.share.get())
     }
 
     /// Lends a connection for an organisation, preferably one with the
@@ -129,7 +129,7 @@
             }
             Ok(Err(report)) => {
                 match report.current_context() {
-                    ErrorKind::QueueFull => self.limited.set(Some(now() + SHARE_PERIOD)),
+                    ErrorKind::QueueFull => self.surplus.set(0),
                     _ => self.health.suspect(),
                 }
                 Err(report)
@@ -179,17 +179,26 @@
     }
 
     /// Closes connections that were closed by the member or not used for long,
-    /// and those above this host's share.
+    /// those above this host's share sooner.
     pub fn sweep(&self) {
+        let sweeps = self.sweeps.get().wrapping_add(1);
+        self.sweeps.set(sweeps);
+        if sweeps.is_multiple_of(GROWTH_SWEEPS) {
+            self.surplus.set((self.surplus.get() + 1).min(self.share.get()));
+        }
+        let mut above = self.open.get().saturating_sub(self.share.get());
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
-        idle.retain(|connection| connection.is_quiet() && connection.used().elapsed() < IDLE_LIMIT);
+        idle.retain(|connection| {
+            let unused = connection.used().elapsed();
+            let is_surplus = above > 0 && unused > SURPLUS_LIMIT;
+            let is_kept = !is_surplus && unused < IDLE_LIMIT && connection.is_quiet();
+            above -= usize::from(!is_kept && above > 0);
+            is_kept
+        });
         let closed = before - idle.len();
         drop(idle);
         (0..closed).for_each(|_| self.release());
-        while self.open.get() > self.share.get() && !self.idle.borrow().is_empty() {
-            self.close_idle();
-        }
     }
 
     /// Closes all idle connections.
