--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -184,7 +184,10 @@
             self.miss(name);
         } else {
             let mut records = self.records.borrow_mut();
-            if records.get(key).is_some_and(|known| known.revision < revision) {
+            if records
+                .get(key)
+                .is_some_and(|known| known.revision < revision)
+            {
                 records.remove(key);
             }
         }
@@ -197,7 +200,9 @@
             let members = self.members.borrow();
             let prefix = self.schema.members;
             let is_listed = |name: &MemberName| {
-                let key = entries.iter().filter_map(|entry| entry.key.strip_prefix(prefix));
+                let key = entries
+                    .iter()
+                    .filter_map(|entry| entry.key.strip_prefix(prefix));
                 key.into_iter().any(|listed| listed == name.as_str())
             };
             members
@@ -215,7 +220,10 @@
 
     /// Notes that the configuration was the newest one at `moment`.
     pub(crate) fn confirm(&self, moment: Instant) {
-        let latest = self.confirmed.get().map_or(moment, |known| known.max(moment));
+        let latest = self
+            .confirmed
+            .get()
+            .map_or(moment, |known| known.max(moment));
         self.confirmed.set(Some(latest));
         self.changed.notify();
     }
@@ -241,7 +249,11 @@
                 self.configured.set(entry.revision);
                 *self.configuration.borrow_mut() = Some(Rc::new(configuration));
             }
-            Err(error) => warn!(revision = entry.revision.0, ?error, "configuration unreadable"),
+            Err(error) => warn!(
+                revision = entry.revision.0,
+                ?error,
+                "configuration unreadable"
+            ),
         }
     }
 
--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -11,7 +11,9 @@
 use burdockslip_runtime::{now, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
 use burdockslip_shares::{Allocator, Demand, Grant, Limits};
-use burdockslip_types::{ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision};
+use burdockslip_types::{
+    ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision,
+};
 use error_stack::bail;
 use futures::future::select;
 use serde::{Deserialize, Serialize};
@@ -99,7 +101,9 @@
             *allocator = (tenure.token, Allocator::default());
         }
         let hosts = registered(&self.directory);
-        let grants = allocator.1.grant(host, report.demands, &organisations, &hosts);
+        let grants = allocator
+            .1
+            .grant(host, report.demands, &organisations, &hosts);
         Ok(Verdict { grants })
     }
 }
@@ -108,7 +112,10 @@
 pub(crate) fn registered(directory: &Directory) -> HashSet<HostId> {
     let entries = directory.records(keys::HOSTS);
     let name = |key: &str| key.strip_prefix(keys::HOSTS).map(HostId::from);
-    entries.iter().filter_map(|entry| name(&entry.key)).collect()
+    entries
+        .iter()
+        .filter_map(|entry| name(&entry.key))
+        .collect()
 }
 
 /// Returns where a host is reached.
@@ -118,7 +125,12 @@
 }
 
 /// Reports again and again, and applies the grants that come back.
-pub(crate) async fn report(cx: Rc<Context>, host: HostId, coordinator: Coordinator, peers: PeerPool) {
+pub(crate) async fn report(
+    cx: Rc<Context>,
+    host: HostId,
+    coordinator: Coordinator,
+    peers: PeerPool,
+) {
     let link: Link<ReportExchange> = peers.link();
     let mut failed = None;
     let mut suspected = Vec::new();
@@ -147,7 +159,12 @@
 }
 
 /// Waits until there is something urgent to report, or `until` at most.
-async fn wait_news(cx: &Context, seen: u64, known: &[MemberName], until: burdockslip_runtime::Instant) {
+async fn wait_news(
+    cx: &Context,
+    seen: u64,
+    known: &[MemberName],
+    until: burdockslip_runtime::Instant,
+) {
     while !until.is_past() {
         let pause = sleep(NEWS_PERIOD.min(until.remaining()));
         select(Box::pin(cx.starved.changed(seen)), pause).await;
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -126,8 +126,17 @@
         let host = settings.host.clone();
         let tasks = [
             spawn(registration::run(directory, host.clone(), own)),
-            spawn(coordination::report(Rc::clone(&cx), host, coordinator, peers)),
-            spawn(tend(Rc::clone(&cx), Rc::clone(&stop), Rc::clone(&is_draining))),
+            spawn(coordination::report(
+                Rc::clone(&cx),
+                host,
+                coordinator,
+                peers,
+            )),
+            spawn(tend(
+                Rc::clone(&cx),
+                Rc::clone(&stop),
+                Rc::clone(&is_draining),
+            )),
         ];
         info!(host = %settings.host, zone = %settings.zone, client = %listener.address(), "host started");
         Ok(Self {
@@ -183,7 +192,11 @@
         host: host.clone(),
         zone: zone.clone(),
         is_ready: !is_draining.get() && cx.directory.age().is_some_and(|age| age < READY_AGE),
-        revision: Revision(cx.directory.configuration().map_or(0, |known| known.version)),
+        revision: Revision(
+            cx.directory
+                .configuration()
+                .map_or(0, |known| known.version),
+        ),
         age_millis: millis(cx.directory.age().unwrap_or_default()),
         connections: u64::try_from(cx.open.get()).unwrap_or(u64::MAX),
     })
@@ -198,9 +211,14 @@
         sleep(TICK).await;
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(GAUGE_TICKS) {
-            let version = cx.directory.configuration().map_or(0, |configuration| configuration.version);
-            cx.metrics.set_connections(u64::try_from(cx.open.get()).unwrap_or(u64::MAX));
-            cx.metrics.set_config(version, cx.directory.age().unwrap_or_default());
+            let version = cx
+                .directory
+                .configuration()
+                .map_or(0, |configuration| configuration.version);
+            cx.metrics
+                .set_connections(u64::try_from(cx.open.get()).unwrap_or(u64::MAX));
+            cx.metrics
+                .set_config(version, cx.directory.age().unwrap_or_default());
         }
         let is_current = cx.directory.is_current();
         if is_current == was_current || is_draining.get() {
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -72,7 +72,10 @@
 
     /// Returns the tenure if this host holds the duty now.
     pub fn tenure(&self) -> Option<Tenure> {
-        self.shared.tenure.get().filter(|tenure| !tenure.until.is_past())
+        self.shared
+            .tenure
+            .get()
+            .filter(|tenure| !tenure.until.is_past())
     }
 
     /// Returns the host that holds the duty, as far as is known.
@@ -174,7 +177,11 @@
         if shared.is_leaving.get() {
             shared.tenure.set(None);
             let outcome = within(store.revoke_lease(lease)).await;
-            info!(token = tenure.token.0, given_up = outcome.is_ok(), "duty left");
+            info!(
+                token = tenure.token.0,
+                given_up = outcome.is_ok(),
+                "duty left"
+            );
             return;
         }
         let sent = now();
@@ -188,7 +195,11 @@
                 return;
             }
             Err(error) if (tenure.until + SAFETY_MARGIN).is_past() => {
-                warn!(token = tenure.token.0, ?error, "duty lost, lease not renewed");
+                warn!(
+                    token = tenure.token.0,
+                    ?error,
+                    "duty lost, lease not renewed"
+                );
                 return;
             }
             Err(_) => {}
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -131,7 +131,9 @@
         }
         let sent = now();
         let page = store.range(keys::ROOT).await?;
-        page.entries.into_iter().for_each(|entry| self.directory.learn(entry));
+        page.entries
+            .into_iter()
+            .for_each(|entry| self.directory.learn(entry));
         Ok(sent)
     }
 
@@ -143,7 +145,11 @@
         if is_reachable {
             info!(age, "permission renewed at the store again");
         } else {
-            warn!(age, ?error, "permission not renewed at the store, asking replicas");
+            warn!(
+                age,
+                ?error,
+                "permission not renewed at the store, asking replicas"
+            );
         }
     }
 }
@@ -210,7 +216,10 @@
             .await;
         match status {
             Ok(status) if status.term <= record.term && status.held <= record.term => {
-                shared_.group_proofs.borrow_mut().insert(group_.clone(), sent);
+                shared_
+                    .group_proofs
+                    .borrow_mut()
+                    .insert(group_.clone(), sent);
             }
             Ok(status) => info!(
                 group = %group_,
@@ -220,7 +229,9 @@
                 held = status.held.0,
                 "replica reports a higher term, primary not used"
             ),
-            Err(error) => info!(group = %group_, replica = %replica.name, ?error, "replica gives no proof"),
+            Err(error) => {
+                info!(group = %group_, replica = %replica.name, ?error, "replica gives no proof")
+            }
         }
         shared_.asking.borrow_mut().remove(&group_);
     });
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -142,12 +142,19 @@
         let lease = within(self.directory.store().grant_lease(FENCE_TTL)).await?;
         let known = self.directory.record(keys::FENCE);
         let known = known.map_or(Revision(0), |entry| entry.revision);
-        self.put(keys::FENCE, records::encode(&lease)?, known).await?;
+        self.put(keys::FENCE, records::encode(&lease)?, known)
+            .await?;
         Ok(())
     }
 
-    async fn write(&self, group: &GroupName, record: &GroupRecord, known: Revision) -> Result<Revision> {
-        self.put(&keys::group(group), records::encode(record)?, known).await
+    async fn write(
+        &self,
+        group: &GroupName,
+        record: &GroupRecord,
+        known: Revision,
+    ) -> Result<Revision> {
+        self.put(&keys::group(group), records::encode(record)?, known)
+            .await
     }
 
     /// Writes a record if it is unchanged and this host still holds the duty.
@@ -193,7 +200,9 @@
                 members.into_iter().partition(|member| member.name == *old);
             self.step_down(&primary, term).await;
             let statuses = self.ask(&replicas, &Command::Suspend(term)).await;
-            let is_complete = replicas.iter().all(|member| statuses.contains_key(&member.name));
+            let is_complete = replicas
+                .iter()
+                .all(|member| statuses.contains_key(&member.name));
             let best = best(&replicas, &statuses);
             info!(%group, term = term.0, answered = statuses.len(), of = replicas.len(),
                 best = ?best.as_ref().map(|member| member.name.as_str()),
@@ -222,7 +231,10 @@
         command: &Command,
     ) -> HashMap<MemberName, MemberStatus> {
         let asks = members.iter().map(|member| async move {
-            let status = self.pools.control(member, command.clone(), CONTROL_TIMEOUT).await;
+            let status = self
+                .pools
+                .control(member, command.clone(), CONTROL_TIMEOUT)
+                .await;
             (member, status)
         });
         let mut statuses = HashMap::new();
@@ -231,7 +243,9 @@
                 Ok(status) => {
                     statuses.insert(member.name.clone(), status);
                 }
-                Err(error) => info!(member = %member.name, ?command, ?error, "control command failed"),
+                Err(error) => {
+                    info!(member = %member.name, ?command, ?error, "control command failed")
+                }
             }
         }
         statuses
@@ -252,7 +266,10 @@
         }
         let deadline = now() + LEAD_TIMEOUT;
         while !deadline.is_past() {
-            let status = self.pools.control(chosen, Command::Status, CONTROL_TIMEOUT).await;
+            let status = self
+                .pools
+                .control(chosen, Command::Status, CONTROL_TIMEOUT)
+                .await;
             if let Ok(status) = status
                 && status.is_primary
                 && status.term >= term
--- a/crates/burdockslip_failover/src/votes.rs
+++ b/crates/burdockslip_failover/src/votes.rs
@@ -19,13 +19,20 @@
     /// Takes in a report, which replaces the host's earlier one.
     pub fn record(&mut self, host: HostId, suspects: Vec<MemberName>) {
         self.reports.insert(host, (now(), suspects));
-        self.reports.retain(|_, (at, _)| at.elapsed() < REPORT_VALIDITY);
+        self.reports
+            .retain(|_, (at, _)| at.elapsed() < REPORT_VALIDITY);
     }
 
     /// Returns how many hosts suspect a member, and how many have reported.
     pub fn count(&self, member: &MemberName) -> (usize, usize) {
-        let fresh = || self.reports.values().filter(|(at, _)| at.elapsed() < REPORT_VALIDITY);
-        let against = fresh().filter(|(_, suspects)| suspects.contains(member)).count();
+        let fresh = || {
+            self.reports
+                .values()
+                .filter(|(at, _)| at.elapsed() < REPORT_VALIDITY)
+        };
+        let against = fresh()
+            .filter(|(_, suspects)| suspects.contains(member))
+            .count();
         (against, fresh().count())
     }
 
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -99,7 +99,11 @@
     /// # Errors
     ///
     /// Returns `RateExceeded` if the organisation's rate is used up.
-    pub(crate) async fn admit(&self, organisation: &Organisation, id: &str) -> Result<(), ErrorKind> {
+    pub(crate) async fn admit(
+        &self,
+        organisation: &Organisation,
+        id: &str,
+    ) -> Result<(), ErrorKind> {
         let configuration = self.current()?;
         // A caller of an open route has no account and no limit.
         let Some(account) = configuration.accounts.get(organisation) else {
--- a/crates/burdockslip_session/src/freshness.rs
+++ b/crates/burdockslip_session/src/freshness.rs
@@ -41,7 +41,10 @@
             return;
         }
         samples.push_back(Sample { sent, mark });
-        while samples.front().is_some_and(|sample| sample.sent.elapsed() > HISTORY) {
+        while samples
+            .front()
+            .is_some_and(|sample| sample.sent.elapsed() > HISTORY)
+        {
             samples.pop_front();
         }
     }
@@ -54,7 +57,9 @@
         let limit = staleness.saturating_sub(AGE_MARGIN);
         let groups = self.groups.borrow();
         let samples = groups.get(group)?;
-        let sample = samples.iter().find(|sample| sample.sent.elapsed() < limit)?;
+        let sample = samples
+            .iter()
+            .find(|sample| sample.sent.elapsed() < limit)?;
         Some(sample.mark)
     }
 
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -6,7 +6,7 @@
 use burdockslip_directory::Route;
 use burdockslip_runtime::{Instant, now, timeout_at};
 use burdockslip_statement::{Access, Command, Failure, Reply};
-use burdockslip_types::{ErrorKind, Mark, Organisation};
+use burdockslip_types::{ErrorKind, Mark, MemberName, Organisation};
 use burdockslip_upstream::{Connection, Lent, MemberPool, SessionState, Shape};
 use bytes::Bytes;
 use tracing::debug;
@@ -39,6 +39,15 @@
     pub(crate) started: Instant,
 }
 
+/// Holds a reply with what is logged about it.
+#[derive(Debug)]
+pub(crate) struct Served {
+    pub(crate) reply: Reply,
+    pub(crate) member: MemberName,
+    /// The position that the member's log had to hold.
+    pub(crate) floor: Option<Mark>,
+}
+
 /// Says why there is no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Lost {
@@ -182,7 +191,9 @@
     }
     let group = &job.route.group;
     let member = &pool.member().name;
-    let mark = reply.mark.and_then(|mark| cx.permission.confirm_mark(group, member, mark));
+    let mark = reply
+        .mark
+        .and_then(|mark| cx.permission.confirm_mark(group, member, mark));
     if let Some(mark) = mark {
         cx.freshness.note(group, sent, mark);
     }
--- a/crates/burdockslip_session/src/read.rs
+++ b/crates/burdockslip_session/src/read.rs
@@ -5,13 +5,13 @@
 
 use burdockslip_runtime::{Instant, Task, now, sleep, sleep_until, spawn};
 use burdockslip_statement::{Failure, Reply};
-use burdockslip_types::{ErrorKind, MemberName};
+use burdockslip_types::{ErrorKind, Mark, MemberName};
 use futures::future::{Either, select};
 use futures::stream::{FuturesUnordered, StreamExt};
 use tracing::info;
 
 use crate::context::Context;
-use crate::outcome::{self, Job, Lost, kind_of};
+use crate::outcome::{self, Job, Lost, Served, kind_of};
 use crate::place::{self, Place};
 
 /// Pauses before all members are considered again.
@@ -25,6 +25,7 @@
 
 struct Attempt {
     member: MemberName,
+    floor: Option<Mark>,
     result: Result<Reply, Lost>,
 }
 
@@ -32,7 +33,7 @@
 ///
 /// Reads may be repeated: they change nothing, and an answer that comes twice
 /// is used once.
-pub(crate) async fn run(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Reply, ErrorKind> {
+pub(crate) async fn run(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Served, ErrorKind> {
     let mut tried = Vec::new();
     let mut attempts = 0;
     let mut running: FuturesUnordered<Task<Attempt>> = FuturesUnordered::new();
@@ -59,9 +60,9 @@
             continue;
         };
         match judge(job, attempt) {
-            Ok(reply) => {
+            Ok(served) => {
                 running.into_iter().for_each(Task::detach);
-                return Ok(reply);
+                return Ok(served);
             }
             Err(kind) => last = Some(kind),
         }
@@ -74,7 +75,11 @@
     job: &Job,
     is_last: bool,
 ) -> Result<Option<Attempt>, ErrorKind> {
-    let until = if is_last { job.deadline() } else { hedge_at(job) };
+    let until = if is_last {
+        job.deadline()
+    } else {
+        hedge_at(job)
+    };
     match select(running.next(), sleep_until(until)).await {
         Either::Left((Some(Some(attempt)), _)) => Ok(Some(attempt)),
         Either::Left(_) => Err(ErrorKind::Internal),
@@ -85,13 +90,16 @@
 
 fn hedge_at(job: &Job) -> Instant {
     let wait = job.route.objective.mul_f64(HEDGE_PART);
-    (job.started + wait).max(now() + wait.mul_f64(0.5)).min(job.deadline())
+    (job.started + wait)
+        .max(now() + wait.mul_f64(0.5))
+        .min(job.deadline())
 }
 
 async fn attempt(cx: Rc<Context>, job: Rc<Job>, place: Place) -> Attempt {
     let result = try_place(&cx, &job, &place).await;
     Attempt {
         member: place.pool.member().name.clone(),
+        floor: place.floor,
         result,
     }
 }
@@ -105,11 +113,16 @@
 }
 
 /// Decides whether an attempt ends the read; else returns why it did not.
-fn judge(job: &Job, attempt: Attempt) -> Result<Reply, ErrorKind> {
+fn judge(job: &Job, attempt: Attempt) -> Result<Served, ErrorKind> {
     let kind = match attempt.result {
         Ok(reply) => match reply.result {
-            Ok(_) => return Ok(reply),
-            Err(Failure::Timeout) => return Ok(reply),
+            Ok(_) | Err(Failure::Timeout) => {
+                return Ok(Served {
+                    reply,
+                    member: attempt.member,
+                    floor: attempt.floor,
+                });
+            }
             Err(failure) => kind_of(failure),
         },
         Err(Lost::NotSent(kind)) => kind,
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -161,7 +161,13 @@
             session.abort("client gone");
         }
         Err(kind) => {
-            send(cx, &mut framed, &Response::failed(kind, Transaction::Idle), true).await;
+            send(
+                cx,
+                &mut framed,
+                &Response::failed(kind, Transaction::Idle),
+                true,
+            )
+            .await;
         }
     }
 }
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -4,15 +4,15 @@
 
 use burdockslip_directory::{Consistency, Route};
 use burdockslip_runtime::{Instant, now};
-use burdockslip_statement::{Access, Query, Reply, Response, Statement, Transaction};
+use burdockslip_statement::{Access, Query, Response, Statement, Transaction};
 use burdockslip_telemetry::RequestMetrics;
-use burdockslip_types::{ClassName, ErrorKind, GroupName, Mark, Organisation};
+use burdockslip_types::{ClassName, ErrorKind, GroupName, Mark, MemberName, Organisation};
 use burdockslip_upstream::{SessionState, Shape};
 use bytes::Bytes;
 use tracing::info;
 
 use crate::context::Context;
-use crate::outcome::{Job, Work, kind_of};
+use crate::outcome::{Job, Served, Work, kind_of};
 use crate::transaction::Open;
 use crate::{read, write};
 
@@ -30,6 +30,8 @@
     own: Option<(GroupName, Mark)>,
     open: Option<Open>,
     has_failed: bool,
+    /// The member that answered last and the position that its log had to hold.
+    last: Option<(MemberName, Option<Mark>)>,
     metrics: RequestMetrics,
 }
 
@@ -59,6 +61,7 @@
             own: None,
             open: None,
             has_failed: false,
+            last: None,
         })
     }
 
@@ -84,7 +87,12 @@
         if let Some(open) = self.open.take() {
             info!(organisation = %self.organisation, database = self.database, reason,
                 "transaction rolled back");
-            let job = self.job(&open.route, Bytes::from_static(b"-"), Work::Direct(Bytes::new()), Access::Read);
+            let job = self.job(
+                &open.route,
+                Bytes::from_static(b"-"),
+                Work::Direct(Bytes::new()),
+                Access::Read,
+            );
             open.roll_back(&self.cx, job);
             self.has_failed = true;
         }
@@ -104,7 +112,10 @@
         };
         let is_upstream = !matches!(
             statement,
-            Statement::Begin(_) | Statement::Set { .. } | Statement::Prepare { .. } | Statement::Deallocate(_)
+            Statement::Begin(_)
+                | Statement::Set { .. }
+                | Statement::Prepare { .. }
+                | Statement::Deallocate(_)
         );
         let id = query.id.clone();
         let response = if self.has_failed {
@@ -153,7 +164,12 @@
         }
     }
 
-    async fn dispatch(&mut self, route: &Rc<Route>, query: Query, statement: Statement) -> Response {
+    async fn dispatch(
+        &mut self,
+        route: &Rc<Route>,
+        query: Query,
+        statement: Statement,
+    ) -> Response {
         match statement {
             Statement::Begin(access) => self.begin(route, access, &query).await,
             Statement::Commit => self.commit(route, query).await,
@@ -224,12 +240,23 @@
         let Some(open) = self.open.take() else {
             return Response::failed(ErrorKind::Protocol, Transaction::Idle);
         };
-        let job = self.job(&open.route, query.id, Work::Direct(query.text), Access::Read);
+        let job = self.job(
+            &open.route,
+            query.id,
+            Work::Direct(query.text),
+            Access::Read,
+        );
         open.roll_back(&self.cx, job);
         Response::done(Transaction::Idle)
     }
 
-    async fn execute(&mut self, route: &Rc<Route>, id: Bytes, work: Work, access: Access) -> Response {
+    async fn execute(
+        &mut self,
+        route: &Rc<Route>,
+        id: Bytes,
+        work: Work,
+        access: Access,
+    ) -> Response {
         if let Some(open) = self.open.take() {
             return self.execute_in(open, id, work, access).await;
         }
@@ -246,11 +273,17 @@
         self.respond(reply)
     }
 
-    async fn execute_in(&mut self, mut open: Open, id: Bytes, work: Work, access: Access) -> Response {
+    async fn execute_in(
+        &mut self,
+        mut open: Open,
+        id: Bytes,
+        work: Work,
+        access: Access,
+    ) -> Response {
         let route = Rc::clone(&open.route);
         let job = self.job(&route, id, work, access);
         let reply = open.run(&self.cx, &job).await;
-        let is_open = matches!(&reply, Ok(reply) if reply.state == Transaction::Open);
+        let is_open = matches!(&reply, Ok(served) if served.reply.state == Transaction::Open);
         if is_open {
             self.open = Some(open);
         } else {
@@ -267,22 +300,29 @@
         Response::failed(kind, self.transaction())
     }
 
-    fn respond(&self, reply: Result<Reply, ErrorKind>) -> Response {
+    fn respond(&mut self, served: Result<Served, ErrorKind>) -> Response {
         let state = self.transaction();
-        match reply {
-            Ok(reply) => Response {
-                rows: reply.rows,
-                result: reply.result.map(Some).map_err(kind_of),
-                state,
-                mark: reply.mark,
-            },
+        match served {
+            Ok(Served {
+                reply,
+                member,
+                floor,
+            }) => {
+                self.last = Some((member, floor));
+                Response {
+                    rows: reply.rows,
+                    result: reply.result.map(Some).map_err(kind_of),
+                    state,
+                    mark: reply.mark,
+                }
+            }
             Err(kind) => Response::failed(kind, state),
         }
     }
 
     /// Remembers the position that later reads of this session must see.
-    fn note_commit(&mut self, group: &GroupName, reply: &Result<Reply, ErrorKind>) {
-        if let Ok(reply) = reply
+    fn note_commit(&mut self, group: &GroupName, served: &Result<Served, ErrorKind>) {
+        if let Ok(Served { reply, .. }) = served
             && reply.result.is_ok()
             && let Some(mark) = reply.mark
         {
@@ -300,7 +340,10 @@
                 ..
             }
         );
-        let own = self.own.as_ref().filter(|(group, _)| reads_own && *group == route.group);
+        let own = self
+            .own
+            .as_ref()
+            .filter(|(group, _)| reads_own && *group == route.group);
         Rc::new(Job {
             id,
             work,
@@ -313,10 +356,11 @@
         })
     }
 
-    fn record(&self, id: &Bytes, route: &Route, started: Instant, response: &Response) {
+    fn record(&mut self, id: &Bytes, route: &Route, started: Instant, response: &Response) {
         let result = response.result.as_ref().map(|_| ()).map_err(|kind| *kind);
         let took = started.elapsed();
         self.metrics.record(result, took);
+        let (member, floor) = self.last.take().unzip();
         info!(
             id = text(id),
             organisation = %self.organisation,
@@ -324,7 +368,10 @@
             group = %route.group,
             outcome = ?result.err(),
             took_ms = took.as_millis(),
-            position = ?response.mark.map(|mark| (mark.term.0, mark.position.0)),
+            member = member.as_ref().map(|member| member.as_str()),
+            floor = floor.flatten().map(tracing::field::display),
+            own = self.own.as_ref().map(|(_, mark)| tracing::field::display(mark)),
+            position = response.mark.map(tracing::field::display),
             primary_age_ms = self.cx.permission.age(&route.group).map(|age| age.as_millis()),
             config_age_ms = self.cx.directory.age().map(|age| age.as_millis()),
             "statement answered"
@@ -339,7 +386,10 @@
     key: &str,
 ) -> Result<(Rc<Route>, Organisation), ErrorKind> {
     let configuration = cx.current()?;
-    let route = configuration.routes.get(database).ok_or(ErrorKind::UnknownRoute)?;
+    let route = configuration
+        .routes
+        .get(database)
+        .ok_or(ErrorKind::UnknownRoute)?;
     let organisation = configuration.keys.get(key).cloned();
     match organisation {
         Some(organisation) => Ok((Rc::clone(route), organisation)),
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -6,12 +6,12 @@
 use burdockslip_directory::{Consistency, Route};
 use burdockslip_runtime::{Instant, now, sleep, spawn};
 use burdockslip_statement::{Access, Command, Reply, Transaction};
-use burdockslip_types::{ErrorKind, MemberName};
+use burdockslip_types::{ErrorKind, Mark, MemberName};
 use burdockslip_upstream::Lent;
 use tracing::info;
 
 use crate::context::Context;
-use crate::outcome::{self, Job, Lost, kind_of};
+use crate::outcome::{self, Job, Lost, Served, kind_of};
 use crate::place::{self, Place};
 
 /// Pauses before a place is looked for again.
@@ -26,6 +26,8 @@
     pub(crate) route: Rc<Route>,
     /// The connection, from the first statement on.
     lent: Option<Lent>,
+    /// The position that the member's log had to hold at the start.
+    floor: Option<Mark>,
     /// Whether a write was sent.
     has_written: bool,
     /// The moment of the last statement.
@@ -39,13 +41,18 @@
             access,
             route,
             lent: None,
+            floor: None,
             has_written: false,
             used: now(),
         }
     }
 
     /// Runs a statement of the transaction.
-    pub(crate) async fn run(&mut self, cx: &Rc<Context>, job: &Rc<Job>) -> Result<Reply, ErrorKind> {
+    pub(crate) async fn run(
+        &mut self,
+        cx: &Rc<Context>,
+        job: &Rc<Job>,
+    ) -> Result<Served, ErrorKind> {
         self.used = now();
         let mut lent = match self.lent.take() {
             Some(lent) => lent,
@@ -61,8 +68,9 @@
             Err(Lost::Broken | Lost::TimedOut) => return Err(ErrorKind::TransactionAborted),
         };
         self.used = now();
+        let served = self.served(&lent, reply);
         self.lent = Some(lent);
-        Ok(reply)
+        Ok(served)
     }
 
     /// Chooses a member and opens the transaction there.
@@ -74,7 +82,10 @@
                 Some(place) => {
                     tried.push(place.pool.member().name.clone());
                     match self.begin_at(cx, job, &place).await {
-                        Ok(lent) => return Ok(lent),
+                        Ok(lent) => {
+                            self.floor = place.floor;
+                            return Ok(lent);
+                        }
                         Err(kind) => kind,
                     }
                 }
@@ -107,7 +118,9 @@
             Lost::NotSent(kind) => kind,
             Lost::Broken | Lost::TimedOut => ErrorKind::ConnectionLost,
         };
-        let mut lent = outcome::lend(&place.pool, job, job.patience()).await.map_err(lost)?;
+        let mut lent = outcome::lend(&place.pool, job, job.patience())
+            .await
+            .map_err(lost)?;
         if place.floor.is_none() && !outcome::may_use(cx, job, &lent) {
             return Err(ErrorKind::NoPrimary);
         }
@@ -115,7 +128,9 @@
             access: self.access,
             floor: place.floor,
         };
-        let reply = outcome::send(cx, &mut lent, job, begin, false).await.map_err(lost)?;
+        let reply = outcome::send(cx, &mut lent, job, begin, false)
+            .await
+            .map_err(lost)?;
         match reply.result {
             Ok(_) if reply.state == Transaction::Open => Ok(lent),
             Ok(_) => Err(ErrorKind::Internal),
@@ -127,7 +142,11 @@
     }
 
     /// Sends the client's commit.
-    pub(crate) async fn commit(mut self, cx: &Rc<Context>, job: &Rc<Job>) -> Result<Reply, ErrorKind> {
+    pub(crate) async fn commit(
+        mut self,
+        cx: &Rc<Context>,
+        job: &Rc<Job>,
+    ) -> Result<Served, ErrorKind> {
         let mut lent = match self.lent.take() {
             Some(lent) => lent,
             None => self.begin(cx, job).await?,
@@ -140,14 +159,23 @@
         let reply = outcome::send(cx, &mut lent, job, command, self.has_written).await;
         match reply {
             Ok(reply) => {
-                outcome::settle(lent, &reply);
-                Ok(reply)
+                let served = self.served(&lent, reply);
+                outcome::settle(lent, &served.reply);
+                Ok(served)
             }
             Err(_) if self.has_written => Err(ErrorKind::OutcomeUnknown),
             Err(_) => Err(ErrorKind::TransactionAborted),
         }
     }
 
+    fn served(&self, lent: &Lent, reply: Reply) -> Served {
+        Served {
+            reply,
+            member: lent.member().name.clone(),
+            floor: self.floor,
+        }
+    }
+
     /// Rolls back in the background, since the client need not wait for it.
     pub(crate) fn roll_back(mut self, cx: &Rc<Context>, job: Rc<Job>) {
         let Some(mut lent) = self.lent.take() else {
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use burdockslip_runtime::sleep;
-use burdockslip_statement::{Failure, Reply};
+use burdockslip_statement::Failure;
 use burdockslip_types::ErrorKind;
 use tracing::info;
 
 use crate::context::Context;
-use crate::outcome::{self, Job, Lost};
+use crate::outcome::{self, Job, Lost, Served};
 use crate::place;
 
 /// Pauses before the primary is looked for again.
@@ -18,13 +18,13 @@
 /// Runs a write at the primary; it is sent once.
 ///
 /// Only an answer that proves that the write did not run lets it be sent again.
-pub(crate) async fn run(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Reply, ErrorKind> {
+pub(crate) async fn run(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Served, ErrorKind> {
     loop {
         let last = match attempt(cx, job).await {
-            Ok(reply) => match reply.result {
+            Ok(served) => match served.reply.result {
                 Err(Failure::Busy) => return Err(ErrorKind::QueueFull),
                 Err(failure) if failure.is_not_run() => outcome::kind_of(failure),
-                _ => return Ok(reply),
+                _ => return Ok(served),
             },
             Err(Lost::NotSent(kind)) => kind,
             Err(Lost::Broken | Lost::TimedOut) => return Err(ErrorKind::OutcomeUnknown),
@@ -38,7 +38,7 @@
     }
 }
 
-async fn attempt(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Reply, Lost> {
+async fn attempt(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Served, Lost> {
     let place = place::primary(cx, &job.route).ok_or(Lost::NotSent(ErrorKind::NoPrimary))?;
     if place.pool.health.is_suspected() {
         return Err(Lost::NotSent(ErrorKind::NoPrimary));
@@ -46,5 +46,9 @@
     let mut lent = outcome::lend(&place.pool, job, job.patience()).await?;
     let reply = outcome::run(cx, &mut lent, job, None).await?;
     outcome::settle(lent, &reply);
-    Ok(reply)
+    Ok(Served {
+        reply,
+        member: place.pool.member().name.clone(),
+        floor: None,
+    })
 }
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -63,14 +63,22 @@
         registered: &HashSet<HostId>,
     ) -> Vec<Grant> {
         let begun = *self.begun.get_or_insert_with(now);
-        self.hosts.retain(|_, state| state.reported.elapsed() < GRANT_MEMORY);
+        self.hosts
+            .retain(|_, state| state.reported.elapsed() < GRANT_MEMORY);
         let asked: HashMap<_, _> = demands
             .iter()
             .map(|demand| (demand.organisation.clone(), demand.tokens))
             .collect();
         self.record(host, demands);
-        let unknown = registered.iter().filter(|name| !self.hosts.contains_key(*name)).count();
-        let unknown = if begun.elapsed() < GRANT_MEMORY { unknown } else { 0 };
+        let unknown = registered
+            .iter()
+            .filter(|name| !self.hosts.contains_key(*name))
+            .count();
+        let unknown = if begun.elapsed() < GRANT_MEMORY {
+            unknown
+        } else {
+            0
+        };
         let count = registered.len().max(self.hosts.len()).max(1);
         let unknown_part = to_float(unknown) / to_float(count);
         let mut grants = Vec::new();
@@ -78,7 +86,10 @@
             let fraction = self.fraction(host, organisation, count, unknown > 0);
             let silent = self.silent_part(organisation) + unknown_part;
             let rate = limits.rate * (1.0 - silent).max(0.0);
-            let bucket = self.buckets.entry(organisation.clone()).or_insert_with(Bucket::empty);
+            let bucket = self
+                .buckets
+                .entry(organisation.clone())
+                .or_insert_with(Bucket::empty);
             bucket.fill(rate, limits.burst);
             grants.push(Grant {
                 organisation: organisation.clone(),
@@ -146,7 +157,9 @@
             even
         };
         if is_blind {
-            return held.min(ideal).max(if held > 0.0 { 0.0 } else { BLIND_PART * even });
+            return held
+                .min(ideal)
+                .max(if held > 0.0 { 0.0 } else { BLIND_PART * even });
         }
         let others = self.hosts.iter().filter(|(name, _)| *name != host);
         let used: f64 = others.map(|(_, state)| bound(state)).sum();
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -120,7 +120,9 @@
 
     /// Returns whether some organisation's tokens are running low.
     pub fn is_low(&self) -> bool {
-        self.holdings.values().any(|holding| holding.tokens < holding.level() * LOW_PART)
+        self.holdings
+            .values()
+            .any(|holding| holding.tokens < holding.level() * LOW_PART)
     }
 
     /// Returns what the coordinator should know.
@@ -150,15 +152,17 @@
     }
 
     fn holding(&mut self, organisation: &Organisation) -> &mut Holding {
-        self.holdings.entry(organisation.clone()).or_insert_with(|| Holding {
-            tokens: 0.0,
-            fraction: 0.0,
-            filled: now(),
-            wanted: 0.0,
-            measured: now(),
-            waiting: 0,
-            denied: None,
-        })
+        self.holdings
+            .entry(organisation.clone())
+            .or_insert_with(|| Holding {
+                tokens: 0.0,
+                fraction: 0.0,
+                filled: now(),
+                wanted: 0.0,
+                measured: now(),
+                waiting: 0,
+                denied: None,
+            })
     }
 }
 
@@ -168,7 +172,8 @@
         let span = self.filled.elapsed().as_secs_f64();
         self.filled = now();
         if is_alone {
-            let burst = (self.fraction * account.burst * FALLBACK_BURST).max(self.fraction.signum());
+            let burst =
+                (self.fraction * account.burst * FALLBACK_BURST).max(self.fraction.signum());
             let filled = (self.tokens + span * self.fraction * account.rate).min(burst);
             self.tokens = self.tokens.max(filled);
         }
--- a/crates/burdockslip_upstream/src/connection.rs
+++ b/crates/burdockslip_upstream/src/connection.rs
@@ -132,7 +132,10 @@
         shape: Option<&Shape>,
     ) -> Result<Option<Bytes>> {
         let mut commands = Vec::new();
-        let is_superset = self.values.keys().all(|name| state.values.contains_key(name));
+        let is_superset = self
+            .values
+            .keys()
+            .all(|name| state.values.contains_key(name));
         let is_full = self.prepared.len() >= MAX_PREPARED && !self.is_open;
         if !is_superset || is_full {
             commands.push(Command::Reset);
@@ -154,7 +157,9 @@
         }
         for reply in self.exchange(&commands).await? {
             if let Err(failure) = reply.result {
-                bail!(Report::new(ErrorKind::Protocol).attach(format!("setup refused: {failure:?}")));
+                bail!(
+                    Report::new(ErrorKind::Protocol).attach(format!("setup refused: {failure:?}"))
+                );
             }
         }
         Ok(name)
@@ -187,7 +192,9 @@
         for _ in commands {
             replies.push(self.reply().await?);
         }
-        self.is_open = replies.last().is_some_and(|reply| reply.state != Transaction::Idle);
+        self.is_open = replies
+            .last()
+            .is_some_and(|reply| reply.state != Transaction::Idle);
         self.used = now();
         Ok(replies)
     }
@@ -199,7 +206,9 @@
     /// See [`Connection::exchange`].
     pub async fn call(&mut self, command: Command) -> Result<Reply> {
         let mut replies = self.exchange(&[command]).await?;
-        replies.pop().ok_or_else(|| Report::new(ErrorKind::Internal))
+        replies
+            .pop()
+            .ok_or_else(|| Report::new(ErrorKind::Internal))
     }
 
     async fn send(&mut self, commands: &[Command]) -> Result<()> {
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -65,7 +65,8 @@
     /// Returns whether the pool has an idle connection for an organisation.
     pub fn has_idle(&self, organisation: &Organisation) -> bool {
         let idle = self.idle.borrow();
-        idle.iter().any(|connection| connection.organisation() == organisation)
+        idle.iter()
+            .any(|connection| connection.organisation() == organisation)
     }
 
     /// Returns whether a connection can be had without waiting for another one.
@@ -184,7 +185,8 @@
         let sweeps = self.sweeps.get().wrapping_add(1);
         self.sweeps.set(sweeps);
         if sweeps.is_multiple_of(GROWTH_SWEEPS) {
-            self.surplus.set((self.surplus.get() + 1).min(self.share.get()));
+            self.surplus
+                .set((self.surplus.get() + 1).min(self.share.get()));
         }
         let mut above = self.open.get().saturating_sub(self.share.get());
         let mut idle = self.idle.borrow_mut();
@@ -258,12 +260,16 @@
     type Target = Connection;
 
     fn deref(&self) -> &Connection {
-        self.connection.as_ref().expect("a lent connection is there until given back")
+        self.connection
+            .as_ref()
+            .expect("a lent connection is there until given back")
     }
 }
 
 impl DerefMut for Lent {
     fn deref_mut(&mut self) -> &mut Connection {
-        self.connection.as_mut().expect("a lent connection is there until given back")
+        self.connection
+            .as_mut()
+            .expect("a lent connection is there until given back")
     }
 }
--- a/crates/burdockslip_upstream/src/pools.rs
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -85,7 +85,10 @@
         let pools = self.shared.pools.borrow();
         let is_suspect = |pool: &&Rc<MemberPool>| {
             let health = &pool.health;
-            health.is_suspected() || health.commit_silence().is_some_and(|span| span > commit_limit)
+            health.is_suspected()
+                || health
+                    .commit_silence()
+                    .is_some_and(|span| span > commit_limit)
         };
         pools
             .values()
@@ -167,12 +170,18 @@
         ticks = ticks.wrapping_add(1);
         let pools: Vec<_> = shared.pools.borrow().values().cloned().collect();
         for pool in pools {
-            let is_known = shared.directory.member(&pool.member().name).is_some_and(|member| {
-                member.address == pool.member().address && member.born == pool.member().born
-            });
+            let is_known = shared
+                .directory
+                .member(&pool.member().name)
+                .is_some_and(|member| {
+                    member.address == pool.member().address && member.born == pool.member().born
+                });
             if !is_known {
                 pool.clear();
-                shared.pools.borrow_mut().retain(|_, kept| !Rc::ptr_eq(kept, &pool));
+                shared
+                    .pools
+                    .borrow_mut()
+                    .retain(|_, kept| !Rc::ptr_eq(kept, &pool));
                 continue;
             }
             if ticks.is_multiple_of(SWEEP_TICKS) {
