Keep half of a member's connections free, and start rates at once after a restart

Cause: after all hosts lost power, members held their connections for 3 s and turned the restarted hosts away; the duty stayed with the dead holder until its lease lapsed, and without a coordinator every keyed operation was refused. Ruled out: permissions (renewed 60 ms after the start) and the configuration.

--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -137,6 +137,9 @@
     loop {
         let sent = now();
         let seen = cx.starved.epoch();
+        let hosts = registered(&cx.directory).len();
+        cx.pools.set_hosts(hosts);
+        cx.rates.borrow_mut().set_hosts(hosts);
         let suspects = cx.pools.suspects(COMMIT_LIMIT);
         suspected.clone_from(&suspects);
         let demands = cx.rates.borrow_mut().demands();
@@ -152,7 +155,6 @@
             cx.rates.borrow_mut().apply(verdict.grants);
         }
         cx.granted.notify();
-        cx.pools.set_hosts(registered(&cx.directory).len());
         sleep_until(sent + URGENT_PERIOD).await;
         wait_news(&cx, seen, &suspected, sent + REPORT_PERIOD).await;
     }
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -8,12 +8,12 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Instant, Signal, Task, now, random_range, sleep, spawn, timeout};
 use burdockslip_store::{Compare, LeaseId, Operation, Txn};
-use burdockslip_types::{ErrorKind, HostId, Result, Revision};
+use burdockslip_types::{ErrorKind, HostId, Result, Revision, domain};
 use error_stack::Report;
 use futures::future::{Either, select};
 use tracing::{info, warn};
 
-use crate::records::keys;
+use crate::records::{self, keys};
 
 /// How long the duty stays with a silent holder.
 const LEASE_TTL: Duration = Duration::from_millis(1_800);
@@ -39,6 +39,16 @@
     pub until: Instant,
 }
 
+domain! {
+    /// Records who holds the duty.
+    struct Holding {
+        /// The host.
+        host: HostId,
+        /// The lease under which the record stands.
+        lease: LeaseId,
+    }
+}
+
 struct Shared {
     host: HostId,
     directory: Directory,
@@ -80,9 +90,7 @@
 
     /// Returns the host that holds the duty, as far as is known.
     pub fn holder(&self) -> Option<HostId> {
-        let entry = self.shared.directory.record(keys::DUTY)?;
-        let text = String::from_utf8(entry.value).ok()?;
-        Some(HostId::from(text))
+        self.shared.holding().map(|holding| holding.host)
     }
 
     /// Gives the duty up and takes part no longer.
@@ -98,7 +106,31 @@
     }
 }
 
+impl Shared {
+    fn holding(&self) -> Option<Holding> {
+        let entry = self.directory.record(keys::DUTY)?;
+        records::decode(&entry.value).ok()
+    }
+
+    /// Returns whether the duty is nobody's, or that of an earlier run of this host.
+    fn is_vacant(&self) -> bool {
+        self.directory.record(keys::DUTY).is_none()
+            || self.holding().is_none_or(|holding| holding.host == self.host)
+    }
+}
+
+/// Ends the tenure of an earlier run of this host, which cannot act any more.
+async fn end_earlier_run(shared: &Shared) {
+    let Some(holding) = shared.holding().filter(|holding| holding.host == shared.host) else {
+        return;
+    };
+    let outcome = within(shared.directory.store().revoke_lease(holding.lease)).await;
+    info!(lease = holding.lease.0, ended = outcome.is_ok(), "duty of an earlier run ended");
+}
+
 async fn run(shared: Rc<Shared>) {
+    wait_vacant(&shared).await;
+    end_earlier_run(&shared).await;
     loop {
         wait_vacant(&shared).await;
         if shared.is_leaving.get() {
@@ -106,13 +138,13 @@
         }
         let (least, most) = CANDIDATE_MS;
         sleep(Duration::from_millis(random_range(least..most))).await;
-        if shared.directory.record(keys::DUTY).is_some() {
+        if !shared.is_vacant() {
             continue;
         }
         match claim(&shared).await {
             Ok(Some((lease, tenure))) => {
                 shared.tenure.set(Some(tenure));
-                info!(token = tenure.token.0, "duty taken");
+                info!(fence = tenure.token.0, "duty taken");
                 hold(&shared, lease, tenure).await;
                 shared.tenure.set(None);
             }
@@ -129,7 +161,7 @@
     loop {
         let seen = shared.directory.changed().epoch();
         let is_synced = shared.directory.configuration().is_some();
-        if shared.is_leaving.get() || (is_synced && shared.directory.record(keys::DUTY).is_none()) {
+        if shared.is_leaving.get() || (is_synced && shared.is_vacant()) {
             return;
         }
         shared.directory.changed().changed(seen).await;
@@ -140,11 +172,15 @@
     let store = shared.directory.store();
     let sent = now();
     let lease = within(store.grant_lease(LEASE_TTL)).await?;
+    let holding = Holding {
+        host: shared.host.clone(),
+        lease,
+    };
     let reply = within(store.txn(Txn {
         compares: vec![Compare::Revision(keys::DUTY.to_owned(), Revision(0))],
         operations: vec![Operation::Put(
             keys::DUTY.to_owned(),
-            shared.host.as_str().as_bytes().to_vec(),
+            records::encode(&holding)?,
             Some(lease),
         )],
     }))
@@ -178,7 +214,7 @@
             shared.tenure.set(None);
             let outcome = within(store.revoke_lease(lease)).await;
             info!(
-                token = tenure.token.0,
+                fence = tenure.token.0,
                 given_up = outcome.is_ok(),
                 "duty left"
             );
@@ -191,12 +227,12 @@
                 shared.tenure.set(Some(tenure));
             }
             Ok(_) => {
-                info!(token = tenure.token.0, "duty lost, lease ended");
+                info!(fence = tenure.token.0, "duty lost, lease ended");
                 return;
             }
             Err(error) if (tenure.until + SAFETY_MARGIN).is_past() => {
                 warn!(
-                    token = tenure.token.0,
+                    fence = tenure.token.0,
                     ?error,
                     "duty lost, lease not renewed"
                 );
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -89,7 +89,7 @@
             let bucket = self
                 .buckets
                 .entry(organisation.clone())
-                .or_insert_with(Bucket::empty);
+                .or_insert_with(|| Bucket::new(limits.rate));
             bucket.fill(rate, limits.burst);
             grants.push(Grant {
                 organisation: organisation.clone(),
--- a/crates/burdockslip_shares/src/bucket.rs
+++ b/crates/burdockslip_shares/src/bucket.rs
@@ -2,6 +2,10 @@
 
 use burdockslip_runtime::{Instant, now};
 
+/// The tokens at the start, in seconds of the rate. Together with the tokens
+/// that hosts hold this stays within a tenth of a window's limit.
+const START_SECONDS: f64 = 0.25;
+
 /// Fills at a rate up to a burst and hands out tokens.
 #[derive(Debug)]
 pub(crate) struct Bucket {
@@ -10,11 +14,11 @@
 }
 
 impl Bucket {
-    /// Builds an empty bucket, because an earlier coordinator may have handed
-    /// out everything.
-    pub(crate) fn empty() -> Self {
+    /// Builds a nearly empty bucket, because an earlier coordinator may have
+    /// handed out everything.
+    pub(crate) fn new(rate: f64) -> Self {
         Self {
-            tokens: 0.0,
+            tokens: rate * START_SECONDS,
             filled: now(),
         }
     }
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -29,6 +29,10 @@
 /// coordinator takes a host for silent a little earlier.
 const FALLBACK_AFTER: Duration = Duration::from_millis(900);
 
+/// The part of an even share that a host uses before it first hears from the
+/// coordinator. What it held before it restarted is nobody's meanwhile.
+const START_PART: f64 = 0.5;
+
 /// The part of an organisation's burst that a fraction includes.
 const FALLBACK_BURST: f64 = 0.3;
 
@@ -49,7 +53,7 @@
     /// The fraction that the host may use without the coordinator.
     pub fraction: f64,
     /// The time since the coordinator last answered.
-    pub age: Duration,
+    pub age: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -64,22 +68,21 @@
 }
 
 /// Keeps the tokens of one host.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct LocalRates {
     holdings: HashMap<Organisation, Holding>,
-    answered: Instant,
+    answered: Option<Instant>,
+    start: f64,
 }
 
-impl Default for LocalRates {
-    fn default() -> Self {
-        Self {
-            holdings: HashMap::new(),
-            answered: now(),
-        }
+impl LocalRates {
+    /// Sets the number of hosts, which gives a host that has just started and
+    /// has not heard from the coordinator a part to start with.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        let hosts = u32::try_from(hosts.max(1)).map_or(1.0, f64::from);
+        self.start = START_PART / hosts;
     }
-}
 
-impl LocalRates {
     /// Notes that a client asks for an operation.
     pub fn want(&mut self, organisation: &Organisation) {
         let holding = self.holding(organisation);
@@ -89,8 +92,8 @@
 
     /// Takes a token for an operation, if there is one.
     pub fn admit(&mut self, account: &Account) -> Admission {
-        let age = self.answered.elapsed();
-        let is_alone = age > FALLBACK_AFTER;
+        let age = self.answered.map(Instant::elapsed);
+        let is_alone = age.is_none_or(|age| age > FALLBACK_AFTER);
         let holding = self.holding(&account.name);
         holding.fill(account, is_alone);
         if holding.tokens >= 1.0 {
@@ -140,7 +143,7 @@
 
     /// Takes over what the coordinator granted.
     pub fn apply(&mut self, grants: Vec<Grant>) {
-        self.answered = now();
+        self.answered = Some(now());
         for grant in grants {
             let holding = self.holding(&grant.organisation);
             let was_lacking = holding.waiting > 0 && holding.lack() > 0.0;
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -20,6 +20,10 @@
 /// How often a host that keeps to its share may open one connection more, in sweeps.
 const GROWTH_SWEEPS: u32 = 4;
 
+/// Connections above the share that a host may always try to open, because a
+/// share of one would make transactions wait for each other.
+const SURPLUS: usize = 2;
+
 /// Closes a connection above the share that was not used for this time.
 const SURPLUS_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -79,10 +83,9 @@
         self.share.set(share.max(1));
     }
 
-    /// Hosts may exceed their share while the member has connections left,
-    /// because load is spread unevenly.
+    /// Hosts may use twice what they keep while the member has connections left.
     fn limit(&self) -> usize {
-        self.share.get() + self.surplus.get().min(self.share.get())
+        self.share.get() + self.surplus.get().min(self.share.get().max(SURPLUS))
     }
 
     /// Lends a connection for an organisation, preferably one with the
--- a/crates/burdockslip_upstream/src/pools.rs
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -15,6 +15,11 @@
 
 use crate::{Connection, MemberPool};
 
+/// Hosts together keep one in so many of a member's connections. A member holds
+/// the connections of hosts that lost power for seconds, and the hosts need
+/// others as soon as they are back.
+const KEPT_PART: usize = 2;
+
 /// How often silent members are looked for.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
 
@@ -126,7 +131,7 @@
             .as_ref()
             .and_then(|configuration| configuration.services.get(group))
             .map_or(1, |service| service.connections);
-        (limit / self.hosts.get()).max(1)
+        (limit / KEPT_PART / self.hosts.get()).max(1)
     }
 
     /// Members want the name of an organisation; any one will do for control.
