Finish a promotion that an earlier attempt has brought about

Also, a restarted host ended its earlier tenure only if the records were read before the configuration, and a new connection was given up before it had waited for a slot. Ruled out: the order itself (status 200) and the duty.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -50,6 +50,7 @@
     confirmed: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, Known>>,
     records: RefCell<BTreeMap<String, Entry>>,
+    is_loaded: Cell<bool>,
     changed: Signal,
 }
 
@@ -71,6 +72,7 @@
             confirmed: Cell::default(),
             members: RefCell::default(),
             records: RefCell::default(),
+            is_loaded: Cell::new(false),
             changed: Signal::default(),
         });
         let watching = spawn(follow::watch(Rc::clone(&shared)));
@@ -86,6 +88,12 @@
         self.shared.configuration.borrow().clone()
     }
 
+    /// Returns whether the whole store has been read once. The configuration
+    /// may be known before; until then a record that is not known may exist.
+    pub fn is_loaded(&self) -> bool {
+        self.shared.is_loaded.get()
+    }
+
     /// Returns the time since the configuration was last confirmed.
     pub fn age(&self) -> Option<Duration> {
         self.shared.confirmed.get().map(Instant::elapsed)
@@ -216,6 +224,8 @@
             .borrow_mut()
             .retain(|key, _| entries.iter().any(|entry| entry.key == *key));
         entries.into_iter().for_each(|entry| self.put(entry));
+        self.is_loaded.set(true);
+        self.changed.notify();
     }
 
     /// Notes that the configuration was the newest one at `moment`.
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -115,27 +115,35 @@
     /// Returns whether the duty is nobody's, or that of an earlier run of this host.
     fn is_vacant(&self) -> bool {
         self.directory.record(keys::DUTY).is_none()
-            || self.holding().is_none_or(|holding| holding.host == self.host)
+            || self
+                .holding()
+                .is_none_or(|holding| holding.host == self.host)
     }
 }
 
 /// Ends the tenure of an earlier run of this host, which cannot act any more.
 async fn end_earlier_run(shared: &Shared) {
-    let Some(holding) = shared.holding().filter(|holding| holding.host == shared.host) else {
+    let Some(holding) = shared
+        .holding()
+        .filter(|holding| holding.host == shared.host)
+    else {
         return;
     };
     let outcome = within(shared.directory.store().revoke_lease(holding.lease)).await;
-    info!(lease = holding.lease.0, ended = outcome.is_ok(), "duty of an earlier run ended");
+    info!(
+        lease = holding.lease.0,
+        ended = outcome.is_ok(),
+        "duty of an earlier run ended"
+    );
 }
 
 async fn run(shared: Rc<Shared>) {
-    wait_vacant(&shared).await;
-    end_earlier_run(&shared).await;
     loop {
         wait_vacant(&shared).await;
         if shared.is_leaving.get() {
             return;
         }
+        end_earlier_run(&shared).await;
         let (least, most) = CANDIDATE_MS;
         sleep(Duration::from_millis(random_range(least..most))).await;
         if !shared.is_vacant() {
@@ -160,7 +168,7 @@
 async fn wait_vacant(shared: &Shared) {
     loop {
         let seen = shared.directory.changed().epoch();
-        let is_synced = shared.directory.configuration().is_some();
+        let is_synced = shared.directory.is_loaded();
         if shared.is_leaving.get() || (is_synced && shared.is_vacant()) {
             return;
         }
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -15,6 +15,6 @@
 pub use duty::{Duty, Tenure};
 pub use permission::{PERMISSION_SPAN, Permission};
 pub use promotion::{Promote, Promoted};
-pub use records::{GroupRecord, Phase, Registration, keys};
+pub use records::{GroupRecord, Registration, keys};
 pub use supervisor::Supervisor;
 pub use votes::Votes;
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -15,7 +15,7 @@
 use error_stack::Report;
 use tracing::{info, warn};
 
-use crate::records::{self, GroupRecord, Phase, keys};
+use crate::records::{self, GroupRecord, keys};
 
 /// How long a permission lasts after the moment at which it was proved. A
 /// promotion takes 300 ms or more by itself, so that a longer span would delay
@@ -72,14 +72,14 @@
     /// Returns the primary of a group if this host may use it now.
     pub fn primary(&self, group: &GroupName) -> Option<MemberName> {
         let record = self.shared.record(group)?;
-        let is_usable = record.phase == Phase::Stable && self.is_proved(group);
+        let is_usable = record.is_stable() && self.is_proved(group);
         is_usable.then_some(record.primary)
     }
 
     /// Returns whether a group is being given a new primary.
     pub fn is_changing(&self, group: &GroupName) -> bool {
         let record = self.shared.record(group);
-        record.is_some_and(|record| record.phase == Phase::Changing)
+        record.is_some_and(|record| !record.is_stable())
     }
 
     /// Returns the age of the proof for a group, for log lines.
@@ -184,7 +184,7 @@
         };
         for group in configuration.services.keys() {
             let record = shared.record(group);
-            if let Some(record) = record.filter(|record| record.phase == Phase::Stable) {
+            if let Some(record) = record.filter(GroupRecord::is_stable) {
                 ask_replica(&shared, group, record);
             }
         }
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -14,7 +14,7 @@
 use futures::future::{LocalBoxFuture, join_all};
 use tracing::{info, warn};
 
-use crate::records::{self, GroupRecord, Phase, keys};
+use crate::records::{self, GroupRecord, keys};
 use crate::{Duty, PERMISSION_SPAN, Tenure};
 
 /// Added to the permissions' span for differences of clocks' rates.
@@ -67,22 +67,24 @@
         let record = GroupRecord::read(&entry.value)?;
         let old = record.primary.clone();
         info!(%group, primary = %old, term = record.term.0, reason, "change of primary started");
-        let term = record.term.next();
+        let held = record
+            .held
+            .map_or(record.term, |held| held.max(record.term))
+            .next();
         let record = GroupRecord {
-            term,
-            phase: Phase::Changing,
+            held: Some(held),
             ..record
         };
         let revision = self.write(group, &record, entry.revision).await?;
         self.withdraw_permissions().await?;
         let fenced = now();
-        let (chosen, suspended) = self.choose(group, &old, term).await?;
-        let term = self.lead(group, &chosen, term).await?;
+        let (chosen, suspended) = self.choose(group, &record, held).await?;
+        let term = self.lead(group, &chosen, record.term).await?;
         sleep_until(fenced.max(suspended) + PERMISSION_SPAN + PERMISSION_MARGIN).await;
         let record = GroupRecord {
             primary: chosen.name.clone(),
             term,
-            phase: Phase::Stable,
+            held: None,
         };
         self.write(group, &record, revision).await?;
         info!(
@@ -111,7 +113,7 @@
         let record = GroupRecord {
             primary: primary.clone(),
             term: status.term,
-            phase: Phase::Stable,
+            held: None,
         };
         self.write(group, &record, Revision(0)).await?;
         info!(%group, %primary, term = status.term.0, "primary adopted");
@@ -190,21 +192,26 @@
     async fn choose(
         &self,
         group: &GroupName,
-        old: &MemberName,
-        term: Term,
+        record: &GroupRecord,
+        held: Term,
     ) -> Result<(Rc<Member>, Instant)> {
         loop {
             self.tenure()?;
             let members = self.directory.members(group);
-            let (primary, replicas): (Vec<_>, Vec<_>) =
-                members.into_iter().partition(|member| member.name == *old);
-            self.step_down(&primary, term).await;
-            let statuses = self.ask(&replicas, &Command::Suspend(term)).await;
+            let (primary, replicas): (Vec<_>, Vec<_>) = members
+                .into_iter()
+                .partition(|member| member.name == record.primary);
+            self.step_down(&primary, held).await;
+            let statuses = self.ask(&replicas, &Command::Suspend(held)).await;
+            if let Some(leader) = leader(&replicas, &statuses, record.term) {
+                info!(%group, member = %leader.name, "member was promoted before");
+                return Ok((leader, now()));
+            }
             let is_complete = replicas
                 .iter()
                 .all(|member| statuses.contains_key(&member.name));
             let best = best(&replicas, &statuses);
-            info!(%group, term = term.0, answered = statuses.len(), of = replicas.len(),
+            info!(%group, held = held.0, answered = statuses.len(), of = replicas.len(),
                 best = ?best.as_ref().map(|member| member.name.as_str()),
                 statuses = ?statuses.values().map(|status| status.received).collect::<Vec<Mark>>(),
                 "replicas stopped");
@@ -252,7 +259,7 @@
     }
 
     /// Orders the promotion and waits until the member leads.
-    async fn lead(&self, group: &GroupName, chosen: &Rc<Member>, term: Term) -> Result<Term> {
+    async fn lead(&self, group: &GroupName, chosen: &Rc<Member>, old: Term) -> Result<Term> {
         let tenure = self.tenure()?;
         let order = (self.promote)(group.clone(), chosen.name.clone(), tenure.token);
         match timeout(ORDER_TIMEOUT, order).await {
@@ -272,7 +279,7 @@
                 .await;
             if let Ok(status) = status
                 && status.is_primary
-                && status.term >= term
+                && status.term > old
             {
                 return Ok(status.term);
             }
@@ -290,6 +297,19 @@
     }
 }
 
+/// Returns the member that an earlier holder of the duty has promoted, if any.
+fn leader(
+    members: &[Rc<Member>],
+    statuses: &HashMap<MemberName, MemberStatus>,
+    old: Term,
+) -> Option<Rc<Member>> {
+    let leads = |member: &&Rc<Member>| {
+        let status = statuses.get(&member.name);
+        status.is_some_and(|status| status.is_primary && status.term > old)
+    };
+    members.iter().find(leads).cloned()
+}
+
 /// Picks the member with the newest log; among equals one that stays.
 fn best(
     members: &[Rc<Member>],
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -27,23 +27,14 @@
 }
 
 domain! {
-    /// Says whether a group has a primary.
-    #[derive(Copy)]
-    pub enum Phase {
-        /// The primary serves.
-        Stable,
-        /// The primary is being replaced in favour of a higher term.
-        Changing,
-    }
-
     /// Holds who leads a database group.
     pub struct GroupRecord {
         /// The primary, or the one being replaced.
         pub primary: MemberName,
-        /// The term of the primary, or the term being prepared.
+        /// The term in which the primary leads.
         pub term: Term,
-        /// Whether the primary serves.
-        pub phase: Phase,
+        /// The term at which replicas are stopped while the primary is being replaced.
+        pub held: Option<Term>,
     }
 
     /// Holds where a host is reached by its peers.
@@ -77,6 +68,11 @@
     pub fn read(bytes: &[u8]) -> Result<Self> {
         decode(bytes)
     }
+
+    /// Returns whether the primary serves.
+    pub const fn is_stable(&self) -> bool {
+        self.held.is_none()
+    }
 }
 
 impl Registration {
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -14,7 +14,7 @@
 use tracing::{info, warn};
 
 use crate::promotion::{Promote, Promotion};
-use crate::records::{GroupRecord, Phase, keys};
+use crate::records::{GroupRecord, keys};
 use crate::{Duty, Votes};
 
 /// How often the groups are looked at.
@@ -117,7 +117,7 @@
 
     /// Returns why the primary has to be replaced, if so.
     fn reason(&self, record: &GroupRecord) -> Option<&'static str> {
-        if record.phase == Phase::Changing {
+        if !record.is_stable() {
             return Some("unfinished change");
         }
         let Some(primary) = self.promotion.directory.member(&record.primary) else {
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -13,8 +13,13 @@
 
 use crate::context::{Context, patience};
 
-/// Bounds the preparation of a connection, which takes no slot at the member.
-const ADOPT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bounds the preparation of a connection and the start of a transaction,
+/// which take no slot at the member, beyond the time to wait for a place.
+const PREPARE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The part of the objective in which a new connection must be open. Opening
+/// takes one of the member's slots, for which it may have to wait.
+const CONNECT_PART: f64 = 0.4;
 
 /// Says what a statement runs.
 #[derive(Debug, Clone)]
@@ -82,6 +87,19 @@
         }
     }
 
+    /// Returns the moment by which a new connection must be open.
+    fn connected_by(&self) -> Instant {
+        let span = self.route.objective.mul_f64(CONNECT_PART);
+        (self.started + span).min(self.deadline())
+    }
+
+    /// Returns the moment by which a connection must be ready for the statement.
+    pub(crate) fn prepared_by(&self) -> Instant {
+        self.patience()
+            .max(now() + PREPARE_TIMEOUT)
+            .min(self.deadline())
+    }
+
     fn shape(&self) -> Option<&Shape> {
         match &self.work {
             Work::Direct(_) => None,
@@ -107,8 +125,12 @@
 }
 
 /// Lends a connection to a member.
-pub(crate) async fn lend(pool: &Rc<MemberPool>, job: &Job, until: Instant) -> Result<Lent, Lost> {
-    let lent = pool.lend(&job.organisation, &job.state, until).await;
+pub(crate) async fn lend(pool: &Rc<MemberPool>, job: &Job) -> Result<Lent, Lost> {
+    let patience = job.patience();
+    let deadline = job.connected_by();
+    let lent = pool
+        .lend(&job.organisation, &job.state, patience, deadline)
+        .await;
     lent.map_err(|report| {
         debug!(id = job.id(), member = %pool.member().name, error = ?report, "no connection");
         Lost::NotSent(*report.current_context())
@@ -143,8 +165,7 @@
 
 /// Gives the connection the session's values and its prepared statement.
 async fn adopt(lent: &mut Lent, job: &Job) -> Result<Option<Bytes>, Lost> {
-    let until = job.deadline().min(now() + ADOPT_TIMEOUT);
-    match timeout_at(until, lent.adopt(&job.state, job.shape())).await {
+    match timeout_at(job.prepared_by(), lent.adopt(&job.state, job.shape())).await {
         Ok(Ok(name)) => Ok(name),
         Ok(Err(_)) | Err(_) => Err(Lost::NotSent(ErrorKind::ConnectionLost)),
     }
@@ -155,18 +176,39 @@
     cx.permission.primary(&job.route.group).as_ref() == Some(&lent.member().name)
 }
 
-/// Sends one command and notes what its answer tells about the member.
+/// Sends a statement of a client and notes what its answer tells about the member.
 pub(crate) async fn send(
     cx: &Context,
     lent: &mut Lent,
     job: &Job,
     command: Command,
     is_commit: bool,
+) -> Result<Reply, Lost> {
+    send_until(cx, lent, job, command, is_commit, job.deadline()).await
+}
+
+/// Sends a command that takes no slot at the member, such as the start of a transaction.
+pub(crate) async fn send_quick(
+    cx: &Context,
+    lent: &mut Lent,
+    job: &Job,
+    command: Command,
+) -> Result<Reply, Lost> {
+    send_until(cx, lent, job, command, false, job.prepared_by()).await
+}
+
+async fn send_until(
+    cx: &Context,
+    lent: &mut Lent,
+    job: &Job,
+    command: Command,
+    is_commit: bool,
+    until: Instant,
 ) -> Result<Reply, Lost> {
     let pool = Rc::clone(lent.pool());
     let sent = now();
     pool.health.start(is_commit);
-    let outcome = timeout_at(job.deadline(), lent.call(command)).await;
+    let outcome = timeout_at(until, lent.call(command)).await;
     pool.health.end(is_commit, matches!(outcome, Ok(Ok(_))));
     match outcome {
         Ok(Ok(reply)) => {
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -17,8 +17,9 @@
 /// only it can serve writes.
 const PRIMARY_WEIGHT: f64 = 1.6;
 
-/// Stands for the cost of opening a connection, in milliseconds.
-const CONNECT_COST_MS: f64 = 12.0;
+/// Stands for the cost of opening a connection, in milliseconds. It takes a
+/// slot of the member for about 12 ms, which delays others, too.
+const CONNECT_COST_MS: f64 = 30.0;
 
 /// Spreads the choice, in percent, so that hosts do not all pick the same member.
 const SPREAD_PERCENT: (u64, u64) = (100, 130);
@@ -139,13 +140,13 @@
 }
 
 async fn ask_position(cx: &Context, place: &Place, job: &Job) -> Result<(), Lost> {
-    let mut lent = outcome::lend(&place.pool, job, job.deadline()).await?;
+    let mut lent = outcome::lend(&place.pool, job).await?;
     let begin = Command::Begin {
         access: Access::Read,
         floor: None,
     };
-    outcome::send(cx, &mut lent, job, begin, false).await?;
-    let reply = outcome::send(cx, &mut lent, job, Command::Rollback, false).await?;
+    outcome::send_quick(cx, &mut lent, job, begin).await?;
+    let reply = outcome::send_quick(cx, &mut lent, job, Command::Rollback).await?;
     outcome::settle(lent, &reply);
     Ok(())
 }
--- a/crates/burdockslip_session/src/read.rs
+++ b/crates/burdockslip_session/src/read.rs
@@ -105,8 +105,7 @@
 }
 
 async fn try_place(cx: &Context, job: &Job, place: &Place) -> Result<Reply, Lost> {
-    let until = job.patience().max(now() + Duration::from_millis(20));
-    let mut lent = outcome::lend(&place.pool, job, until).await?;
+    let mut lent = outcome::lend(&place.pool, job).await?;
     let reply = outcome::run(cx, &mut lent, job, place.floor).await?;
     outcome::settle(lent, &reply);
     Ok(reply)
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -30,6 +30,8 @@
     own: Option<(GroupName, Mark)>,
     open: Option<Open>,
     has_failed: bool,
+    /// When the running statement arrived.
+    started: Instant,
     /// The member that answered last and the position that its log had to hold.
     last: Option<(MemberName, Option<Mark>)>,
     metrics: RequestMetrics,
@@ -61,6 +63,7 @@
             own: None,
             open: None,
             has_failed: false,
+            started: now(),
             last: None,
         })
     }
@@ -100,7 +103,7 @@
 
     /// Runs a statement.
     pub(crate) async fn handle(&mut self, query: Query) -> Verdict {
-        let started = now();
+        self.started = now();
         let Some(statement) = query.statement.clone() else {
             return self.verdict(Response::failed(ErrorKind::Protocol, self.transaction()));
         };
@@ -124,7 +127,7 @@
             self.dispatch(&route, query, statement).await
         };
         if is_upstream || response.result.is_err() {
-            self.record(&id, &route, started, &response);
+            self.record(&id, &route, &response);
         }
         self.verdict(response)
     }
@@ -352,13 +355,13 @@
             organisation: self.organisation.clone(),
             state: Rc::clone(&self.state),
             own: own.map(|(_, mark)| *mark),
-            started: now(),
+            started: self.started,
         })
     }
 
-    fn record(&mut self, id: &Bytes, route: &Route, started: Instant, response: &Response) {
+    fn record(&mut self, id: &Bytes, route: &Route, response: &Response) {
         let result = response.result.as_ref().map(|_| ()).map_err(|kind| *kind);
-        let took = started.elapsed();
+        let took = self.started.elapsed();
         self.metrics.record(result, took);
         let (member, floor) = self.last.take().unzip();
         info!(
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -118,9 +118,7 @@
             Lost::NotSent(kind) => kind,
             Lost::Broken | Lost::TimedOut => ErrorKind::ConnectionLost,
         };
-        let mut lent = outcome::lend(&place.pool, job, job.patience())
-            .await
-            .map_err(lost)?;
+        let mut lent = outcome::lend(&place.pool, job).await.map_err(lost)?;
         if place.floor.is_none() && !outcome::may_use(cx, job, &lent) {
             return Err(ErrorKind::NoPrimary);
         }
@@ -184,7 +182,7 @@
         let cx = Rc::clone(cx);
         spawn(async move {
             // A connection without an answer is closed, which rolls back too.
-            if let Ok(reply) = outcome::send(&cx, &mut lent, &job, Command::Rollback, false).await {
+            if let Ok(reply) = outcome::send_quick(&cx, &mut lent, &job, Command::Rollback).await {
                 outcome::settle(lent, &reply);
             }
         })
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -43,7 +43,7 @@
     if place.pool.health.is_suspected() {
         return Err(Lost::NotSent(ErrorKind::NoPrimary));
     }
-    let mut lent = outcome::lend(&place.pool, job, job.patience()).await?;
+    let mut lent = outcome::lend(&place.pool, job).await?;
     let reply = outcome::run(cx, &mut lent, job, None).await?;
     outcome::settle(lent, &reply);
     Ok(Served {
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -22,7 +22,7 @@
 
 /// Connections above the share that a host may always try to open, because a
 /// share of one would make transactions wait for each other.
-const SURPLUS: usize = 2;
+const SURPLUS: usize = 1;
 
 /// Closes a connection above the share that was not used for this time.
 const SURPLUS_LIMIT: Duration = Duration::from_millis(1_500);
@@ -83,13 +83,14 @@
         self.share.set(share.max(1));
     }
 
-    /// Hosts may use twice what they keep while the member has connections left.
+    /// Hosts may use more than they keep while the member has connections left.
     fn limit(&self) -> usize {
-        self.share.get() + self.surplus.get().min(self.share.get().max(SURPLUS))
+        self.share.get() + self.surplus.get()
     }
 
     /// Lends a connection for an organisation, preferably one with the
-    /// session's values; waits until `deadline` for one to be returned.
+    /// session's values; waits until `patience` for one to be returned, and
+    /// until `deadline` for a new one, which waits for a slot of the member.
     ///
     /// # Errors
     ///
@@ -99,6 +100,7 @@
         self: &Rc<Self>,
         organisation: &Organisation,
         state: &SessionState,
+        patience: Instant,
         deadline: Instant,
     ) -> Result<Lent> {
         loop {
@@ -112,7 +114,7 @@
             if self.open.get() < self.limit() {
                 return self.open(organisation, deadline).await;
             }
-            let wait = timeout(deadline.remaining(), self.returned.changed(seen));
+            let wait = timeout(patience.remaining(), self.returned.changed(seen));
             if wait.await.is_err() {
                 bail!(ErrorKind::QueueFull);
             }
@@ -188,8 +190,7 @@
         let sweeps = self.sweeps.get().wrapping_add(1);
         self.sweeps.set(sweeps);
         if sweeps.is_multiple_of(GROWTH_SWEEPS) {
-            self.surplus
-                .set((self.surplus.get() + 1).min(self.share.get()));
+            self.surplus.set((self.surplus.get() + 1).min(SURPLUS));
         }
         let mut above = self.open.get().saturating_sub(self.share.get());
         let mut idle = self.idle.borrow_mut();
--- a/crates/burdockslip_upstream/src/pools.rs
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -15,10 +15,10 @@
 
 use crate::{Connection, MemberPool};
 
-/// Hosts together keep one in so many of a member's connections. A member holds
-/// the connections of hosts that lost power for seconds, and the hosts need
-/// others as soon as they are back.
-const KEPT_PART: usize = 2;
+/// The part of a member's connections that hosts together keep, in percent. A
+/// member holds the connections of hosts that lost power for seconds, and the
+/// hosts need others as soon as they are back.
+const KEPT_PERCENT: usize = 70;
 
 /// How often silent members are looked for.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
@@ -131,7 +131,7 @@
             .as_ref()
             .and_then(|configuration| configuration.services.get(group))
             .map_or(1, |service| service.connections);
-        (limit / KEPT_PART / self.hosts.get()).max(1)
+        (limit.saturating_mul(KEPT_PERCENT) / 100 / self.hosts.get()).max(1)
     }
 
     /// Members want the name of an organisation; any one will do for control.
