Let the coordinator vouch for the configuration and the permission

The coordinator's answer to a report now carries both with their age; a host asks the store only when no answer came.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -51,6 +51,7 @@
     members: RefCell<HashMap<MemberName, Known>>,
     records: RefCell<BTreeMap<String, Entry>>,
     is_loaded: Cell<bool>,
+    pub(crate) is_leading: Cell<bool>,
     changed: Signal,
 }
 
@@ -73,6 +74,7 @@
             members: RefCell::default(),
             records: RefCell::default(),
             is_loaded: Cell::new(false),
+            is_leading: Cell::new(false),
             changed: Signal::default(),
         });
         let watching = spawn(follow::watch(Rc::clone(&shared)));
@@ -99,6 +101,23 @@
         self.shared.confirmed.get().map(Instant::elapsed)
     }
 
+    /// Returns the revision of the configuration in force.
+    pub fn revision(&self) -> Revision {
+        self.shared.configured.get()
+    }
+
+    /// Takes over from a peer that `revision` was the newest one at `moment`.
+    pub fn confirm(&self, revision: Revision, moment: Instant) {
+        if revision == self.shared.configured.get() {
+            self.shared.confirm(moment);
+        }
+    }
+
+    /// Confirms more often, because other hosts rely on this one.
+    pub fn set_leading(&self, is_leading: bool) {
+        self.shared.is_leading.set(is_leading);
+    }
+
     /// Returns whether the configuration is known recently enough to authorise requests.
     pub fn is_current(&self) -> bool {
         self.age().is_some_and(|age| age < KEY_VALIDITY)
@@ -235,12 +254,11 @@
             .get()
             .map_or(moment, |known| known.max(moment));
         self.confirmed.set(Some(latest));
-        self.changed.notify();
     }
 
-    /// Returns the milliseconds since the last confirmation, for log lines.
-    pub(crate) fn age_ms(&self) -> Option<u128> {
-        self.confirmed.get().map(|at| at.elapsed().as_millis())
+    /// Returns the time since the last confirmation.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        self.confirmed.get().map(Instant::elapsed)
     }
 
     fn configure(&self, entry: &Entry) {
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, now, random_range, sleep, timeout};
+use burdockslip_runtime::{now, random_range, sleep, timeout};
 use burdockslip_store::{Event, Watch};
 use burdockslip_types::{ErrorKind, Result};
 use error_stack::Report;
@@ -12,9 +12,15 @@
 
 use crate::directory::Shared;
 
-/// How often the configuration is confirmed. A confirmation that fails leaves
-/// two further attempts before requests are no longer authorised.
-const CONFIRM_PERIOD: Duration = Duration::from_millis(1_500);
+/// The age at which a host asks the store itself, because no peer has confirmed
+/// the configuration. Three attempts fit in before requests are refused.
+const CONFIRM_AGE: Duration = Duration::from_millis(1_500);
+
+/// The age at which the host asks on which the others rely.
+const LEADING_AGE: Duration = Duration::from_millis(500);
+
+/// How often the age is looked at.
+const CONFIRM_TICK: Duration = Duration::from_millis(100);
 
 /// How soon a failed confirmation is repeated.
 const CONFIRM_RETRY: Duration = Duration::from_millis(250);
@@ -84,27 +90,31 @@
 /// Confirms the configuration with reads that see every acknowledged change.
 pub(crate) async fn confirm(shared: Rc<Shared>) {
     loop {
+        let limit = if shared.is_leading.get() {
+            LEADING_AGE
+        } else {
+            CONFIRM_AGE
+        };
+        if shared.age().is_some_and(|age| age < limit) {
+            sleep(CONFIRM_TICK).await;
+            continue;
+        }
         let sent = now();
         let key = shared.schema.configuration;
         match within(CALL_TIMEOUT, shared.store.range(key)).await {
             Ok(page) => {
                 page.entries.into_iter().for_each(|entry| shared.put(entry));
                 shared.confirm(sent);
-                sleep(next_confirmation(sent)).await;
             }
             Err(error) => {
-                let age = shared.age_ms();
-                warn!(?error, age, "configuration not confirmed");
+                let age_ms = shared.age().map(|age| age.as_millis());
+                warn!(?error, age_ms, "configuration not confirmed");
                 sleep(CONFIRM_RETRY).await;
             }
         }
     }
 }
 
-fn next_confirmation(sent: Instant) -> Duration {
-    (sent + CONFIRM_PERIOD).remaining()
-}
-
 async fn within<T>(span: Duration, call: impl Future<Output = Result<T>>) -> Result<T> {
     match timeout(span, call).await {
         Ok(result) => result,
--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Account, Directory};
-use burdockslip_failover::{Duty, Registration, Supervisor, keys};
+use burdockslip_failover::{Duty, Permission, Registration, Supervisor, keys};
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{now, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
 use burdockslip_shares::{Allocator, Demand, Grant, Limits};
+use burdockslip_store::LeaseId;
 use burdockslip_types::{
     ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision,
 };
@@ -19,8 +20,8 @@
 use serde::{Deserialize, Serialize};
 use tracing::info;
 
-/// How often a host reports.
-const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// How often a host reports. Permissions last 900 ms, and the answer renews them.
+const REPORT_PERIOD: Duration = Duration::from_millis(300);
 
 /// Spaces reports for more tokens and about members that are newly suspected.
 const URGENT_PERIOD: Duration = Duration::from_millis(8);
@@ -47,8 +48,12 @@
 /// Tells a host what it may use.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Verdict {
-    /// The fractions of the organisations' rates.
+    /// The tokens and fractions of the organisations' rates.
     pub grants: Vec<Grant>,
+    /// The newest configuration and how long ago the store said so.
+    pub configuration: Option<(Revision, Duration)>,
+    /// The lease behind permissions and how long ago it was alive.
+    pub permission: Option<(LeaseId, Duration)>,
 }
 
 /// Carries reports to the coordinator.
@@ -67,15 +72,22 @@
     duty: Duty,
     directory: Directory,
     supervisor: Supervisor,
+    permission: Permission,
     allocator: Rc<RefCell<(Revision, Allocator)>>,
 }
 
 impl Coordinator {
-    pub(crate) fn new(duty: Duty, directory: Directory, supervisor: Supervisor) -> Self {
+    pub(crate) fn new(
+        duty: Duty,
+        directory: Directory,
+        supervisor: Supervisor,
+        permission: Permission,
+    ) -> Self {
         Self {
             duty,
             directory,
             supervisor,
+            permission,
             allocator: Rc::default(),
         }
     }
@@ -104,7 +116,12 @@
         let grants = allocator
             .1
             .grant(host, report.demands, &organisations, &hosts);
-        Ok(Verdict { grants })
+        let age = self.directory.age();
+        Ok(Verdict {
+            grants,
+            configuration: age.map(|age| (self.directory.revision(), age)),
+            permission: self.permission.vouch(),
+        })
     }
 }
 
@@ -137,6 +154,9 @@
     loop {
         let sent = now();
         let seen = cx.starved.epoch();
+        let is_leading = coordinator.duty.tenure().is_some();
+        cx.directory.set_leading(is_leading);
+        cx.permission.set_leading(is_leading);
         let hosts = registered(&cx.directory).len();
         cx.pools.set_hosts(hosts);
         cx.rates.borrow_mut().set_hosts(hosts);
@@ -152,6 +172,13 @@
             failed = error;
         }
         if let Ok(verdict) = outcome {
+            // What held some time before the answer held that long before the report, too.
+            if let Some((revision, age)) = verdict.configuration {
+                cx.directory.confirm(revision, sent - age);
+            }
+            if let Some((lease, age)) = verdict.permission {
+                cx.permission.accept(lease, sent - age);
+            }
             cx.rates.borrow_mut().apply(verdict.grants);
         }
         cx.granted.notify();
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -86,7 +86,12 @@
         let duty = Duty::spawn(settings.host.clone(), directory.clone());
         let promote = adapter.promote;
         let supervisor = Supervisor::spawn(directory.clone(), pools.clone(), duty.clone(), promote);
-        let coordinator = Coordinator::new(duty.clone(), directory.clone(), supervisor);
+        let coordinator = Coordinator::new(
+            duty.clone(),
+            directory.clone(),
+            supervisor,
+            permission.clone(),
+        );
         let metrics = Metrics::new()?;
         let limits = Limits {
             sessions: settings.sessions,
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -22,14 +22,24 @@
 /// the new primary.
 pub const PERMISSION_SPAN: Duration = Duration::from_millis(900);
 
-/// How often the permission is renewed.
-const RENEW_PERIOD: Duration = Duration::from_millis(250);
+/// How often the age of the proof is looked at.
+const RENEW_TICK: Duration = Duration::from_millis(100);
+
+/// The age at which a host asks the store itself, because the coordinator has
+/// not vouched for the permission.
+const RENEW_AGE: Duration = Duration::from_millis(500);
+
+/// The age at which the coordinator asks, on whom the others rely.
+const LEADING_AGE: Duration = Duration::from_millis(120);
 
 /// Bounds a renewal; a slow store takes up to about 0.5 s.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The age of the proof at which replicas are asked instead of the store.
-const REPLICA_CHECK_AGE: Duration = Duration::from_millis(450);
+const REPLICA_CHECK_AGE: Duration = Duration::from_millis(600);
+
+/// How often replicas may be asked.
+const REPLICA_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Bounds the question to a replica.
 const REPLICA_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -41,6 +51,7 @@
     group_proofs: RefCell<HashMap<GroupName, Instant>>,
     asking: RefCell<HashMap<GroupName, Task<()>>>,
     has_store: Cell<bool>,
+    is_leading: Cell<bool>,
 }
 
 /// Keeps the permission to use primaries; clones share it.
@@ -60,6 +71,7 @@
             group_proofs: RefCell::default(),
             asking: RefCell::default(),
             has_store: Cell::new(true),
+            is_leading: Cell::new(false),
         });
         let renewing = spawn(renew(Rc::clone(&shared)));
         let checking = spawn(check_replicas(Rc::clone(&shared)));
@@ -87,6 +99,29 @@
         self.shared.proof(group).map(Instant::elapsed)
     }
 
+    /// Returns the lease behind the permission and the age of its proof, for
+    /// hosts that rely on this one.
+    pub fn vouch(&self) -> Option<(LeaseId, Duration)> {
+        let proof = self.shared.proof.get()?;
+        Some((self.shared.fence()?, proof.elapsed()))
+    }
+
+    /// Takes over from a peer that the lease was alive at `moment`.
+    ///
+    /// A lease that this host does not know came with records that it has not
+    /// read yet.
+    pub fn accept(&self, lease: LeaseId, moment: Instant) {
+        if self.shared.fence() == Some(lease) {
+            let proof = &self.shared.proof;
+            proof.set(proof.get().max(Some(moment)));
+        }
+    }
+
+    /// Renews more often, because other hosts rely on this one.
+    pub fn set_leading(&self, is_leading: bool) {
+        self.shared.is_leading.set(is_leading);
+    }
+
     fn is_proved(&self, group: &GroupName) -> bool {
         self.age(group).is_some_and(|age| age < PERMISSION_SPAN)
     }
@@ -156,6 +191,15 @@
 
 async fn renew(shared: Rc<Shared>) {
     loop {
+        let limit = if shared.is_leading.get() {
+            LEADING_AGE
+        } else {
+            RENEW_AGE
+        };
+        if shared.proof.get().is_some_and(|at| at.elapsed() < limit) {
+            sleep(RENEW_TICK.min(limit / 2)).await;
+            continue;
+        }
         match timeout(RENEW_TIMEOUT, shared.prove()).await {
             Ok(Ok(sent)) => {
                 shared.proof.set(shared.proof.get().max(Some(sent)));
@@ -164,7 +208,7 @@
             Ok(Err(error)) => shared.note_store(false, Some(&error)),
             Err(_) => shared.note_store(false, None),
         }
-        sleep(RENEW_PERIOD).await;
+        sleep(RENEW_TICK).await;
     }
 }
 
@@ -174,7 +218,7 @@
 /// still receives in the known term proves that none has happened.
 async fn check_replicas(shared: Rc<Shared>) {
     loop {
-        sleep(RENEW_PERIOD).await;
+        sleep(REPLICA_CHECK_PERIOD).await;
         let is_fresh = |at: Instant| at.elapsed() < REPLICA_CHECK_AGE;
         if shared.proof.get().is_some_and(is_fresh) || !shared.directory.is_current() {
             continue;
