--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -52,6 +52,8 @@
     pub grants: Vec<Grant>,
     /// The newest configuration and how long ago the store said so.
     pub configuration: Option<(Revision, Duration)>,
+    /// The members that some hosts cannot reach and that this host should look at.
+    pub doubtful: Vec<MemberName>,
     /// The lease behind permissions and how long ago it was alive.
     pub permission: Option<(LeaseId, Duration)>,
 }
@@ -120,6 +122,7 @@
         Ok(Verdict {
             grants,
             configuration: age.map(|age| (self.directory.revision(), age)),
+            doubtful: self.supervisor.suspected(),
             permission: self.permission.vouch(),
         })
     }
@@ -179,6 +182,7 @@
             if let Some((lease, age)) = verdict.permission {
                 cx.permission.accept(lease, sent - age);
             }
+            cx.pools.check(&verdict.doubtful);
             cx.rates.borrow_mut().apply(verdict.grants);
         }
         cx.granted.notify();
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -62,6 +62,11 @@
     pub fn report(&self, host: HostId, suspects: Vec<MemberName>) {
         self.shared.votes.borrow_mut().record(host, suspects);
     }
+
+    /// Returns the members that some hosts cannot reach and others should look at.
+    pub fn suspected(&self) -> Vec<MemberName> {
+        self.shared.votes.borrow().suspected()
+    }
 }
 
 impl fmt::Debug for Supervisor {
--- a/crates/burdockslip_failover/src/votes.rs
+++ b/crates/burdockslip_failover/src/votes.rs
@@ -23,6 +23,18 @@
             .retain(|_, (at, _)| at.elapsed() < REPORT_VALIDITY);
     }
 
+    /// Returns the members that at least one host suspects.
+    pub fn suspected(&self) -> Vec<MemberName> {
+        let fresh = self
+            .reports
+            .values()
+            .filter(|(at, _)| at.elapsed() < REPORT_VALIDITY);
+        let mut members: Vec<_> = fresh.flat_map(|(_, suspects)| suspects.clone()).collect();
+        members.sort();
+        members.dedup();
+        members
+    }
+
     /// Returns how many hosts suspect a member, and how many have reported.
     pub fn count(&self, member: &MemberName) -> (usize, usize) {
         let fresh = || {
--- a/crates/burdockslip_upstream/src/health.rs
+++ b/crates/burdockslip_upstream/src/health.rs
@@ -135,6 +135,11 @@
         self.mark.get()
     }
 
+    /// Returns the time since the member last answered.
+    pub fn heard_ago(&self) -> Duration {
+        self.heard.get().elapsed()
+    }
+
     /// Returns how long statements have been waiting without any answer.
     pub fn silence(&self) -> Option<Duration> {
         let since = self.waiting_since.get()?.max(self.heard.get());
--- a/crates/burdockslip_upstream/src/pools.rs
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -18,7 +18,7 @@
 /// The part of a member's connections that hosts together keep, in percent. A
 /// member holds the connections of hosts that lost power for seconds, and the
 /// hosts need others as soon as they are back.
-const KEPT_PERCENT: usize = 70;
+const KEPT_PERCENT: usize = 50;
 
 /// How often silent members are looked for.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
@@ -28,7 +28,10 @@
 
 /// How long statements may wait without an answer before the member is probed.
 /// Ordinary statements take up to 300 ms.
-const PROBE_AFTER: Duration = Duration::from_millis(350);
+const PROBE_AFTER: Duration = Duration::from_millis(250);
+
+/// A member that answered within this time needs no probe.
+const RECENTLY: Duration = Duration::from_millis(150);
 
 /// Bounds a probe: connecting and one status.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
@@ -102,6 +105,21 @@
             .collect()
     }
 
+    /// Asks members for their status because other hosts cannot reach them.
+    ///
+    /// A host without statements at a member would not notice that it is lost.
+    pub fn check(&self, members: &[MemberName]) {
+        for name in members {
+            let Some(member) = self.shared.directory.member(name) else {
+                continue;
+            };
+            let pool = self.of(&member);
+            if pool.health.heard_ago() > RECENTLY && !pool.health.is_suspected() {
+                probe(&self.shared, pool);
+            }
+        }
+    }
+
     /// Sends a control command to a member over a connection of its own.
     ///
     /// # Errors
