Pass changes of the store on from the coordinator

Cause: each change in the store woke a watch of every host and cost a call each. Hosts now get changes from the coordinator and watch the store only without it.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -1,14 +1,15 @@
 //! Holds what is known from the store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
 use burdockslip_runtime::{Instant, Signal, Task, now, spawn};
-use burdockslip_store::{Entry, Store};
-use burdockslip_types::{GroupName, MemberName, Result, Revision};
+use burdockslip_store::{Entry, Event, Store};
+use burdockslip_types::{GroupName, MemberName, Result, Revision, domain};
+use futures::future::LocalBoxFuture;
 use tracing::{info, warn};
 
 use crate::follow;
@@ -37,6 +38,22 @@
     pub read_member: fn(&str, &[u8]) -> Result<Member>,
 }
 
+/// Bounds the changes that are kept for other hosts; each takes some 60 bytes.
+const MAX_CHANGES: usize = 256;
+
+domain! {
+    /// Holds changes that a peer passes on.
+    pub struct Changes {
+        /// The changes.
+        pub events: Vec<Event>,
+        /// The revision up to which changes are included.
+        pub revision: Revision,
+    }
+}
+
+/// Asks a peer for the changes after a revision; waits until there are some.
+pub type Relay = Rc<dyn Fn(Revision) -> LocalBoxFuture<'static, Result<Changes>>>;
+
 struct Known {
     member: Rc<Member>,
     missing: Option<Instant>,
@@ -49,7 +66,12 @@
     configured: Cell<Revision>,
     confirmed: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, Known>>,
-    records: RefCell<BTreeMap<String, Entry>>,
+    entries: RefCell<BTreeMap<String, Entry>>,
+    changes: RefCell<VecDeque<(Revision, String)>>,
+    /// Changes up to this revision are not kept.
+    forgotten: Cell<Revision>,
+    pub(crate) applied: Cell<Revision>,
+    pub(crate) relay: RefCell<Option<Relay>>,
     is_loaded: Cell<bool>,
     pub(crate) is_leading: Cell<bool>,
     changed: Signal,
@@ -72,7 +94,11 @@
             configured: Cell::default(),
             confirmed: Cell::default(),
             members: RefCell::default(),
-            records: RefCell::default(),
+            entries: RefCell::default(),
+            changes: RefCell::default(),
+            forgotten: Cell::default(),
+            applied: Cell::default(),
+            relay: RefCell::default(),
             is_loaded: Cell::new(false),
             is_leading: Cell::new(false),
             changed: Signal::default(),
@@ -146,13 +172,13 @@
 
     /// Returns a record of the system's own.
     pub fn record(&self, key: &str) -> Option<Entry> {
-        self.shared.records.borrow().get(key).cloned()
+        self.shared.entries.borrow().get(key).cloned()
     }
 
     /// Returns the records of the system's own whose keys start with `prefix`.
     pub fn records(&self, prefix: &str) -> Vec<Entry> {
-        let records = self.shared.records.borrow();
-        records
+        let entries = self.shared.entries.borrow();
+        entries
             .range(prefix.to_owned()..)
             .take_while(|(key, _)| key.starts_with(prefix))
             .map(|(_, entry)| entry.clone())
@@ -164,6 +190,16 @@
         self.shared.put(entry);
     }
 
+    /// Returns the changes after `revision`, or `None` if some are not kept.
+    pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
+        self.shared.changes_since(revision)
+    }
+
+    /// Gets changes from a peer while `relay` supplies them, and from the store else.
+    pub fn set_relay(&self, relay: Relay) {
+        *self.shared.relay.borrow_mut() = Some(relay);
+    }
+
     /// Tells of every change.
     pub fn changed(&self) -> &Signal {
         &self.shared.changed
@@ -190,63 +226,87 @@
 impl Shared {
     /// Takes over an entry unless a newer one is known.
     pub(crate) fn put(&self, entry: Entry) {
+        let is_known = |known: &Entry| known.revision >= entry.revision;
+        if self.entries.borrow().get(&entry.key).is_some_and(is_known) {
+            return;
+        }
         if entry.key == self.schema.configuration {
             self.configure(&entry);
         } else if let Some(name) = entry.key.strip_prefix(self.schema.members) {
             self.put_member(name, &entry.value);
-        } else {
-            let mut records = self.records.borrow_mut();
-            let known = records.get(&entry.key);
-            if known.is_some_and(|known| known.revision >= entry.revision) {
-                return;
-            }
-            records.insert(entry.key.clone(), entry);
         }
+        self.note_change(entry.revision, &entry.key);
+        self.entries.borrow_mut().insert(entry.key.clone(), entry);
         self.changed.notify();
     }
 
     /// Drops a key that was deleted.
     pub(crate) fn delete(&self, key: &str, revision: Revision) {
+        let is_older = |known: &Entry| known.revision < revision;
+        if !self.entries.borrow().get(key).is_some_and(is_older) {
+            return;
+        }
+        self.entries.borrow_mut().remove(key);
         if let Some(name) = key.strip_prefix(self.schema.members) {
             self.miss(name);
-        } else {
-            let mut records = self.records.borrow_mut();
-            if records
-                .get(key)
-                .is_some_and(|known| known.revision < revision)
-            {
-                records.remove(key);
-            }
         }
+        self.note_change(revision, key);
         self.changed.notify();
     }
 
-    /// Takes over the whole content of the store.
-    pub(crate) fn replace(&self, entries: Vec<Entry>) {
-        let gone: Vec<String> = {
-            let members = self.members.borrow();
-            let prefix = self.schema.members;
-            let is_listed = |name: &MemberName| {
-                let key = entries
-                    .iter()
-                    .filter_map(|entry| entry.key.strip_prefix(prefix));
-                key.into_iter().any(|listed| listed == name.as_str())
-            };
-            members
-                .keys()
-                .filter(|name| !is_listed(name))
-                .map(|name| name.as_str().to_owned())
-                .collect()
-        };
-        gone.iter().for_each(|name| self.miss(name));
-        self.records
-            .borrow_mut()
-            .retain(|key, _| entries.iter().any(|entry| entry.key == *key));
+    /// Takes over the whole content of the store as of `revision`.
+    pub(crate) fn replace(&self, entries: Vec<Entry>, revision: Revision) {
+        let listed: HashSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let known: Vec<String> = self.entries.borrow().keys().cloned().collect();
+        for key in known.iter().filter(|key| !listed.contains(key.as_str())) {
+            self.delete(key, revision);
+        }
         entries.into_iter().for_each(|entry| self.put(entry));
         self.is_loaded.set(true);
+        self.advance(revision);
+    }
+
+    /// Notes that all changes up to `revision` are known.
+    pub(crate) fn advance(&self, revision: Revision) {
+        self.applied.set(self.applied.get().max(revision));
         self.changed.notify();
     }
 
+    fn note_change(&self, revision: Revision, key: &str) {
+        let mut changes = self.changes.borrow_mut();
+        changes.push_back((revision, key.to_owned()));
+        while changes.len() > MAX_CHANGES {
+            if let Some((revision, _)) = changes.pop_front() {
+                self.forgotten.set(self.forgotten.get().max(revision));
+            }
+        }
+    }
+
+    fn changes_since(&self, revision: Revision) -> Option<Changes> {
+        if revision < self.forgotten.get() {
+            return None;
+        }
+        let changes = self.changes.borrow();
+        let entries = self.entries.borrow();
+        let applied = self.applied.get();
+        // What was learned ahead of the watch is passed on when the watch is
+        // there; a peer would ask for it again and again otherwise.
+        let is_due = |changed: Revision| changed > revision && changed <= applied;
+        let mut keys = HashSet::new();
+        let mut events = Vec::new();
+        for (changed, key) in changes.iter().rev().filter(|(changed, _)| is_due(*changed)) {
+            if keys.insert(key) {
+                let event = entries.get(key).cloned().map(Event::Put);
+                events.push(event.unwrap_or_else(|| Event::Delete(key.clone(), *changed)));
+            }
+        }
+        events.reverse();
+        Some(Changes {
+            events,
+            revision: applied,
+        })
+    }
+
     /// Notes that the configuration was the newest one at `moment`.
     pub(crate) fn confirm(&self, moment: Instant) {
         let latest = self
@@ -256,6 +316,10 @@
         self.confirmed.set(Some(latest));
     }
 
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.is_loaded.get()
+    }
+
     /// Returns the time since the last confirmation.
     pub(crate) fn age(&self) -> Option<Duration> {
         self.confirmed.get().map(Instant::elapsed)
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -31,28 +31,37 @@
 /// Pauses between attempts to read the store, in milliseconds.
 const RETRY_MS: (u64, u64) = (100, 300);
 
+/// Bounds the wait for a peer, which answers within 1 s even without changes.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_400);
+
+/// How long the store is watched before a peer is asked again.
+const RELAY_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// How long a watch may stay silent before everything is read again. A watch
 /// whose connection went dead shows no error.
 const WATCH_SILENCE: Duration = Duration::from_secs(14);
 
 /// Reads the store and applies its changes, again and again.
+///
+/// Changes come from a peer while there is one that passes them on, because
+/// each change would cost a call of every host otherwise.
 pub(crate) async fn watch(shared: Rc<Shared>) {
     let mut is_reachable = true;
     loop {
-        let outcome = load(&shared).await;
-        match outcome {
-            Ok(watch) => {
+        match load(&shared).await {
+            Ok(()) => {
                 if !is_reachable {
                     info!("store reachable again");
                 }
                 is_reachable = true;
-                apply(&shared, watch).await;
+                apply(&shared).await;
             }
             Err(error) => {
                 if is_reachable {
                     warn!(?error, "store unreachable, serving from known state");
                 }
                 is_reachable = false;
+                follow_peer(&shared).await;
                 let (least, most) = RETRY_MS;
                 sleep(Duration::from_millis(random_range(least..most))).await;
             }
@@ -60,33 +69,75 @@
     }
 }
 
-async fn load(shared: &Shared) -> Result<Watch> {
+async fn load(shared: &Shared) -> Result<()> {
     let sent = now();
     let page = within(CALL_TIMEOUT, shared.store.range("")).await?;
-    let revision = page.revision;
-    shared.replace(page.entries);
+    shared.replace(page.entries, page.revision);
     shared.confirm(sent);
-    within(CALL_TIMEOUT, shared.store.watch("", revision)).await
+    Ok(())
 }
 
-async fn apply(shared: &Shared, mut watch: Watch) {
+/// Applies changes until some may have been missed.
+async fn apply(shared: &Shared) {
     loop {
-        match timeout(WATCH_SILENCE, watch.next()).await {
-            Ok(Some(Ok(Event::Put(entry)))) => shared.put(entry),
-            Ok(Some(Ok(Event::Delete(key, revision)))) => shared.delete(&key, revision),
-            Ok(Some(Ok(Event::Progress(_)))) => {}
-            Ok(Some(Err(error))) => {
-                info!(?error, "watch broke, reading the store again");
-                return;
-            }
-            Ok(None) | Err(_) => {
-                info!("watch ended, reading the store again");
-                return;
+        follow_peer(shared).await;
+        let opened = shared.store.watch("", shared.applied.get());
+        let outcome = match within(CALL_TIMEOUT, opened).await {
+            Ok(watch) => follow_store(shared, watch).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = outcome {
+            info!(?error, "watch broke, reading the store again");
+            return;
+        }
+    }
+}
+
+/// Applies what a peer passes on, until it does not.
+async fn follow_peer(shared: &Shared) {
+    let relay = shared.relay.borrow().clone();
+    let Some(relay) = relay.filter(|_| shared.is_loaded()) else {
+        return;
+    };
+    while let Ok(changes) = within(RELAY_TIMEOUT, relay(shared.applied.get())).await {
+        for event in changes.events {
+            apply_event(shared, event);
+        }
+        shared
+            .applied
+            .set(shared.applied.get().max(changes.revision));
+    }
+}
+
+/// Applies the changes of a watch, until a peer may pass them on.
+async fn follow_store(shared: &Shared, mut watch: Watch) -> Result<()> {
+    let until = now() + RELAY_PAUSE;
+    loop {
+        let wait = if shared.is_leading.get() {
+            WATCH_SILENCE
+        } else {
+            until.remaining()
+        };
+        match timeout(wait, watch.next()).await {
+            Ok(Some(Ok(event))) => apply_event(shared, event),
+            Ok(Some(Err(error))) => return Err(error),
+            Ok(None) => return Err(Report::new(ErrorKind::StoreUnavailable).attach("watch ended")),
+            Err(_) if shared.is_leading.get() => {
+                return Err(Report::new(ErrorKind::StoreUnavailable).attach("watch silent"));
             }
+            Err(_) => return Ok(()),
         }
     }
 }
 
+fn apply_event(shared: &Shared, event: Event) {
+    match event {
+        Event::Put(entry) => shared.put(entry),
+        Event::Delete(key, revision) => shared.delete(&key, revision),
+        Event::Progress(revision) => shared.advance(revision),
+    }
+}
+
 /// Confirms the configuration with reads that see every acknowledged change.
 pub(crate) async fn confirm(shared: Rc<Shared>) {
     loop {
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -10,5 +10,5 @@
 mod member;
 
 pub use configuration::{Account, Configuration, Consistency, Route, Service};
-pub use directory::{Directory, KEY_VALIDITY, Schema};
+pub use directory::{Changes, Directory, KEY_VALIDITY, Relay, Schema};
 pub use member::{Member, Role};
--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -5,17 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Account, Directory};
+use burdockslip_directory::{Account, Changes, Directory, Relay};
 use burdockslip_failover::{Duty, Permission, Registration, Supervisor, keys};
 use burdockslip_peer::PeerPool;
-use burdockslip_runtime::{now, sleep, sleep_until, timeout};
+use burdockslip_runtime::{now, sleep, sleep_until, timeout, timeout_at};
 use burdockslip_session::Context;
 use burdockslip_shares::{Allocator, Demand, Grant, Limits};
 use burdockslip_store::LeaseId;
 use burdockslip_types::{
     ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision,
 };
-use error_stack::bail;
+use error_stack::{bail, ensure};
+use futures::FutureExt;
 use futures::future::select;
 use serde::{Deserialize, Serialize};
 use tracing::info;
@@ -42,6 +43,12 @@
 /// replicas. Ordinary commits take up to 100 ms.
 const COMMIT_LIMIT: Duration = Duration::from_millis(700);
 
+/// How long a request for changes waits.
+const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Collects changes that come together into one answer.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(15);
+
 /// Tells the coordinator what a host sees and wants.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -74,6 +81,16 @@
     const NAME: &'static str = "report";
 }
 
+/// Carries changes of the store from the coordinator.
+#[derive(Debug)]
+pub(crate) struct FollowExchange;
+
+impl Exchange for FollowExchange {
+    type Request = Revision;
+    type Reply = Changes;
+    const NAME: &'static str = "follow";
+}
+
 /// Answers the reports of all hosts while this host holds the duty.
 #[derive(Debug, Clone)]
 pub(crate) struct Coordinator {
@@ -100,6 +117,25 @@
         }
     }
 
+    /// Returns the changes after `revision`, as soon as there are some.
+    pub(crate) async fn follow(self, revision: Revision) -> Result<Changes> {
+        let until = now() + FOLLOW_WAIT;
+        loop {
+            ensure!(self.duty.tenure().is_some(), ErrorKind::Conflict);
+            let seen = self.directory.changed().epoch();
+            let Some(changes) = self.directory.changes_since(revision) else {
+                bail!(ErrorKind::NoFreshData);
+            };
+            if !changes.events.is_empty() || until.is_past() {
+                return Ok(changes);
+            }
+            let changed = self.directory.changed().changed(seen);
+            if timeout_at(until, changed).await.is_ok() {
+                sleep(FOLLOW_PAUSE).await;
+            }
+        }
+    }
+
     /// Takes in a report and returns the grants of the host that sent it.
     pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
         let Some(tenure) = self.duty.tenure() else {
@@ -150,6 +186,22 @@
     Registration::read(&entry.value).ok().map(|own| own.address)
 }
 
+/// Returns the function that gets changes from the coordinator.
+pub(crate) fn relay(coordinator: Coordinator, host: HostId, peers: &PeerPool) -> Relay {
+    let link: Link<FollowExchange> = peers.link();
+    Rc::new(move |revision| {
+        let holder = coordinator.duty.holder().filter(|holder| *holder != host);
+        let link = link.clone();
+        async move {
+            let Some(holder) = holder else {
+                bail!(ErrorKind::NoPrimary);
+            };
+            link.call(&holder, revision).await
+        }
+        .boxed_local()
+    })
+}
+
 /// Reports again and again, and applies the grants that come back.
 pub(crate) async fn report(
     cx: Rc<Context>,
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -18,7 +18,7 @@
 use futures::future::ready;
 use tracing::{info, warn};
 
-use crate::coordination::{self, Coordinator, ReportExchange};
+use crate::coordination::{self, Coordinator, FollowExchange, ReportExchange};
 use crate::{EntrySettings, registration};
 
 /// How often the state that decides about sessions and readiness is looked at.
@@ -109,9 +109,16 @@
             coordination::address(&resolver, host)
         });
         let answering = coordinator.clone();
-        let router = Router::default().on(ReportExchange, move |host, report| {
-            ready(answering.answer(&host, report))
-        });
+        let following = coordinator.clone();
+        let router = Router::default()
+            .on(ReportExchange, move |host, report| {
+                ready(answering.answer(&host, report))
+            })
+            .on(FollowExchange, move |_, revision| {
+                following.clone().follow(revision)
+            });
+        let relay = coordination::relay(coordinator.clone(), settings.host.clone(), &peers);
+        directory.set_relay(relay);
         let peer_server = PeerServer::bind(settings.peer_address, router)?;
         let stop = Rc::new(Stop::default());
         let is_draining = Rc::new(Cell::new(false));
