--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -12,7 +12,7 @@
 use bytes::BytesMut;
 use error_stack::Report;
 use futures::future::{Either, select};
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use tracing::{info, warn};
 
 use crate::Context;
@@ -93,7 +93,9 @@
                 .attach(format!("client address {address}"))
                 .change_context(ErrorKind::InvalidInput)
         };
-        let listener = TcpListener::bind(address).map_err(failed)?;
+        // A second process on the same address would share its clients unnoticed.
+        let options = ListenerOpts::new().reuse_port(false);
+        let listener = TcpListener::bind_with_config(address, &options).map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
         Ok(Self {
             address,
