Bound the log, keep it on standard output, and satisfy the linter

Cause: operators read standard output; a full pipe would have blocked a host, and a crowd of refusals wrote several lines each. Lines above 400 a second, or for a reader that does not keep up, are left out and counted; a retry every 10 ms logs its first reason only. Clippy's pedantic group passes.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -261,7 +261,9 @@
         for key in known.iter().filter(|key| !listed.contains(key.as_str())) {
             self.delete(key, revision);
         }
-        entries.into_iter().for_each(|entry| self.put(entry));
+        for entry in entries {
+            self.put(entry);
+        }
         self.is_loaded.set(true);
         self.advance(revision);
     }
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -35,7 +35,7 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// How long the store is watched before a peer is asked again.
-const RELAY_PAUSE: Duration = Duration::from_millis(1_000);
+const RELAY_PAUSE: Duration = Duration::from_secs(1);
 
 /// How long a watch may stay silent before everything is read again. A watch
 /// whose connection went dead shows no error.
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -90,7 +90,7 @@
             is_down: true,
             ..Faults::default()
         });
-        sleep(Duration::from_millis(5_000)).await;
+        sleep(Duration::from_secs(5)).await;
         assert!(!directory.is_current());
         store.set_faults(Faults::default());
         sleep(Duration::from_secs(1)).await;
@@ -110,7 +110,7 @@
             is_down: true,
             ..Faults::default()
         });
-        sleep(Duration::from_millis(5_000)).await;
+        sleep(Duration::from_secs(5)).await;
         let known = directory.revision();
         directory.confirm(Revision(known.0 + 1), now());
         assert!(!directory.is_current());
--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -44,7 +44,7 @@
 const COMMIT_LIMIT: Duration = Duration::from_millis(700);
 
 /// How long a request for changes waits.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+const FOLLOW_WAIT: Duration = Duration::from_secs(1);
 
 /// Collects changes that come together into one answer.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(15);
@@ -129,8 +129,8 @@
             if !changes.events.is_empty() || until.is_past() {
                 return Ok(changes);
             }
-            let changed = self.directory.changed().changed(seen);
-            if timeout_at(until, changed).await.is_ok() {
+            let news = self.directory.changed().changed(seen);
+            if timeout_at(until, news).await.is_ok() {
                 sleep(FOLLOW_PAUSE).await;
             }
         }
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -29,7 +29,7 @@
 
 /// Beyond this age of the configuration new clients are better off at other
 /// hosts; requests are authorised for 4.7 s.
-const READY_AGE: Duration = Duration::from_millis(3_000);
+const READY_AGE: Duration = Duration::from_secs(3);
 
 /// The part of the grace period after which sessions without a transaction
 /// end. The balancer notices within 2 s that the host is not ready.
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -17,7 +17,7 @@
 const RENEW_PERIOD: Duration = Duration::from_millis(1_500);
 
 /// Bounds a call to the store.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pauses after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -27,6 +27,9 @@
 /// Kept back from the lease for calls that are on their way.
 const SAFETY_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long the holder may act after a renewal was sent.
+const TENURE: Duration = LEASE_TTL.saturating_sub(SAFETY_MARGIN);
+
 /// Spreads the candidates, in milliseconds, so that one usually wins unopposed.
 const CANDIDATE_MS: (u64, u64) = (20, 150);
 
@@ -174,10 +177,10 @@
             continue;
         }
         match claim(&shared).await {
-            Ok(Some((lease, tenure))) => {
-                shared.tenure.set(Some(tenure));
-                info!(fence = tenure.token.0, "duty taken");
-                hold(&shared, lease, tenure).await;
+            Ok(Some((duty, won))) => {
+                shared.tenure.set(Some(won));
+                info!(fence = won.token.0, "duty taken");
+                hold(&shared, duty, won).await;
                 shared.tenure.set(None);
             }
             Ok(None) => {}
@@ -227,7 +230,7 @@
     let reply = reply?;
     let tenure = Tenure {
         token: reply.revision,
-        until: sent + (LEASE_TTL - SAFETY_MARGIN),
+        until: sent + TENURE,
     };
     Ok(reply.is_applied.then_some((lease, tenure)))
 }
@@ -255,7 +258,7 @@
         let sent = now();
         match within(store.keep_lease(lease)).await {
             Ok(left) if !left.is_zero() => {
-                tenure.until = sent + (LEASE_TTL - SAFETY_MARGIN);
+                tenure.until = sent + TENURE;
                 shared.tenure.set(Some(tenure));
             }
             Ok(_) => {
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Directory, Role};
+use burdockslip_directory::{Directory, Member, Role};
 use burdockslip_runtime::{Instant, Task, now, random_range, sleep, spawn, timeout};
 use burdockslip_statement::Command;
 use burdockslip_store::LeaseId;
-use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result};
+use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
 use tracing::{info, warn};
@@ -122,6 +122,12 @@
         self.shared.is_leading.set(is_leading);
     }
 
+    /// Returns `mark` if this host may use the member that reported it; a
+    /// position of a deposed primary proves nothing.
+    pub fn confirm_mark(&self, group: &GroupName, member: &MemberName, mark: Mark) -> Option<Mark> {
+        (self.primary(group).as_ref() == Some(member)).then_some(mark)
+    }
+
     fn is_proved(&self, group: &GroupName) -> bool {
         self.age(group).is_some_and(|age| age < PERMISSION_SPAN)
     }
@@ -229,13 +235,13 @@
         for group in configuration.services.keys() {
             let record = shared.record(group);
             if let Some(record) = record.filter(GroupRecord::is_stable) {
-                ask_replica(&shared, group, record);
+                ask_replica(&shared, group, &record);
             }
         }
     }
 }
 
-fn ask_replica(shared: &Rc<Shared>, group: &GroupName, record: GroupRecord) {
+fn ask_replica(shared: &Rc<Shared>, group: &GroupName, record: &GroupRecord) {
     if shared.asking.borrow().contains_key(group) {
         return;
     }
@@ -251,42 +257,35 @@
     let last = u64::try_from(replicas.len()).unwrap_or(1);
     let index = usize::try_from(random_range(0..last)).unwrap_or_default();
     let replica = replicas.swap_remove(index);
-    let (shared_, group_) = (Rc::clone(shared), group.clone());
-    let task = spawn(async move {
-        let sent = now();
-        let status = shared_
-            .pools
-            .control(&replica, Command::Status, REPLICA_CHECK_TIMEOUT)
-            .await;
-        match status {
-            Ok(status) if status.term <= record.term && status.held <= record.term => {
-                shared_
-                    .group_proofs
-                    .borrow_mut()
-                    .insert(group_.clone(), sent);
-            }
-            Ok(status) => info!(
-                group = %group_,
-                replica = %replica.name,
-                known = record.term.0,
-                term = status.term.0,
-                held = status.held.0,
-                "replica reports a higher term, primary not used"
-            ),
-            Err(error) => {
-                info!(group = %group_, replica = %replica.name, ?error, "replica gives no proof")
-            }
-        }
-        shared_.asking.borrow_mut().remove(&group_);
-    });
-    shared.asking.borrow_mut().insert(group.clone(), task);
+    let check = check_replica(Rc::clone(shared), group.clone(), replica, record.term);
+    shared
+        .asking
+        .borrow_mut()
+        .insert(group.clone(), spawn(check));
 }
 
-/// Returns whether a mark may be compared with the group's record; kept here
-/// because a floor from a deposed primary proves nothing.
-impl Permission {
-    /// Returns `mark` if this host may use the member that reported it.
-    pub fn confirm_mark(&self, group: &GroupName, member: &MemberName, mark: Mark) -> Option<Mark> {
-        (self.primary(group).as_ref() == Some(member)).then_some(mark)
+async fn check_replica(shared: Rc<Shared>, group: GroupName, replica: Rc<Member>, known: Term) {
+    let sent = now();
+    let status = shared
+        .pools
+        .control(&replica, Command::Status, REPLICA_CHECK_TIMEOUT)
+        .await;
+    match status {
+        Ok(status) if status.term <= known && status.held <= known => {
+            let mut proofs = shared.group_proofs.borrow_mut();
+            proofs.insert(group.clone(), sent);
+        }
+        Ok(status) => info!(
+            %group,
+            replica = %replica.name,
+            known = known.0,
+            term = status.term.0,
+            held = status.held.0,
+            "replica reports a higher term, primary not used"
+        ),
+        Err(error) => {
+            info!(%group, replica = %replica.name, ?error, "replica gives no proof");
+        }
     }
+    shared.asking.borrow_mut().remove(&group);
 }
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -36,7 +36,7 @@
 const LEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// How long the lease behind all permissions lasts without renewals.
-const FENCE_TTL: Duration = Duration::from_secs(600);
+const FENCE_TTL: Duration = Duration::from_mins(10);
 
 /// Reports what became of an order to promote.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -251,7 +251,7 @@
                     statuses.insert(member.name.clone(), status);
                 }
                 Err(error) => {
-                    info!(member = %member.name, ?command, ?error, "control command failed")
+                    info!(member = %member.name, ?command, ?error, "control command failed");
                 }
             }
         }
--- a/crates/burdockslip_failover/tests/duty.rs
+++ b/crates/burdockslip_failover/tests/duty.rs
@@ -17,7 +17,7 @@
 };
 
 /// The lease of the duty with some time to spare.
-const TAKEOVER: Duration = Duration::from_millis(3_000);
+const TAKEOVER: Duration = Duration::from_secs(3);
 
 fn open(store: &MemoryStore, name: &str) -> (Directory, Duty) {
     let client: Store = store.client(name);
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -44,6 +44,15 @@
     pub(crate) is_final: bool,
 }
 
+impl Verdict {
+    const fn goes_on(response: Response) -> Self {
+        Self {
+            response,
+            is_final: false,
+        }
+    }
+}
+
 impl Session {
     /// Opens a session for a caller.
     ///
@@ -105,7 +114,7 @@
     pub(crate) async fn handle(&mut self, query: Query) -> Verdict {
         self.started = now();
         let Some(statement) = query.statement.clone() else {
-            return self.verdict(Response::failed(ErrorKind::Protocol, self.transaction()));
+            return Verdict::goes_on(Response::failed(ErrorKind::Protocol, self.transaction()));
         };
         let route = match authorise(&self.cx, &self.database, &self.key) {
             Ok((route, organisation)) if organisation == self.organisation => route,
@@ -129,14 +138,7 @@
         if is_upstream || response.result.is_err() {
             self.record(&id, &route, &response);
         }
-        self.verdict(response)
-    }
-
-    fn verdict(&self, response: Response) -> Verdict {
-        Verdict {
-            response,
-            is_final: false,
-        }
+        Verdict::goes_on(response)
     }
 
     /// Ends a session whose caller may not go on.
@@ -371,7 +373,7 @@
             group = %route.group,
             outcome = ?result.err(),
             took_ms = took.as_millis(),
-            member = member.as_ref().map(|member| member.as_str()),
+            member = member.as_ref().map(MemberName::as_str),
             floor = floor.flatten().map(tracing::field::display),
             own = self.own.as_ref().map(|(_, mark)| tracing::field::display(mark)),
             position = response.mark.map(tracing::field::display),
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -76,29 +76,30 @@
     /// Chooses a member and opens the transaction there.
     async fn begin(&mut self, cx: &Rc<Context>, job: &Rc<Job>) -> Result<Lent, ErrorKind> {
         let mut tried = Vec::new();
+        let mut last = None;
         loop {
-            let place = self.choose(cx, job, &tried);
-            let kind = match place {
-                Some(place) => {
-                    tried.push(place.pool.member().name.clone());
-                    match self.begin_at(cx, job, &place).await {
-                        Ok(lent) => {
-                            self.floor = place.floor;
-                            return Ok(lent);
-                        }
-                        Err(kind) => kind,
+            let kind = if let Some(place) = self.choose(cx, job, &tried) {
+                tried.push(place.pool.member().name.clone());
+                match self.begin_at(cx, job, &place).await {
+                    Ok(lent) => {
+                        self.floor = place.floor;
+                        return Ok(lent);
                     }
+                    Err(kind) => kind,
                 }
-                None => {
-                    tried.clear();
-                    place::refusal(cx, job)
-                }
+            } else {
+                tried.clear();
+                place::refusal(cx, job)
             };
             if job.patience().is_past() {
                 return Err(kind);
             }
-            info!(id = job.id(), outcome = ?kind, ?tried,
-                after_ms = job.started.elapsed().as_millis(), "transaction not opened, trying again");
+            // An attempt every few milliseconds would fill the log.
+            if last.replace(kind) != Some(kind) {
+                info!(id = job.id(), outcome = ?kind, ?tried,
+                    after_ms = job.started.elapsed().as_millis(),
+                    "transaction not opened, trying again");
+            }
             sleep(PAUSE).await;
         }
     }
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -19,6 +19,7 @@
 ///
 /// Only an answer that proves that the write did not run lets it be sent again.
 pub(crate) async fn run(cx: &Rc<Context>, job: &Rc<Job>) -> Result<Served, ErrorKind> {
+    let mut known = None;
     loop {
         let last = match attempt(cx, job).await {
             Ok(served) => match served.reply.result {
@@ -32,8 +33,10 @@
         if job.patience().is_past() {
             return Err(last);
         }
-        info!(id = job.id(), outcome = ?last, after_ms = job.started.elapsed().as_millis(),
-            "write not sent, looking for the primary again");
+        if known.replace(last) != Some(last) {
+            info!(id = job.id(), outcome = ?last, after_ms = job.started.elapsed().as_millis(),
+                "write not sent, looking for the primary again");
+        }
         sleep(PAUSE).await;
     }
 }
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -11,7 +11,7 @@
 
 /// How long a silent host is taken to use what it was granted. Hosts stop
 /// serving callers with keys 4.7 s after their last contact with the store.
-pub const GRANT_MEMORY: Duration = Duration::from_millis(6_000);
+pub const GRANT_MEMORY: Duration = Duration::from_secs(6);
 
 /// The part of the rate that is divided evenly, whatever hosts ask for, so that
 /// a host that gets its first callers has something to start with.
--- a/crates/burdockslip_telemetry/src/lib.rs
+++ b/crates/burdockslip_telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 //! paths of the admin endpoint.
 
 mod admin;
+mod bounded;
 mod http;
 mod logs;
 mod metrics;
--- a/crates/burdockslip_telemetry/src/logs.rs
+++ b/crates/burdockslip_telemetry/src/logs.rs
@@ -4,6 +4,7 @@
 
 use burdockslip_types::{ErrorKind, Result};
 use error_stack::Report;
+use error_stack::fmt::ColorMode;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Subscriber};
 use tracing_subscriber::EnvFilter;
@@ -12,16 +13,22 @@
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields, MakeWriter};
 use tracing_subscriber::registry::LookupSpan;
 
+use crate::bounded::BoundedStdout;
 use crate::redact::{WITHHELD, is_secret_field, without_keys};
 
 /// Sends the events of this process that pass `filter` to standard output.
 ///
+/// The volume is bounded and a reader that does not keep up is not waited for;
+/// a line counts what was left out.
+///
 /// # Errors
 ///
 /// Returns `InvalidInput` if the filter is malformed, and `Internal` if logs
 /// were installed before.
 pub fn install_logs(filter: &str) -> Result<()> {
-    let subscriber = subscriber(filter, std::io::stdout)?;
+    // Log lines go to files, where colours would be noise.
+    Report::set_color_mode(ColorMode::None);
+    let subscriber = subscriber(filter, BoundedStdout::default)?;
     tracing::subscriber::set_global_default(subscriber)
         .map_err(|error| Report::new(error).change_context(ErrorKind::Internal))
 }
--- a/crates/burdockslip_types/src/error.rs
+++ b/crates/burdockslip_types/src/error.rs
@@ -179,6 +179,17 @@
             ),
             Self::InvalidInput => not_run("22023", "invalid input", "Correct the reported faults."),
             Self::Internal => unsure("XX000", "internal error", "Report it with the host's log."),
+            Self::UnknownRoute
+            | Self::UnknownStatement
+            | Self::TransactionAborted
+            | Self::StatementFailed
+            | Self::StatementTimeout => self.statement_answer(),
+        }
+    }
+
+    /// Continues the table with the kinds of statements that are passed on unchanged.
+    const fn statement_answer(self) -> Answer {
+        match self {
             Self::UnknownRoute => not_run(
                 "3D000",
                 "unknown database",
@@ -204,6 +215,7 @@
                 "statement timed out",
                 "Read back before repeating a write.",
             ),
+            _ => unsure("XX000", "internal error", "Report it with the host's log."),
         }
     }
 
