--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -243,6 +243,8 @@
             }
             cx.pools.check(&verdict.doubtful);
             cx.rates.borrow_mut().apply(verdict.grants);
+        } else {
+            cx.rates.borrow_mut().lose_coordinator();
         }
         cx.granted.notify();
         sleep_until(sent + URGENT_PERIOD).await;
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -39,7 +39,7 @@
 const START_PART: f64 = 0.9;
 
 /// The part of an organisation's burst that a fraction includes.
-const FALLBACK_BURST: f64 = 0.3;
+const FALLBACK_BURST: f64 = 0.6;
 
 /// Says whether an operation may run.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -77,6 +77,7 @@
 pub struct LocalRates {
     holdings: HashMap<Organisation, Holding>,
     answered: Option<Instant>,
+    has_failed: bool,
     start: f64,
 }
 
@@ -98,7 +99,7 @@
     /// Takes a token for an operation, if there is one.
     pub fn admit(&mut self, account: &Account) -> Admission {
         let age = self.answered.map(Instant::elapsed);
-        let is_alone = age.is_none_or(|age| age > FALLBACK_AFTER);
+        let is_alone = self.has_failed || age.is_none_or(|age| age > FALLBACK_AFTER);
         let holding = self.holding(&account.name);
         holding.fill(account, is_alone);
         if holding.tokens >= 1.0 {
@@ -144,9 +145,16 @@
         self.holdings.iter().map(demand).collect()
     }
 
+    /// Notes that the coordinator did not answer, so that the host uses its
+    /// fraction at once instead of refusing what waits for tokens.
+    pub fn lose_coordinator(&mut self) {
+        self.has_failed = true;
+    }
+
     /// Takes over what the coordinator granted.
     pub fn apply(&mut self, grants: Vec<Grant>) {
         self.answered = Some(now());
+        self.has_failed = false;
         for grant in grants {
             let holding = self.holding(&grant.organisation);
             let was_lacking = holding.waiting > 0 && holding.lack() > 0.0;
--- a/crates/burdockslip_shares/tests/rates.rs
+++ b/crates/burdockslip_shares/tests/rates.rs
@@ -215,3 +215,27 @@
         assert!((5..=13).contains(&admitted), "{admitted}");
     });
 }
+
+/// Guards against hosts that refuse what waits for tokens while the
+/// coordinator is being replaced.
+#[test]
+fn lost_coordinator_leaves_the_fraction() {
+    paused::run(1, async {
+        let mut fleet = Fleet::new(2);
+        for _ in 0..100 {
+            fleet.step(1).await;
+        }
+        let rates = &mut fleet.hosts[0].1;
+        rates.lose_coordinator();
+        let mut admitted = 0;
+        for _ in 0..50 {
+            rates.want(&organisation());
+            if rates.admit(&account()) == Admission::Granted {
+                admitted += 1;
+            }
+            sleep(STEP).await;
+        }
+        // Half of the rate for half a second.
+        assert!(admitted >= 20, "{admitted}");
+    });
+}
