--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -23,13 +23,17 @@
 const CONFIRM_TICK: Duration = Duration::from_millis(100);
 
 /// How soon a failed confirmation is repeated.
-const CONFIRM_RETRY: Duration = Duration::from_millis(250);
+const CONFIRM_RETRY: Duration = Duration::from_millis(800);
 
 /// Bounds a call; a slow store takes up to about 0.5 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Pauses between attempts to read the store, in milliseconds.
-const RETRY_MS: (u64, u64) = (100, 300);
+/// Pauses after the first attempt to read the store that failed; each further
+/// one doubles it. Refused calls are charged like others.
+const FIRST_RETRY: Duration = Duration::from_millis(150);
+
+/// Bounds the pause, so that a store that is back is noticed soon.
+const MAX_RETRY: Duration = Duration::from_millis(900);
 
 /// Bounds the wait for a peer, which answers within 1 s even without changes.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_400);
@@ -47,9 +51,11 @@
 /// each change would cost a call of every host otherwise.
 pub(crate) async fn watch(shared: Rc<Shared>) {
     let mut is_reachable = true;
+    let mut pause = FIRST_RETRY;
     loop {
         match load(&shared).await {
             Ok(()) => {
+                pause = FIRST_RETRY;
                 if !is_reachable {
                     info!("store reachable again");
                 }
@@ -62,8 +68,9 @@
                 }
                 is_reachable = false;
                 follow_peer(&shared).await;
-                let (least, most) = RETRY_MS;
-                sleep(Duration::from_millis(random_range(least..most))).await;
+                let spread = u32::try_from(random_range(75..125)).unwrap_or(100);
+                sleep(pause * spread / 100).await;
+                pause = (pause * 2).min(MAX_RETRY);
             }
         }
     }
--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -8,10 +8,10 @@
 use burdockslip_directory::{Account, Changes, Directory, Relay};
 use burdockslip_failover::{Duty, Permission, Registration, Supervisor, keys};
 use burdockslip_peer::PeerPool;
-use burdockslip_runtime::{now, sleep, sleep_until, timeout, timeout_at};
+use burdockslip_runtime::{now, random_range, sleep, sleep_until, timeout, timeout_at};
 use burdockslip_session::Context;
 use burdockslip_shares::{Allocator, Demand, Grant, Limits};
-use burdockslip_store::LeaseId;
+use burdockslip_store::{Entry, LeaseId};
 use burdockslip_types::{
     ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision,
 };
@@ -19,7 +19,7 @@
 use futures::FutureExt;
 use futures::future::select;
 use serde::{Deserialize, Serialize};
-use tracing::info;
+use tracing::{debug, info};
 
 /// How often a host reports. Permissions last 900 ms, and the answer renews them.
 const REPORT_PERIOD: Duration = Duration::from_millis(300);
@@ -36,6 +36,9 @@
 /// How often the suspected members are compared with those reported.
 const NEWS_PERIOD: Duration = Duration::from_millis(100);
 
+/// Bounds the question to a peer for the coordinator.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Bounds a report, so that one that is lost does not delay the next.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -91,6 +94,16 @@
     const NAME: &'static str = "follow";
 }
 
+/// Asks a peer for the record of who is coordinator.
+#[derive(Debug)]
+pub(crate) struct DutyExchange;
+
+impl Exchange for DutyExchange {
+    type Request = ();
+    type Reply = Option<Entry>;
+    const NAME: &'static str = "duty";
+}
+
 /// Answers the reports of all hosts while this host holds the duty.
 #[derive(Debug, Clone)]
 pub(crate) struct Coordinator {
@@ -121,7 +134,7 @@
     pub(crate) async fn follow(self, revision: Revision) -> Result<Changes> {
         let until = now() + FOLLOW_WAIT;
         loop {
-            ensure!(self.duty.tenure().is_some(), ErrorKind::Conflict);
+            ensure!(self.duty.leadership().is_some(), ErrorKind::Conflict);
             let seen = self.directory.changed().epoch();
             let Some(changes) = self.directory.changes_since(revision) else {
                 bail!(ErrorKind::NoFreshData);
@@ -138,7 +151,7 @@
 
     /// Takes in a report and returns the grants of the host that sent it.
     pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
-        let Some(tenure) = self.duty.tenure() else {
+        let Some(token) = self.duty.leadership() else {
             bail!(ErrorKind::Conflict);
         };
         self.supervisor.report(host.clone(), report.suspects);
@@ -153,8 +166,8 @@
             .map(|(name, account)| (name.clone(), limits(account)))
             .collect();
         let mut allocator = self.allocator.borrow_mut();
-        if allocator.0 != tenure.token {
-            *allocator = (tenure.token, Allocator::default());
+        if allocator.0 != token {
+            *allocator = (token, Allocator::default());
         }
         let hosts = registered(&self.directory);
         let grants = allocator
@@ -245,6 +258,7 @@
             cx.rates.borrow_mut().apply(verdict.grants);
         } else {
             cx.rates.borrow_mut().lose_coordinator();
+            ask_for_coordinator(&cx.directory, &host, &peers).await;
         }
         cx.granted.notify();
         sleep_until(sent + URGENT_PERIOD).await;
@@ -252,6 +266,33 @@
     }
 }
 
+/// Asks a random peer who is coordinator. A host that the store turns away
+/// would not learn of a new one else.
+async fn ask_for_coordinator(directory: &Directory, host: &HostId, peers: &PeerPool) {
+    let mut hosts: Vec<_> = registered(directory)
+        .into_iter()
+        .filter(|known| known != host)
+        .collect();
+    if hosts.is_empty() {
+        return;
+    }
+    let last = u64::try_from(hosts.len()).unwrap_or(1);
+    let peer = hosts.swap_remove(usize::try_from(random_range(0..last)).unwrap_or_default());
+    let link: Link<DutyExchange> = peers.link();
+    match timeout(ASK_TIMEOUT, link.call(&peer, ())).await {
+        Ok(Ok(Some(entry))) => {
+            let is_new = directory
+                .record(keys::DUTY)
+                .is_none_or(|known| known.revision < entry.revision);
+            if is_new {
+                info!(%peer, revision = entry.revision.0, "coordinator learned from a peer");
+                directory.learn(entry);
+            }
+        }
+        outcome => debug!(%peer, ?outcome, "peer does not know the coordinator"),
+    }
+}
+
 /// Returns how often hosts report in a fleet of `hosts`.
 fn period(hosts: usize) -> Duration {
     let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Directory, Schema};
-use burdockslip_failover::{Duty, Permission, Promote, Registration, Supervisor};
+use burdockslip_failover::{Duty, Permission, Promote, Registration, Supervisor, keys};
 use burdockslip_peer::{PeerPool, PeerServer, Router};
 use burdockslip_runtime::{Task, now, sleep, sleep_until, spawn};
 use burdockslip_session::{Context, Limits, Listener, Stop};
@@ -18,7 +18,7 @@
 use futures::future::ready;
 use tracing::{info, warn};
 
-use crate::coordination::{self, Coordinator, FollowExchange, ReportExchange};
+use crate::coordination::{self, Coordinator, DutyExchange, FollowExchange, ReportExchange};
 use crate::{EntrySettings, registration};
 
 /// How often the state that decides about sessions and readiness is looked at.
@@ -117,6 +117,10 @@
             .on(FollowExchange, move |_, revision| {
                 following.clone().follow(revision)
             });
+        let knowing = directory.clone();
+        let router = router.on(DutyExchange, move |_, ()| {
+            ready(Ok(knowing.record(keys::DUTY)))
+        });
         let relay = coordination::relay(coordinator.clone(), settings.host.clone(), &peers);
         directory.set_relay(relay);
         let peer_server = PeerServer::bind(settings.peer_address, router)?;
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -20,7 +20,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pauses after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
 /// Keeps the host registered.
 pub(crate) async fn run(directory: Directory, host: HostId, own: Registration) {
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -18,6 +18,9 @@
 /// How long the duty stays with a silent holder.
 const LEASE_TTL: Duration = Duration::from_millis(1_800);
 
+/// How long after its tenure a holder still answers reports, within its lease.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// How often the holder renews its lease.
 const RENEW_PERIOD: Duration = Duration::from_millis(400);
 
@@ -101,6 +104,14 @@
             .filter(|tenure| !tenure.until.is_past())
     }
 
+    /// Returns the token while no other host can have taken the duty; answers
+    /// to reports need no margin for a call that is on its way.
+    pub fn leadership(&self) -> Option<Revision> {
+        let tenure = self.shared.tenure.get()?;
+        let until = tenure.until + ANSWER_MARGIN;
+        (!until.is_past()).then_some(tenure.token)
+    }
+
     /// Returns the host that holds the duty, as far as is known.
     pub fn holder(&self) -> Option<HostId> {
         self.shared.holding().map(|holding| holding.host)
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -32,6 +32,9 @@
 /// The age at which the coordinator asks, on whom the others rely.
 const LEADING_AGE: Duration = Duration::from_millis(120);
 
+/// Pauses after a renewal that failed, since refused calls are charged, too.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
 /// Bounds a renewal; a slow store takes up to about 0.5 s.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -211,7 +214,10 @@
                 shared.proof.set(shared.proof.get().max(Some(sent)));
                 shared.note_store(true, None);
             }
-            Ok(Err(error)) => shared.note_store(false, Some(&error)),
+            Ok(Err(error)) => {
+                shared.note_store(false, Some(&error));
+                sleep(RETRY_PAUSE).await;
+            }
             Err(_) => shared.note_store(false, None),
         }
         sleep(RENEW_TICK).await;
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -9,7 +9,7 @@
 use burdockslip_types::{ErrorKind, Mark, MemberName, Organisation};
 use burdockslip_upstream::{Connection, Lent, MemberPool, SessionState, Shape};
 use bytes::Bytes;
-use tracing::debug;
+use tracing::{debug, info};
 
 use crate::context::{Context, patience};
 
@@ -210,18 +210,18 @@
     pool.health.start(is_commit);
     let outcome = timeout_at(until, lent.call(command)).await;
     pool.health.end(is_commit, matches!(outcome, Ok(Ok(_))));
-    match outcome {
+    let lost = match outcome {
         Ok(Ok(reply)) => {
             pool.health.hear(reply.mark);
             note(cx, &pool, job, sent, &reply);
-            Ok(reply)
+            return Ok(reply);
         }
-        Ok(Err(report)) => {
-            debug!(id = job.id(), member = %pool.member().name, error = ?report, "connection broke");
-            Err(Lost::Broken)
-        }
-        Err(_) => Err(Lost::TimedOut),
-    }
+        Ok(Err(_)) => Lost::Broken,
+        Err(_) => Lost::TimedOut,
+    };
+    info!(id = job.id(), member = %pool.member().name, reason = ?lost,
+        after_ms = sent.elapsed().as_millis(), "statement not answered");
+    Err(lost)
 }
 
 fn note(cx: &Context, pool: &MemberPool, job: &Job, sent: Instant, reply: &Reply) {
