Bound the tokens that hosts hold, and keep sums for reports

Cause: each of many hosts held a token of a small organisation; 90 hosts with rate and burst 20 admitted 209 operations in a window that allows 152 (test tokens_held_by_many_hosts_stay_within_the_rule, failing before). Tokens for waiting operations now go first, those to hold only up to 0.6 of the burst, against which they count; sums over hosts are kept up to date, urgent reports name only what is short.

--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/coordination.rs
@@ -8,7 +8,7 @@
 use burdockslip_directory::{Account, Changes, Directory, Relay};
 use burdockslip_failover::{Duty, Permission, Registration, Supervisor, keys};
 use burdockslip_peer::PeerPool;
-use burdockslip_runtime::{now, random_range, sleep, sleep_until, timeout, timeout_at};
+use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout, timeout_at};
 use burdockslip_session::Context;
 use burdockslip_shares::{Allocator, Demand, Grant, Limits};
 use burdockslip_store::{Entry, LeaseId};
@@ -104,6 +104,14 @@
     const NAME: &'static str = "duty";
 }
 
+/// Holds what the directory says, in the form that reports need.
+#[derive(Debug, Default)]
+struct Known {
+    epoch: Option<u64>,
+    limits: HashMap<Organisation, Limits>,
+    hosts: HashSet<HostId>,
+}
+
 /// Answers the reports of all hosts while this host holds the duty.
 #[derive(Debug, Clone)]
 pub(crate) struct Coordinator {
@@ -111,6 +119,7 @@
     directory: Directory,
     supervisor: Supervisor,
     permission: Permission,
+    cached: Rc<RefCell<Rc<Known>>>,
     allocator: Rc<RefCell<(Revision, Allocator)>>,
 }
 
@@ -126,6 +135,7 @@
             directory,
             supervisor,
             permission,
+            cached: Rc::default(),
             allocator: Rc::default(),
         }
     }
@@ -149,30 +159,42 @@
         }
     }
 
+    /// Returns the limits and the hosts, which are looked up again after a change only.
+    fn known(&self) -> Rc<Known> {
+        let epoch = self.directory.changed().epoch();
+        let mut cached = self.cached.borrow_mut();
+        if cached.epoch != Some(epoch) {
+            let configuration = self.directory.configuration().unwrap_or_default();
+            let limits = |account: &Account| Limits {
+                rate: account.rate,
+                burst: account.burst,
+            };
+            let accounts = configuration.accounts.iter();
+            *cached = Rc::new(Known {
+                epoch: Some(epoch),
+                limits: accounts
+                    .map(|(name, account)| (name.clone(), limits(account)))
+                    .collect(),
+                hosts: registered(&self.directory),
+            });
+        }
+        Rc::clone(&cached)
+    }
+
     /// Takes in a report and returns the grants of the host that sent it.
     pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
         let Some(token) = self.duty.leadership() else {
             bail!(ErrorKind::Conflict);
         };
         self.supervisor.report(host.clone(), report.suspects);
-        let configuration = self.directory.configuration().unwrap_or_default();
-        let limits = |account: &Account| Limits {
-            rate: account.rate,
-            burst: account.burst,
-        };
-        let organisations: HashMap<Organisation, Limits> = configuration
-            .accounts
-            .iter()
-            .map(|(name, account)| (name.clone(), limits(account)))
-            .collect();
+        let known = self.known();
         let mut allocator = self.allocator.borrow_mut();
         if allocator.0 != token {
             *allocator = (token, Allocator::default());
         }
-        let hosts = registered(&self.directory);
         let grants = allocator
             .1
-            .grant(host, report.demands, &organisations, &hosts);
+            .grant(host, &report.demands, &known.limits, &known.hosts);
         let age = self.directory.age();
         Ok(Verdict {
             grants,
@@ -223,6 +245,7 @@
     peers: PeerPool,
 ) {
     let link: Link<ReportExchange> = peers.link();
+    let mut complete = None;
     let mut failed = None;
     let mut suspected = Vec::new();
     loop {
@@ -237,7 +260,12 @@
         cx.rates.borrow_mut().set_hosts(hosts);
         let suspects = cx.pools.suspects(COMMIT_LIMIT);
         suspected.clone_from(&suspects);
-        let demands = cx.rates.borrow_mut().demands();
+        // Between the regular reports only what is urgent is sent.
+        let is_full = complete.is_none_or(|at: Instant| at.elapsed() >= period);
+        if is_full {
+            complete = Some(sent);
+        }
+        let demands = cx.rates.borrow_mut().demands(is_full);
         let report = Report { suspects, demands };
         let outcome = deliver(&coordinator, &host, &link, report).await;
         let error = outcome.as_ref().err().copied();
@@ -262,7 +290,8 @@
         }
         cx.granted.notify();
         sleep_until(sent + URGENT_PERIOD).await;
-        wait_news(&cx, seen, &suspected, sent + period).await;
+        let next = complete.unwrap_or(sent) + period;
+        wait_news(&cx, seen, &suspected, next).await;
     }
 }
 
@@ -300,12 +329,7 @@
 }
 
 /// Waits until there is something urgent to report, or `until` at most.
-async fn wait_news(
-    cx: &Context,
-    seen: u64,
-    known: &[MemberName],
-    until: burdockslip_runtime::Instant,
-) {
+async fn wait_news(cx: &Context, seen: u64, known: &[MemberName], until: Instant) {
     while !until.is_past() {
         let pause = sleep(NEWS_PERIOD.min(until.remaining()));
         select(Box::pin(cx.starved.changed(seen)), pause).await;
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -25,6 +25,13 @@
 /// Counts demand below this rate as none, in operations a second.
 const LEAST_DEMAND: f64 = 0.05;
 
+/// The part of the burst that hosts may hold for operations to come.
+const HELD_PART: f64 = 0.6;
+
+/// The part of the burst that the bucket holds in any case, so that tokens go
+/// on being handed out while hosts keep many.
+const LEAST_BURST: f64 = 0.2;
+
 /// A host that has not reported for this long is taken to use its fraction.
 const SILENT_AFTER: Duration = Duration::from_millis(700);
 
@@ -37,18 +44,29 @@
     pub burst: f64,
 }
 
+/// Holds what a host has of one organisation, or what all hosts have together.
+#[derive(Debug, Clone, Copy, Default)]
+struct Share {
+    /// The operations a second that are asked for.
+    wanted: f64,
+    /// The tokens that are not used yet.
+    kept: f64,
+    /// The fraction that may be in use: the larger of what was reported and granted.
+    bound: f64,
+}
+
 #[derive(Debug)]
 struct HostState {
     reported: Instant,
-    demands: HashMap<Organisation, f64>,
-    /// What the host may be using: the larger of what it reported and was granted.
-    bound: HashMap<Organisation, f64>,
+    shares: HashMap<Organisation, Share>,
 }
 
 /// Keeps the grants of all hosts while this host is the coordinator.
 #[derive(Debug, Default)]
 pub struct Allocator {
     hosts: HashMap<HostId, HostState>,
+    /// Sums over all hosts, kept up to date because a fleet reports often.
+    totals: HashMap<Organisation, Share>,
     buckets: HashMap<Organisation, Bucket>,
     begun: Option<Instant>,
 }
@@ -58,17 +76,12 @@
     pub fn grant(
         &mut self,
         host: &HostId,
-        demands: Vec<Demand>,
+        demands: &[Demand],
         organisations: &HashMap<Organisation, Limits>,
         registered: &HashSet<HostId>,
     ) -> Vec<Grant> {
         let begun = *self.begun.get_or_insert_with(now);
-        self.hosts
-            .retain(|_, state| state.reported.elapsed() < GRANT_MEMORY);
-        let asked: Vec<_> = demands
-            .iter()
-            .map(|demand| (demand.organisation.clone(), demand.tokens))
-            .collect();
+        self.forget_silent();
         self.record(host, demands);
         let unknown = registered
             .iter()
@@ -82,59 +95,114 @@
         let count = registered.len().max(self.hosts.len()).max(1);
         let unknown_part = to_float(unknown) / to_float(count);
         let mut grants = Vec::new();
-        for (organisation, wanted) in asked {
-            let Some(limits) = organisations.get(&organisation) else {
+        for demand in demands {
+            let organisation = &demand.organisation;
+            let Some(limits) = organisations.get(organisation) else {
                 continue;
             };
-            let fraction = self.fraction(host, &organisation, count, unknown > 0);
-            let silent = self.silent_part(&organisation) + unknown_part;
+            let fraction = self.fraction(host, organisation, count, unknown > 0);
+            let silent = self.silent_part(organisation) + unknown_part;
             let rate = limits.rate * (1.0 - silent).max(0.0);
-            let bucket = self
-                .buckets
-                .entry(organisation.clone())
-                .or_insert_with(|| Bucket::new(limits.rate));
-            bucket.fill(rate, limits.burst);
+            let tokens = self.take(demand, limits, rate);
+            let mut share = self.share(host, organisation);
+            share.bound = share.bound.max(fraction);
+            share.kept += tokens;
+            self.set_share(host, organisation, share);
             grants.push(Grant {
-                tokens: bucket.take(wanted),
+                organisation: organisation.clone(),
+                tokens,
                 fraction,
-                organisation,
             });
         }
-        self.bind(host, &grants);
         grants
     }
 
-    /// Remembers the largest fraction that the host may use.
-    fn bind(&mut self, host: &HostId, grants: &[Grant]) {
-        let Some(state) = self.hosts.get_mut(host) else {
-            return;
+    /// Takes tokens for operations that wait, and for those to come as long as
+    /// hosts do not hold too many. What hosts hold counts against the burst.
+    fn take(&mut self, demand: &Demand, limits: &Limits, rate: f64) -> f64 {
+        let total = self.totals.get(&demand.organisation);
+        let kept = total.copied().unwrap_or_default().kept;
+        let burst = (limits.burst - kept).max(limits.burst * LEAST_BURST);
+        let bucket = self
+            .buckets
+            .entry(demand.organisation.clone())
+            .or_insert_with(|| Bucket::new(limits.rate));
+        bucket.fill(rate, burst);
+        let is_scarce = kept >= limits.burst * HELD_PART;
+        let wanted = if is_scarce {
+            demand.waiting
+        } else {
+            demand.waiting + demand.hold
         };
-        for grant in grants {
-            let bound = state.bound.entry(grant.organisation.clone()).or_default();
-            *bound = bound.max(grant.fraction);
+        bucket.take(wanted)
+    }
+
+    /// Drops hosts that can no longer use what they were granted.
+    fn forget_silent(&mut self) {
+        let is_gone = |state: &HostState| state.reported.elapsed() >= GRANT_MEMORY;
+        let gone: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(|(_, state)| is_gone(state))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in gone {
+            for (organisation, share) in self
+                .hosts
+                .remove(&host)
+                .into_iter()
+                .flat_map(|state| state.shares)
+            {
+                self.adjust(&organisation, share, Share::default());
+            }
         }
     }
 
+    fn record(&mut self, host: &HostId, demands: &[Demand]) {
+        let state = self.hosts.entry(host.clone()).or_insert_with(|| HostState {
+            reported: now(),
+            shares: HashMap::new(),
+        });
+        state.reported = now();
+        for demand in demands {
+            let is_wanted = demand.wanted >= LEAST_DEMAND;
+            let share = Share {
+                wanted: if is_wanted { demand.wanted } else { 0.0 },
+                kept: demand.kept,
+                bound: demand.held,
+            };
+            self.set_share(host, &demand.organisation, share);
+        }
+    }
+
+    fn share(&self, host: &HostId, organisation: &Organisation) -> Share {
+        let state = self.hosts.get(host);
+        let share = state.and_then(|state| state.shares.get(organisation));
+        share.copied().unwrap_or_default()
+    }
+
+    fn set_share(&mut self, host: &HostId, organisation: &Organisation, share: Share) {
+        if let Some(state) = self.hosts.get_mut(host) {
+            let known = state.shares.insert(organisation.clone(), share);
+            self.adjust(organisation, known.unwrap_or_default(), share);
+        }
+    }
+
+    fn adjust(&mut self, organisation: &Organisation, old: Share, new: Share) {
+        let total = self.totals.entry(organisation.clone()).or_default();
+        total.wanted = (total.wanted + new.wanted - old.wanted).max(0.0);
+        total.kept = (total.kept + new.kept - old.kept).max(0.0);
+        total.bound = (total.bound + new.bound - old.bound).max(0.0);
+    }
+
     /// Returns the part of a rate that hosts may be using by themselves.
     fn silent_part(&self, organisation: &Organisation) -> f64 {
         let is_silent = |state: &&HostState| state.reported.elapsed() > SILENT_AFTER;
-        let part = |state: &HostState| state.bound.get(organisation).copied().unwrap_or_default();
-        self.hosts.values().filter(is_silent).map(part).sum()
-    }
-
-    fn record(&mut self, host: &HostId, demands: Vec<Demand>) {
-        let state = HostState {
-            reported: now(),
-            bound: demands
-                .iter()
-                .map(|demand| (demand.organisation.clone(), demand.held))
-                .collect(),
-            demands: demands
-                .into_iter()
-                .map(|demand| (demand.organisation, demand.wanted))
-                .collect(),
-        };
-        self.hosts.insert(host.clone(), state);
+        let silent = self.hosts.values().filter(is_silent);
+        silent
+            .filter_map(|state| state.shares.get(organisation))
+            .map(|share| share.bound)
+            .sum()
     }
 
     fn fraction(
@@ -144,29 +212,24 @@
         count: usize,
         is_blind: bool,
     ) -> f64 {
-        let wanted = |state: &HostState| {
-            let wanted = state.demands.get(organisation).copied().unwrap_or_default();
-            if wanted < LEAST_DEMAND { 0.0 } else { wanted }
-        };
-        let bound = |state: &HostState| state.bound.get(organisation).copied().unwrap_or_default();
-        let own = self.hosts.get(host);
-        let held = own.map_or(0.0, bound);
-        let total: f64 = self.hosts.values().map(wanted).sum();
+        let own = self.share(host, organisation);
+        let total = self.totals.get(organisation).copied().unwrap_or_default();
         let even = 1.0 / to_float(count);
-        let ideal = if total > 0.0 {
-            let part = own.map_or(0.0, wanted) / total;
-            EVEN_PART * even + (1.0 - EVEN_PART) * part
+        let ideal = if total.wanted > 0.0 {
+            EVEN_PART * even + (1.0 - EVEN_PART) * own.wanted / total.wanted
         } else {
             even
         };
         if is_blind {
-            return held
-                .min(ideal)
-                .max(if held > 0.0 { 0.0 } else { BLIND_PART * even });
+            let is_new = own.bound <= 0.0;
+            return if is_new {
+                BLIND_PART * even
+            } else {
+                own.bound.min(ideal)
+            };
         }
-        let others = self.hosts.iter().filter(|(name, _)| *name != host);
-        let used: f64 = others.map(|(_, state)| bound(state)).sum();
-        ideal.min((1.0 - used).max(0.0))
+        let others = (total.bound - own.bound).max(0.0);
+        ideal.min((1.0 - others).max(0.0))
     }
 }
 
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -22,6 +22,10 @@
 /// Below this part of what should be held, more is asked for.
 const LOW_PART: f64 = 0.5;
 
+/// Below this demand in [`HOLD_SPAN`] nothing is held: the last operation is
+/// some seconds old.
+const LEAST_LEVEL: f64 = 0.01;
+
 /// Below this level tokens are only asked for in the regular reports, or when
 /// an operation waits.
 const LOW_LEVEL: f64 = 2.0;
@@ -132,17 +136,24 @@
         self.holdings.values().any(Holding::is_low)
     }
 
-    /// Returns what the coordinator should know.
-    pub fn demands(&mut self) -> Vec<Demand> {
+    /// Returns what the coordinator should know of all organisations, or only
+    /// of those that need tokens now.
+    pub fn demands(&mut self, is_full: bool) -> Vec<Demand> {
         self.holdings
             .retain(|_, holding| holding.measured.elapsed() < FORGET_AFTER);
-        let demand = |(name, holding): (&Organisation, &Holding)| Demand {
-            organisation: name.clone(),
-            wanted: holding.wanted_now(),
-            tokens: holding.lack(),
-            held: holding.fraction,
-        };
-        self.holdings.iter().map(demand).collect()
+        let is_due = |holding: &Holding| is_full || holding.waiting > 0 || holding.is_low();
+        self.holdings
+            .iter()
+            .filter(|(_, holding)| is_due(holding))
+            .map(|(name, holding)| Demand {
+                organisation: name.clone(),
+                wanted: holding.wanted_now(),
+                waiting: holding.needed(),
+                hold: holding.lack(),
+                kept: holding.tokens,
+                held: holding.fraction,
+            })
+            .collect()
     }
 
     /// Notes that the coordinator did not answer, so that the host uses its
@@ -157,7 +168,7 @@
         self.has_failed = false;
         for grant in grants {
             let holding = self.holding(&grant.organisation);
-            let was_lacking = holding.waiting > 0 && holding.lack() > 0.0;
+            let was_lacking = holding.needed() > 0.0;
             holding.tokens += grant.tokens.max(0.0);
             holding.fraction = grant.fraction.clamp(0.0, 1.0);
             let is_denied = was_lacking && grant.tokens < 1.0 && holding.tokens < 1.0;
@@ -205,7 +216,12 @@
 
     /// Returns the tokens that should be held.
     fn level(&self) -> f64 {
-        (self.wanted_now() * HOLD_SPAN.as_secs_f64()).ceil()
+        let level = self.wanted_now() * HOLD_SPAN.as_secs_f64();
+        if level < LEAST_LEVEL {
+            0.0
+        } else {
+            level.ceil()
+        }
     }
 
     /// Returns whether more should be asked for before the next report. An
@@ -215,9 +231,14 @@
         level >= LOW_LEVEL && self.tokens < level * LOW_PART
     }
 
-    /// Returns the tokens to ask for.
-    fn lack(&self) -> f64 {
+    /// Returns the tokens that operations wait for.
+    fn needed(&self) -> f64 {
         let waiting = u32::try_from(self.waiting).map_or(0.0, f64::from);
-        (self.level() + waiting - self.tokens).ceil().max(0.0)
+        (waiting - self.tokens).ceil().max(0.0)
+    }
+
+    /// Returns the tokens that are missing for operations to come.
+    fn lack(&self) -> f64 {
+        (self.level() - self.tokens).ceil().max(0.0)
     }
 }
--- a/crates/burdockslip_shares/src/message.rs
+++ b/crates/burdockslip_shares/src/message.rs
@@ -10,8 +10,12 @@
     pub organisation: Organisation,
     /// The operations a second that clients asked for lately.
     pub wanted: f64,
-    /// The tokens that the host asks for.
-    pub tokens: f64,
+    /// The tokens for operations that wait.
+    pub waiting: f64,
+    /// The tokens that the host would like to hold for operations to come.
+    pub hold: f64,
+    /// The tokens that the host has not used yet.
+    pub kept: f64,
     /// The fraction of the rate that the host may use without the coordinator.
     pub held: f64,
 }
--- a/crates/burdockslip_shares/tests/rates.rs
+++ b/crates/burdockslip_shares/tests/rates.rs
@@ -12,6 +12,9 @@
 
 const RATE: f64 = 100.0;
 const BURST: f64 = 100.0;
+
+/// The rate and burst of a small organisation.
+const SMALL: f64 = 20.0;
 const STEP: Duration = Duration::from_millis(10);
 
 /// The window of the operators' rule, in steps.
@@ -24,23 +27,38 @@
     Organisation::from("airline")
 }
 
-fn account() -> Account {
+fn account(limits: Limits) -> Account {
     Account {
         name: organisation(),
-        rate: RATE,
-        burst: BURST,
+        rate: limits.rate,
+        burst: limits.burst,
     }
 }
 
+const LARGE_LIMITS: Limits = Limits {
+    rate: RATE,
+    burst: BURST,
+};
+
+const SMALL_LIMITS: Limits = Limits {
+    rate: SMALL,
+    burst: SMALL,
+};
+
 /// Simulates hosts that take every operation they are given.
 struct Fleet {
     hosts: Vec<(HostId, LocalRates)>,
     allocator: Option<Allocator>,
     admitted: Vec<usize>,
+    limits: Limits,
 }
 
 impl Fleet {
     fn new(count: usize) -> Self {
+        Self::with_limits(count, LARGE_LIMITS)
+    }
+
+    fn with_limits(count: usize, limits: Limits) -> Self {
         let host = |number| {
             (
                 HostId::from(format!("host-{number}")),
@@ -51,6 +69,7 @@
             hosts: (0..count).map(host).collect(),
             allocator: Some(Allocator::default()),
             admitted: Vec::new(),
+            limits,
         }
     }
 
@@ -58,37 +77,41 @@
         self.hosts.iter().map(|(host, _)| host.clone()).collect()
     }
 
-    fn report(&mut self, index: usize) {
+    /// Reports for a host on which `waiting` operations wait for tokens.
+    fn report(&mut self, index: usize, waiting: usize) {
         let registered = self.registered();
-        let limits = Limits {
-            rate: RATE,
-            burst: BURST,
-        };
-        let limits = HashMap::from([(organisation(), limits)]);
+        let limits = HashMap::from([(organisation(), self.limits)]);
         let (host, rates) = &mut self.hosts[index];
         rates.set_hosts(registered.len());
+        for _ in 0..waiting {
+            rates.wait(&organisation());
+        }
         if let Some(allocator) = &mut self.allocator {
-            let grants = allocator.grant(host, rates.demands(), &limits, &registered);
+            let grants = allocator.grant(host, &rates.demands(waiting == 0), &limits, &registered);
             rates.apply(grants);
         }
+        for _ in 0..waiting {
+            rates.end_wait(&organisation());
+        }
     }
 
     /// Offers operations to all hosts for one step.
     async fn step(&mut self, offered: usize) {
         let mut admitted = 0;
+        let account = account(self.limits);
         for index in 0..self.hosts.len() {
-            let mut is_starved = false;
+            let mut waiting = 0;
             for _ in 0..offered {
                 let rates = &mut self.hosts[index].1;
                 rates.want(&organisation());
-                match rates.admit(&account()) {
+                match rates.admit(&account) {
                     Admission::Granted => admitted += 1,
-                    Admission::Wait => is_starved = true,
+                    Admission::Wait => waiting += 1,
                     Admission::Refused(_) => {}
                 }
             }
-            if is_starved || random_range(0..30) == 0 {
-                self.report(index);
+            if waiting > 0 || random_range(0..30) == 0 {
+                self.report(index, waiting);
             }
         }
         self.admitted.push(admitted);
@@ -170,22 +193,22 @@
         for _ in 0..300 {
             fleet.step(0).await;
             for index in 0..14 {
-                fleet.report(index);
+                fleet.report(index, 0);
             }
         }
         let started = now();
         let mut refused = 0;
         while started.elapsed() < Duration::from_secs(10) {
             for index in 0..14 {
-                fleet.report(index);
+                fleet.report(index, 0);
             }
             let second = usize::try_from(started.elapsed().as_secs()).expect("ten seconds");
             let index = second % 14;
             fleet.hosts[index].1.want(&organisation());
-            let mut admission = fleet.hosts[index].1.admit(&account());
+            let mut admission = fleet.hosts[index].1.admit(&account(LARGE_LIMITS));
             if admission == Admission::Wait {
-                fleet.report(index);
-                admission = fleet.hosts[index].1.admit(&account());
+                fleet.report(index, 1);
+                admission = fleet.hosts[index].1.admit(&account(LARGE_LIMITS));
             }
             if admission != Admission::Granted {
                 refused += 1;
@@ -206,7 +229,7 @@
         let mut admitted = 0;
         for _ in 0..100 {
             rates.want(&organisation());
-            if rates.admit(&account()) == Admission::Granted {
+            if rates.admit(&account(LARGE_LIMITS)) == Admission::Granted {
                 admitted += 1;
             }
             sleep(STEP).await;
@@ -230,7 +253,7 @@
         let mut admitted = 0;
         for _ in 0..50 {
             rates.want(&organisation());
-            if rates.admit(&account()) == Admission::Granted {
+            if rates.admit(&account(LARGE_LIMITS)) == Admission::Granted {
                 admitted += 1;
             }
             sleep(STEP).await;
@@ -239,3 +262,32 @@
         assert!(admitted >= 20, "{admitted}");
     });
 }
+
+/// Guards against many hosts that each hold a token of a small organisation:
+/// together they exceeded its burst when its callers all came at once.
+#[test]
+fn tokens_held_by_many_hosts_stay_within_the_rule() {
+    let busiest = paused::run(5, async {
+        let mut fleet = Fleet::with_limits(90, SMALL_LIMITS);
+        for number in 0..180 {
+            // Each host gets a single operation now and then, and reports often.
+            let index = number % 90;
+            let rates = &mut fleet.hosts[index].1;
+            rates.want(&organisation());
+            if rates.admit(&account(SMALL_LIMITS)) == Admission::Wait {
+                fleet.report(index, 1);
+            }
+            for index in 0..90 {
+                fleet.report(index, 0);
+            }
+            sleep(STEP * 10).await;
+        }
+        for _ in 0..WINDOW {
+            fleet.step(1).await;
+        }
+        fleet.busiest_window()
+    });
+    let allowed = (SMALL * 5.0 + SMALL) * 1.1 + 20.0;
+    let busiest = u32::try_from(busiest).expect("tests admit few operations");
+    assert!(f64::from(busiest) <= allowed, "{busiest} of {allowed}");
+}
