--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_runtime::{now, random_range, sleep, timeout};
-use burdockslip_store::{Event, Watch};
+use burdockslip_store::{Event, Watch, within};
 use burdockslip_types::{ErrorKind, Result};
 use error_stack::Report;
 use futures::StreamExt;
@@ -172,10 +172,3 @@
         }
     }
 }
-
-async fn within<T>(span: Duration, call: impl Future<Output = Result<T>>) -> Result<T> {
-    match timeout(span, call).await {
-        Ok(result) => result,
-        Err(_) => Err(Report::new(ErrorKind::StoreUnavailable).attach("no answer in time")),
-    }
-}
--- /dev/null
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -0,0 +1,123 @@
+//! Answers the hosts while this one is the coordinator.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::{Account, Changes, Directory};
+use burdockslip_failover::{Duty, Permission, Supervisor};
+use burdockslip_runtime::{now, sleep, timeout_at};
+use burdockslip_shares::{Allocator, Limits};
+use burdockslip_types::{ErrorKind, HostId, Organisation, Result, Revision};
+use error_stack::{bail, ensure};
+
+use crate::messages::{Report, Verdict};
+use crate::registration::registered;
+
+/// How long a request for changes waits.
+const FOLLOW_WAIT: Duration = Duration::from_secs(1);
+
+/// Collects changes that come together into one answer.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(15);
+
+/// Holds what the directory says, in the form that reports need.
+#[derive(Debug, Default)]
+struct Known {
+    epoch: Option<u64>,
+    limits: HashMap<Organisation, Limits>,
+    hosts: HashSet<HostId>,
+}
+
+/// Answers the reports of all hosts while this host holds the duty.
+#[derive(Debug, Clone)]
+pub(crate) struct Coordinator {
+    pub(crate) duty: Duty,
+    directory: Directory,
+    supervisor: Supervisor,
+    permission: Permission,
+    cached: Rc<RefCell<Rc<Known>>>,
+    allocator: Rc<RefCell<(Revision, Allocator)>>,
+}
+
+impl Coordinator {
+    pub(crate) fn new(
+        duty: Duty,
+        directory: Directory,
+        supervisor: Supervisor,
+        permission: Permission,
+    ) -> Self {
+        Self {
+            duty,
+            directory,
+            supervisor,
+            permission,
+            cached: Rc::default(),
+            allocator: Rc::default(),
+        }
+    }
+
+    /// Returns the changes after `revision`, as soon as there are some.
+    pub(crate) async fn follow(self, revision: Revision) -> Result<Changes> {
+        let until = now() + FOLLOW_WAIT;
+        loop {
+            ensure!(self.duty.leadership().is_some(), ErrorKind::Conflict);
+            let seen = self.directory.changed().epoch();
+            let Some(changes) = self.directory.changes_since(revision) else {
+                bail!(ErrorKind::NoFreshData);
+            };
+            if !changes.events.is_empty() || until.is_past() {
+                return Ok(changes);
+            }
+            let news = self.directory.changed().changed(seen);
+            if timeout_at(until, news).await.is_ok() {
+                sleep(FOLLOW_PAUSE).await;
+            }
+        }
+    }
+
+    /// Returns the limits and the hosts, which are looked up again after a change only.
+    fn known(&self) -> Rc<Known> {
+        let epoch = self.directory.changed().epoch();
+        let mut cached = self.cached.borrow_mut();
+        if cached.epoch != Some(epoch) {
+            let configuration = self.directory.configuration().unwrap_or_default();
+            let limits = |account: &Account| Limits {
+                rate: account.rate,
+                burst: account.burst,
+            };
+            let accounts = configuration.accounts.iter();
+            *cached = Rc::new(Known {
+                epoch: Some(epoch),
+                limits: accounts
+                    .map(|(name, account)| (name.clone(), limits(account)))
+                    .collect(),
+                hosts: registered(&self.directory),
+            });
+        }
+        Rc::clone(&cached)
+    }
+
+    /// Takes in a report and returns the grants of the host that sent it.
+    pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
+        let Some(token) = self.duty.leadership() else {
+            bail!(ErrorKind::Conflict);
+        };
+        self.supervisor.report(host.clone(), report.suspects);
+        let known = self.known();
+        let mut allocator = self.allocator.borrow_mut();
+        if allocator.0 != token {
+            *allocator = (token, Allocator::default());
+        }
+        let grants = allocator
+            .1
+            .grant(host, &report.demands, &known.limits, &known.hosts);
+        let age = self.directory.age();
+        Ok(Verdict {
+            grants,
+            configuration: age.map(|age| (self.directory.revision(), age)),
+            doubtful: self.supervisor.suspected(),
+            permission: self.permission.vouch(),
+        })
+    }
+}
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -18,8 +18,9 @@
 use futures::future::ready;
 use tracing::{info, warn};
 
-use crate::coordination::{self, Coordinator, DutyExchange, FollowExchange, ReportExchange};
-use crate::{EntrySettings, registration};
+use crate::coordinator::Coordinator;
+use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
+use crate::{EntrySettings, registration, report};
 
 /// How often the state that decides about sessions and readiness is looked at.
 const TICK: Duration = Duration::from_millis(100);
@@ -106,7 +107,7 @@
         ));
         let resolver = directory.clone();
         let peers = PeerPool::new(settings.host.clone(), move |host| {
-            coordination::address(&resolver, host)
+            registration::address(&resolver, host)
         });
         let answering = coordinator.clone();
         let following = coordinator.clone();
@@ -121,7 +122,7 @@
         let router = router.on(DutyExchange, move |_, ()| {
             ready(Ok(knowing.record(keys::DUTY)))
         });
-        let relay = coordination::relay(coordinator.clone(), settings.host.clone(), &peers);
+        let relay = report::relay(coordinator.clone(), settings.host.clone(), &peers);
         directory.set_relay(relay);
         let peer_server = PeerServer::bind(settings.peer_address, router)?;
         let stop = Rc::new(Stop::default());
@@ -143,12 +144,7 @@
         let host = settings.host.clone();
         let tasks = [
             spawn(registration::run(directory, host.clone(), own)),
-            spawn(coordination::report(
-                Rc::clone(&cx),
-                host,
-                coordinator,
-                peers,
-            )),
+            spawn(report::run(Rc::clone(&cx), host, coordinator, peers)),
             spawn(tend(
                 Rc::clone(&cx),
                 Rc::clone(&stop),
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! See `docs/platform.md`, "Programs".
 
-mod coordination;
+mod coordinator;
 mod host;
+mod messages;
 mod registration;
+mod report;
 mod settings;
 
-pub use coordination::{Report, ReportExchange, Verdict};
 pub use host::{Adapter, Host};
+pub use messages::{Report, ReportExchange, Verdict};
 pub use settings::EntrySettings;
--- /dev/null
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -0,0 +1,61 @@
+//! Defines what hosts and the coordinator tell each other.
+
+use std::time::Duration;
+
+use burdockslip_directory::Changes;
+use burdockslip_shares::{Demand, Grant};
+use burdockslip_store::{Entry, LeaseId};
+use burdockslip_types::{Exchange, MemberName, Revision};
+use serde::{Deserialize, Serialize};
+
+/// Tells the coordinator what a host sees and wants.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The members that the host cannot reach.
+    pub suspects: Vec<MemberName>,
+    /// What the host wants of the organisations' rates.
+    pub demands: Vec<Demand>,
+}
+
+/// Tells a host what it may use.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The tokens and fractions of the organisations' rates.
+    pub grants: Vec<Grant>,
+    /// The newest configuration and how long ago the store said so.
+    pub configuration: Option<(Revision, Duration)>,
+    /// The members that some hosts cannot reach and that this host should look at.
+    pub doubtful: Vec<MemberName>,
+    /// The lease behind permissions and how long ago it was alive.
+    pub permission: Option<(LeaseId, Duration)>,
+}
+
+/// Carries reports to the coordinator.
+#[derive(Debug)]
+pub struct ReportExchange;
+
+impl Exchange for ReportExchange {
+    type Request = Report;
+    type Reply = Verdict;
+    const NAME: &'static str = "report";
+}
+
+/// Carries changes of the store from the coordinator.
+#[derive(Debug)]
+pub(crate) struct FollowExchange;
+
+impl Exchange for FollowExchange {
+    type Request = Revision;
+    type Reply = Changes;
+    const NAME: &'static str = "follow";
+}
+
+/// Asks a peer for the record of who is coordinator.
+#[derive(Debug)]
+pub(crate) struct DutyExchange;
+
+impl Exchange for DutyExchange {
+    type Request = ();
+    type Reply = Option<Entry>;
+    const NAME: &'static str = "duty";
+}
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -1,13 +1,14 @@
-//! Registers the host in the store while it lives.
+//! Registers the host in the store while it lives, and finds other hosts.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use burdockslip_directory::Directory;
 use burdockslip_failover::{Registration, keys};
-use burdockslip_runtime::{sleep, timeout};
-use burdockslip_store::{Entry, LeaseId, Operation, Txn};
-use burdockslip_types::{ErrorKind, HostId, Result};
-use error_stack::Report;
+use burdockslip_runtime::sleep;
+use burdockslip_store::{Entry, LeaseId, Operation, Txn, within};
+use burdockslip_types::{HostId, Result};
 use tracing::{info, warn};
 
 /// How long the registration outlives a host that was killed.
@@ -41,13 +42,16 @@
 
 async fn register(directory: &Directory, host: &HostId, own: &Registration) -> Result<LeaseId> {
     let store = directory.store();
-    let lease = within(store.grant_lease(LEASE_TTL)).await?;
+    let lease = within(CALL_TIMEOUT, store.grant_lease(LEASE_TTL)).await?;
     let key = format!("{}{host}", keys::HOSTS);
     let value = own.write()?;
-    let reply = within(store.txn(Txn {
-        compares: Vec::new(),
-        operations: vec![Operation::Put(key.clone(), value.clone(), Some(lease))],
-    }))
+    let reply = within(
+        CALL_TIMEOUT,
+        store.txn(Txn {
+            compares: Vec::new(),
+            operations: vec![Operation::Put(key.clone(), value.clone(), Some(lease))],
+        }),
+    )
     .await?;
     directory.learn(Entry {
         key,
@@ -60,7 +64,7 @@
 async fn keep(directory: &Directory, lease: LeaseId) {
     loop {
         sleep(RENEW_PERIOD).await;
-        match within(directory.store().keep_lease(lease)).await {
+        match within(CALL_TIMEOUT, directory.store().keep_lease(lease)).await {
             Ok(left) if left.is_zero() => return,
             Ok(_) => {}
             // The lease may still be alive; only the store can say that it ended.
@@ -69,9 +73,18 @@
     }
 }
 
-async fn within<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
-    match timeout(CALL_TIMEOUT, call).await {
-        Ok(result) => result,
-        Err(_) => Err(Report::new(ErrorKind::StoreUnavailable).attach("no answer in time")),
-    }
+/// Returns the hosts that are registered.
+pub(crate) fn registered(directory: &Directory) -> HashSet<HostId> {
+    let entries = directory.records(keys::HOSTS);
+    let name = |key: &str| key.strip_prefix(keys::HOSTS).map(HostId::from);
+    entries
+        .iter()
+        .filter_map(|entry| name(&entry.key))
+        .collect()
+}
+
+/// Returns where a host is reached.
+pub(crate) fn address(directory: &Directory, host: &HostId) -> Option<SocketAddr> {
+    let entry = directory.record(&format!("{}{host}", keys::HOSTS))?;
+    Registration::read(&entry.value).ok().map(|own| own.address)
 }
--- a/crates/burdockslip_entry/src/coordination.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -1,26 +1,23 @@
-//! Reports to the coordinator, and answers reports while this host is it.
+//! Reports to the coordinator and follows what it passes on.
 
-use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Account, Changes, Directory, Relay};
-use burdockslip_failover::{Duty, Permission, Registration, Supervisor, keys};
+use burdockslip_directory::{Directory, Relay};
+use burdockslip_failover::keys;
 use burdockslip_peer::PeerPool;
-use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout, timeout_at};
+use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
-use burdockslip_shares::{Allocator, Demand, Grant, Limits};
-use burdockslip_store::{Entry, LeaseId};
-use burdockslip_types::{
-    ErrorKind, Exchange, HostId, Link, MemberName, Organisation, Result, Revision,
-};
-use error_stack::{bail, ensure};
+use burdockslip_types::{ErrorKind, HostId, Link, MemberName};
+use error_stack::bail;
 use futures::FutureExt;
 use futures::future::select;
-use serde::{Deserialize, Serialize};
 use tracing::{debug, info};
 
+use crate::coordinator::Coordinator;
+use crate::messages::{DutyExchange, FollowExchange, Report, ReportExchange, Verdict};
+use crate::registration::registered;
+
 /// How often a host reports. Permissions last 900 ms, and the answer renews them.
 const REPORT_PERIOD: Duration = Duration::from_millis(300);
 
@@ -46,181 +43,6 @@
 /// replicas. Ordinary commits take up to 100 ms.
 const COMMIT_LIMIT: Duration = Duration::from_millis(700);
 
-/// How long a request for changes waits.
-const FOLLOW_WAIT: Duration = Duration::from_secs(1);
-
-/// Collects changes that come together into one answer.
-const FOLLOW_PAUSE: Duration = Duration::from_millis(15);
-
-/// Tells the coordinator what a host sees and wants.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// The members that the host cannot reach.
-    pub suspects: Vec<MemberName>,
-    /// What the host wants of the organisations' rates.
-    pub demands: Vec<Demand>,
-}
-
-/// Tells a host what it may use.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Verdict {
-    /// The tokens and fractions of the organisations' rates.
-    pub grants: Vec<Grant>,
-    /// The newest configuration and how long ago the store said so.
-    pub configuration: Option<(Revision, Duration)>,
-    /// The members that some hosts cannot reach and that this host should look at.
-    pub doubtful: Vec<MemberName>,
-    /// The lease behind permissions and how long ago it was alive.
-    pub permission: Option<(LeaseId, Duration)>,
-}
-
-/// Carries reports to the coordinator.
-#[derive(Debug)]
-pub struct ReportExchange;
-
-impl Exchange for ReportExchange {
-    type Request = Report;
-    type Reply = Verdict;
-    const NAME: &'static str = "report";
-}
-
-/// Carries changes of the store from the coordinator.
-#[derive(Debug)]
-pub(crate) struct FollowExchange;
-
-impl Exchange for FollowExchange {
-    type Request = Revision;
-    type Reply = Changes;
-    const NAME: &'static str = "follow";
-}
-
-/// Asks a peer for the record of who is coordinator.
-#[derive(Debug)]
-pub(crate) struct DutyExchange;
-
-impl Exchange for DutyExchange {
-    type Request = ();
-    type Reply = Option<Entry>;
-    const NAME: &'static str = "duty";
-}
-
-/// Holds what the directory says, in the form that reports need.
-#[derive(Debug, Default)]
-struct Known {
-    epoch: Option<u64>,
-    limits: HashMap<Organisation, Limits>,
-    hosts: HashSet<HostId>,
-}
-
-/// Answers the reports of all hosts while this host holds the duty.
-#[derive(Debug, Clone)]
-pub(crate) struct Coordinator {
-    duty: Duty,
-    directory: Directory,
-    supervisor: Supervisor,
-    permission: Permission,
-    cached: Rc<RefCell<Rc<Known>>>,
-    allocator: Rc<RefCell<(Revision, Allocator)>>,
-}
-
-impl Coordinator {
-    pub(crate) fn new(
-        duty: Duty,
-        directory: Directory,
-        supervisor: Supervisor,
-        permission: Permission,
-    ) -> Self {
-        Self {
-            duty,
-            directory,
-            supervisor,
-            permission,
-            cached: Rc::default(),
-            allocator: Rc::default(),
-        }
-    }
-
-    /// Returns the changes after `revision`, as soon as there are some.
-    pub(crate) async fn follow(self, revision: Revision) -> Result<Changes> {
-        let until = now() + FOLLOW_WAIT;
-        loop {
-            ensure!(self.duty.leadership().is_some(), ErrorKind::Conflict);
-            let seen = self.directory.changed().epoch();
-            let Some(changes) = self.directory.changes_since(revision) else {
-                bail!(ErrorKind::NoFreshData);
-            };
-            if !changes.events.is_empty() || until.is_past() {
-                return Ok(changes);
-            }
-            let news = self.directory.changed().changed(seen);
-            if timeout_at(until, news).await.is_ok() {
-                sleep(FOLLOW_PAUSE).await;
-            }
-        }
-    }
-
-    /// Returns the limits and the hosts, which are looked up again after a change only.
-    fn known(&self) -> Rc<Known> {
-        let epoch = self.directory.changed().epoch();
-        let mut cached = self.cached.borrow_mut();
-        if cached.epoch != Some(epoch) {
-            let configuration = self.directory.configuration().unwrap_or_default();
-            let limits = |account: &Account| Limits {
-                rate: account.rate,
-                burst: account.burst,
-            };
-            let accounts = configuration.accounts.iter();
-            *cached = Rc::new(Known {
-                epoch: Some(epoch),
-                limits: accounts
-                    .map(|(name, account)| (name.clone(), limits(account)))
-                    .collect(),
-                hosts: registered(&self.directory),
-            });
-        }
-        Rc::clone(&cached)
-    }
-
-    /// Takes in a report and returns the grants of the host that sent it.
-    pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
-        let Some(token) = self.duty.leadership() else {
-            bail!(ErrorKind::Conflict);
-        };
-        self.supervisor.report(host.clone(), report.suspects);
-        let known = self.known();
-        let mut allocator = self.allocator.borrow_mut();
-        if allocator.0 != token {
-            *allocator = (token, Allocator::default());
-        }
-        let grants = allocator
-            .1
-            .grant(host, &report.demands, &known.limits, &known.hosts);
-        let age = self.directory.age();
-        Ok(Verdict {
-            grants,
-            configuration: age.map(|age| (self.directory.revision(), age)),
-            doubtful: self.supervisor.suspected(),
-            permission: self.permission.vouch(),
-        })
-    }
-}
-
-/// Returns the hosts that are registered.
-pub(crate) fn registered(directory: &Directory) -> HashSet<HostId> {
-    let entries = directory.records(keys::HOSTS);
-    let name = |key: &str| key.strip_prefix(keys::HOSTS).map(HostId::from);
-    entries
-        .iter()
-        .filter_map(|entry| name(&entry.key))
-        .collect()
-}
-
-/// Returns where a host is reached.
-pub(crate) fn address(directory: &Directory, host: &HostId) -> Option<std::net::SocketAddr> {
-    let entry = directory.record(&format!("{}{host}", keys::HOSTS))?;
-    Registration::read(&entry.value).ok().map(|own| own.address)
-}
-
 /// Returns the function that gets changes from the coordinator.
 pub(crate) fn relay(coordinator: Coordinator, host: HostId, peers: &PeerPool) -> Relay {
     let link: Link<FollowExchange> = peers.link();
@@ -238,12 +60,7 @@
 }
 
 /// Reports again and again, and applies the grants that come back.
-pub(crate) async fn report(
-    cx: Rc<Context>,
-    host: HostId,
-    coordinator: Coordinator,
-    peers: PeerPool,
-) {
+pub(crate) async fn run(cx: Rc<Context>, host: HostId, coordinator: Coordinator, peers: PeerPool) {
     let link: Link<ReportExchange> = peers.link();
     let mut complete = None;
     let mut failed = None;
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use burdockslip_directory::Directory;
-use burdockslip_runtime::{Instant, Signal, Task, now, random_range, sleep, spawn, timeout};
-use burdockslip_store::{Compare, LeaseId, Operation, Txn};
-use burdockslip_types::{ErrorKind, HostId, Result, Revision, domain};
-use error_stack::Report;
+use burdockslip_runtime::{Instant, Signal, Task, now, random_range, sleep, spawn};
+use burdockslip_store::{Compare, LeaseId, Operation, Txn, within};
+use burdockslip_types::{HostId, Result, Revision, domain};
 use futures::future::{Either, select};
 use tracing::{info, warn};
 
@@ -166,7 +165,11 @@
     else {
         return;
     };
-    let outcome = within(shared.directory.store().revoke_lease(holding.lease)).await;
+    let outcome = within(
+        CALL_TIMEOUT,
+        shared.directory.store().revoke_lease(holding.lease),
+    )
+    .await;
     info!(
         lease = holding.lease.0,
         ended = outcome.is_ok(),
@@ -217,24 +220,27 @@
 async fn claim(shared: &Shared) -> Result<Option<(LeaseId, Tenure)>> {
     let store = shared.directory.store();
     let sent = now();
-    let lease = within(store.grant_lease(LEASE_TTL)).await?;
+    let lease = within(CALL_TIMEOUT, store.grant_lease(LEASE_TTL)).await?;
     let holding = Holding {
         host: shared.host.clone(),
         lease,
     };
-    let reply = within(store.txn(Txn {
-        compares: vec![Compare::Revision(keys::DUTY.to_owned(), Revision(0))],
-        operations: vec![Operation::Put(
-            keys::DUTY.to_owned(),
-            records::encode(&holding)?,
-            Some(lease),
-        )],
-    }))
+    let reply = within(
+        CALL_TIMEOUT,
+        store.txn(Txn {
+            compares: vec![Compare::Revision(keys::DUTY.to_owned(), Revision(0))],
+            operations: vec![Operation::Put(
+                keys::DUTY.to_owned(),
+                records::encode(&holding)?,
+                Some(lease),
+            )],
+        }),
+    )
     .await;
     let is_won = matches!(&reply, Ok(reply) if reply.is_applied);
     if !is_won {
         // A claim whose answer was lost must not keep the duty.
-        if let Err(error) = within(store.revoke_lease(lease)).await {
+        if let Err(error) = within(CALL_TIMEOUT, store.revoke_lease(lease)).await {
             info!(?error, "unused lease left to lapse");
         }
     }
@@ -258,7 +264,7 @@
         }
         if shared.is_leaving.get() {
             shared.tenure.set(None);
-            let outcome = within(store.revoke_lease(lease)).await;
+            let outcome = within(CALL_TIMEOUT, store.revoke_lease(lease)).await;
             info!(
                 fence = tenure.token.0,
                 given_up = outcome.is_ok(),
@@ -267,7 +273,7 @@
             return;
         }
         let sent = now();
-        match within(store.keep_lease(lease)).await {
+        match within(CALL_TIMEOUT, store.keep_lease(lease)).await {
             Ok(left) if !left.is_zero() => {
                 tenure.until = sent + TENURE;
                 shared.tenure.set(Some(tenure));
@@ -288,10 +294,3 @@
         }
     }
 }
-
-async fn within<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
-    match timeout(CALL_TIMEOUT, call).await {
-        Ok(result) => result,
-        Err(_) => Err(Report::new(ErrorKind::StoreUnavailable).attach("no answer in time")),
-    }
-}
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -7,7 +7,7 @@
 use burdockslip_directory::{Directory, Member};
 use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout};
 use burdockslip_statement::{Command, MemberStatus};
-use burdockslip_store::{Compare, Entry, Operation, Txn};
+use burdockslip_store::{Compare, Entry, Operation, Txn, within};
 use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::{Report, bail, ensure};
@@ -125,7 +125,10 @@
         let store = self.directory.store();
         if let Some(entry) = self.directory.record(keys::FENCE) {
             let lease = records::decode(&entry.value)?;
-            if !within(store.keep_lease(lease)).await?.is_zero() {
+            if !within(STORE_TIMEOUT, store.keep_lease(lease))
+                .await?
+                .is_zero()
+            {
                 return Ok(());
             }
         }
@@ -135,13 +138,17 @@
     async fn withdraw_permissions(&self) -> Result<()> {
         let store = self.directory.store();
         if let Some(entry) = self.directory.record(keys::FENCE) {
-            within(store.revoke_lease(records::decode(&entry.value)?)).await?;
+            within(
+                STORE_TIMEOUT,
+                store.revoke_lease(records::decode(&entry.value)?),
+            )
+            .await?;
         }
         self.replace_fence().await
     }
 
     async fn replace_fence(&self) -> Result<()> {
-        let lease = within(self.directory.store().grant_lease(FENCE_TTL)).await?;
+        let lease = within(STORE_TIMEOUT, self.directory.store().grant_lease(FENCE_TTL)).await?;
         let known = self.directory.record(keys::FENCE);
         let known = known.map_or(Revision(0), |entry| entry.revision);
         self.put(keys::FENCE, records::encode(&lease)?, known)
@@ -162,13 +169,16 @@
     /// Writes a record if it is unchanged and this host still holds the duty.
     async fn put(&self, key: &str, value: Vec<u8>, known: Revision) -> Result<Revision> {
         let tenure = self.tenure()?;
-        let reply = within(self.directory.store().txn(Txn {
-            compares: vec![
-                Compare::Revision(keys::DUTY.to_owned(), tenure.token),
-                Compare::Revision(key.to_owned(), known),
-            ],
-            operations: vec![Operation::Put(key.to_owned(), value.clone(), None)],
-        }))
+        let reply = within(
+            STORE_TIMEOUT,
+            self.directory.store().txn(Txn {
+                compares: vec![
+                    Compare::Revision(keys::DUTY.to_owned(), tenure.token),
+                    Compare::Revision(key.to_owned(), known),
+                ],
+                operations: vec![Operation::Put(key.to_owned(), value.clone(), None)],
+            }),
+        )
         .await?;
         ensure!(reply.is_applied, ErrorKind::Conflict);
         self.directory.learn(Entry {
@@ -321,10 +331,3 @@
         .max_by_key(|(member, status)| (status.received, !member.is_draining))
         .map(|(member, _)| Rc::clone(member))
 }
-
-async fn within<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
-    match timeout(STORE_TIMEOUT, call).await {
-        Ok(result) => result,
-        Err(_) => Err(Report::new(ErrorKind::StoreUnavailable).attach("no answer in time")),
-    }
-}
--- a/crates/burdockslip_store/src/lib.rs
+++ b/crates/burdockslip_store/src/lib.rs
@@ -12,11 +12,13 @@
 mod store;
 mod stream;
 mod watching;
+mod within;
 
 pub use memory::{Calls, Faults, MemoryStore};
 pub use store::{
     Compare, Entry, Event, LeaseId, Operation, Page, Reply, Request, Store, Txn, TxnReply, Watch,
 };
+pub use within::within;
 
 /// Spaces the progress notices of a watch without changes.
 pub const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
