Keep acknowledged commits that only a cut-off replica holds

A change of primary now remembers how many members the group had. While one is missing, the choice must hold what hosts report as acknowledged, for 15 s at most. An old primary that can be reached steps down first, and its log then holds everything, so that it may lead again. Ruled out: late orders and late writes to the store, whose conditions fail.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -103,7 +103,8 @@
         let Some(token) = self.duty.leadership() else {
             bail!(ErrorKind::Conflict);
         };
-        self.supervisor.report(host.clone(), report.suspects);
+        self.supervisor
+            .report(host.clone(), report.suspects, report.acknowledged);
         let known = self.known();
         let mut allocator = self.allocator.borrow_mut();
         if allocator.0 != token {
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -5,7 +5,7 @@
 use burdockslip_directory::Changes;
 use burdockslip_shares::{Demand, Grant};
 use burdockslip_store::{Entry, LeaseId};
-use burdockslip_types::{Exchange, MemberName, Revision};
+use burdockslip_types::{Exchange, GroupName, Mark, MemberName, Revision};
 use serde::{Deserialize, Serialize};
 
 /// Tells the coordinator what a host sees and wants.
@@ -13,6 +13,8 @@
 pub struct Report {
     /// The members that the host cannot reach.
     pub suspects: Vec<MemberName>,
+    /// The positions up to which callers were told that commits are kept.
+    pub acknowledged: Vec<(GroupName, Mark)>,
     /// What the host wants of the organisations' rates.
     pub demands: Vec<Demand>,
 }
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -83,7 +83,11 @@
             complete = Some(sent);
         }
         let demands = cx.rates.borrow_mut().demands(is_full);
-        let report = Report { suspects, demands };
+        let report = Report {
+            suspects,
+            acknowledged: cx.acknowledged(),
+            demands,
+        };
         let outcome = deliver(&coordinator, &host, &link, report).await;
         let error = outcome.as_ref().err().copied();
         if error != failed {
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -1,5 +1,6 @@
 //! Replaces the primary of one group.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +21,11 @@
 /// Added to the permissions' span for differences of clocks' rates.
 const PERMISSION_MARGIN: Duration = Duration::from_millis(50);
 
+/// How long a change waits for members whose records are gone. A crashed
+/// primary is back with its log within some seconds; a group without writes for
+/// ever would be worse than the loss of what only a lost member had.
+const GONE_PATIENCE: Duration = Duration::from_secs(15);
+
 /// Bounds a control command to a member.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -58,6 +64,10 @@
     pub(crate) pools: Pools,
     pub(crate) duty: Duty,
     pub(crate) promote: Promote,
+    /// The positions up to which callers were told that commits are kept.
+    pub(crate) acknowledged: Rc<RefCell<HashMap<GroupName, Mark>>>,
+    /// The most members that each group had.
+    pub(crate) counts: Rc<RefCell<HashMap<GroupName, usize>>>,
 }
 
 impl Promotion {
@@ -73,6 +83,7 @@
             .next();
         let record = GroupRecord {
             held: Some(held),
+            size: self.count_members(group, record.size),
             ..record
         };
         let revision = self.write(group, &record, entry.revision).await?;
@@ -84,6 +95,7 @@
         let record = GroupRecord {
             primary: chosen.name.clone(),
             term,
+            size: self.directory.members(group).len(),
             held: None,
         };
         self.write(group, &record, revision).await?;
@@ -113,6 +125,7 @@
         let record = GroupRecord {
             primary: primary.clone(),
             term: status.term,
+            size: members.len(),
             held: None,
         };
         self.write(group, &record, Revision(0)).await?;
@@ -194,52 +207,85 @@
         self.duty.tenure().ok_or_else(lost)
     }
 
-    /// Stops the replicas and picks the one that holds most.
+    /// Stops the members and picks the one that holds most.
     ///
-    /// Every replica that may hold an acknowledged commit has to answer: the
-    /// old primary acknowledges a commit as soon as one replica has it. A
-    /// replica counts as gone when its record is gone.
+    /// The old primary acknowledges a commit as soon as one replica has it. So
+    /// either every replica has to answer, or the old primary has stepped down
+    /// and its log holds everything. A replica whose record is gone cannot be
+    /// asked; then the choice must hold what callers were told, since the
+    /// replica may only be cut off.
     async fn choose(
         &self,
         group: &GroupName,
         record: &GroupRecord,
         held: Term,
     ) -> Result<(Rc<Member>, Instant)> {
+        let begun = now();
         loop {
             self.tenure()?;
             let members = self.directory.members(group);
+            let is_reduced = members.len() < record.size;
             let (primary, replicas): (Vec<_>, Vec<_>) = members
                 .into_iter()
                 .partition(|member| member.name == record.primary);
-            self.step_down(&primary, held).await;
-            let statuses = self.ask(&replicas, &Command::Suspend(held)).await;
+            let mut statuses = self.step_down(&primary, held).await;
+            let has_stepped_down = !statuses.is_empty();
+            statuses.extend(self.ask(&replicas, &Command::Suspend(held)).await);
             if let Some(leader) = leader(&replicas, &statuses, record.term) {
                 info!(%group, member = %leader.name, "member was promoted before");
                 return Ok((leader, now()));
             }
-            let is_complete = replicas
-                .iter()
-                .all(|member| statuses.contains_key(&member.name));
-            let best = best(&replicas, &statuses);
-            info!(%group, held = held.0, answered = statuses.len(), of = replicas.len(),
-                best = ?best.as_ref().map(|member| member.name.as_str()),
-                statuses = ?statuses.values().map(|status| status.received).collect::<Vec<Mark>>(),
+            let answers = |member: &Rc<Member>| statuses.contains_key(&member.name);
+            let have_answered = replicas.iter().all(answers);
+            let is_whole = have_answered && !is_reduced;
+            let candidates = if is_whole {
+                replicas
+            } else {
+                [primary, replicas].concat()
+            };
+            let best = best(&candidates, &statuses);
+            let acknowledged = self.acknowledged.borrow().get(group).copied();
+            let received = best.as_ref().and_then(|best| statuses.get(&best.name));
+            let holds_all = received.map(|status| status.received) >= acknowledged;
+            let is_overdue = begun.elapsed() > GONE_PATIENCE;
+            info!(%group, held = held.0, answered = statuses.len(), of = candidates.len(),
+                best = best.as_ref().map(|member| member.name.as_str()),
+                is_reduced, has_stepped_down, holds_all,
+                acknowledged = acknowledged.map(tracing::field::display),
+                positions = ?statuses.values().map(|status| status.received).collect::<Vec<Mark>>(),
                 "replicas stopped");
-            if let Some(best) = best.filter(|_| is_complete) {
+            let is_safe =
+                is_whole || has_stepped_down || (have_answered && (holds_all || is_overdue));
+            if let Some(best) = best.filter(|_| is_safe) {
                 return Ok((best, now()));
             }
             sleep(STEP_PAUSE).await;
         }
     }
 
-    /// Ends the writes of an old primary that is still reachable.
-    async fn step_down(&self, primary: &[Rc<Member>], term: Term) {
+    /// Returns the most members that the group had, `count` included.
+    pub(crate) fn count_members(&self, group: &GroupName, count: usize) -> usize {
+        let mut counts = self.counts.borrow_mut();
+        let most = counts.entry(group.clone()).or_insert(count);
+        *most = count.max(*most);
+        *most
+    }
+
+    /// Ends the writes of an old primary that is still reachable; returns its
+    /// status if it is a replica now.
+    async fn step_down(
+        &self,
+        primary: &[Rc<Member>],
+        term: Term,
+    ) -> HashMap<MemberName, MemberStatus> {
         let reachable: Vec<_> = primary
             .iter()
             .filter(|member| !self.pools.of(member).health.is_suspected())
             .cloned()
             .collect();
-        self.ask(&reachable, &Command::Demote(term)).await;
+        let mut statuses = self.ask(&reachable, &Command::Demote(term)).await;
+        statuses.retain(|_, status| !status.is_primary);
+        statuses
     }
 
     async fn ask(
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -33,6 +33,9 @@
         pub primary: MemberName,
         /// The term in which the primary leads.
         pub term: Term,
+        /// The members that the group had when the record was written; a later
+        /// coordinator would not know of one whose record has lapsed.
+        pub size: usize,
         /// The term at which replicas are stopped while the primary is being replaced.
         pub held: Option<Term>,
     }
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -9,7 +9,7 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Task, sleep, spawn};
 use burdockslip_store::Entry;
-use burdockslip_types::{GroupName, HostId, MemberName};
+use burdockslip_types::{GroupName, HostId, Mark, MemberName};
 use burdockslip_upstream::Pools;
 use tracing::{info, warn};
 
@@ -48,6 +48,8 @@
                 pools,
                 duty,
                 promote,
+                acknowledged: Rc::default(),
+                counts: Rc::default(),
             },
             votes: RefCell::default(),
             changes: RefCell::default(),
@@ -58,8 +60,20 @@
         }
     }
 
-    /// Takes in which members a host cannot reach.
-    pub fn report(&self, host: HostId, suspects: Vec<MemberName>) {
+    /// Takes in which members a host cannot reach and up to which positions its
+    /// callers were told that commits are kept.
+    pub fn report(
+        &self,
+        host: HostId,
+        suspects: Vec<MemberName>,
+        acknowledged: Vec<(GroupName, Mark)>,
+    ) {
+        let mut known = self.shared.promotion.acknowledged.borrow_mut();
+        for (group, mark) in acknowledged {
+            let highest = known.entry(group).or_insert(mark);
+            *highest = mark.max(*highest);
+        }
+        drop(known);
         self.shared.votes.borrow_mut().record(host, suspects);
     }
 
@@ -101,6 +115,8 @@
 
 impl Shared {
     fn look_at(self: &Rc<Self>, group: &GroupName) {
+        let members = self.promotion.directory.members(group).len();
+        self.promotion.count_members(group, members);
         if self.changes.borrow().contains_key(group) {
             return;
         }
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -12,7 +12,7 @@
 use burdockslip_shares::{Admission, LocalRates};
 use burdockslip_statement::Dialect;
 use burdockslip_telemetry::Metrics;
-use burdockslip_types::{ErrorKind, GroupName, Organisation};
+use burdockslip_types::{ErrorKind, GroupName, Mark, Organisation};
 use burdockslip_upstream::Pools;
 use tracing::info;
 
@@ -51,6 +51,8 @@
     pub metrics: Metrics,
     /// The limits of this host.
     pub limits: Limits,
+    /// The highest acknowledged position of each group, which a promotion must keep.
+    pub(crate) acknowledged: RefCell<HashMap<GroupName, Mark>>,
     /// The open client connections.
     pub open: Cell<usize>,
     pub(crate) refreshing: RefCell<HashMap<GroupName, Task<()>>>,
@@ -77,6 +79,7 @@
             freshness: Freshness::default(),
             metrics,
             limits,
+            acknowledged: RefCell::default(),
             open: Cell::new(0),
             refreshing: RefCell::default(),
         }
@@ -94,6 +97,15 @@
             .ok_or(ErrorKind::ConfigMissing)
     }
 
+    /// Returns the positions up to which callers were told that commits are kept.
+    pub fn acknowledged(&self) -> Vec<(GroupName, Mark)> {
+        let known = self.acknowledged.borrow();
+        known
+            .iter()
+            .map(|(group, mark)| (group.clone(), *mark))
+            .collect()
+    }
+
     /// Charges an operation to its organisation.
     ///
     /// # Errors
