Pace the opening of connections and share out less than one a host

A host whose attempt was refused tried again every 10 ms. After a loss of power of all hosts nobody found a free connection until the members dropped the old ones after 3 s.

Now the share of a host is a fraction: an idle connection above whole shares is kept for share / rate of openings, and a refusal pauses openings to that member for 60 to 480 ms.

Most statements still open a connection of their own on these sites.

--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -87,8 +87,12 @@
         })
         .filter(|place| !is_tried(place, tried) && !place.pool.health.is_suspected())
         .collect();
-    if places.iter().any(|place| !place.pool.health.is_avoided()) {
-        places.retain(|place| !place.pool.health.is_avoided());
+    let is_passed_over = |place: &Place| {
+        let pool = &place.pool;
+        pool.health.is_avoided() || pool.is_paused() && !pool.has_idle(&job.organisation)
+    };
+    if !places.iter().all(is_passed_over) {
+        places.retain(|place| !is_passed_over(place));
     }
     places
 }
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -11,21 +11,21 @@
 use burdockslip_types::{ErrorKind, Organisation, Result};
 use error_stack::bail;
 
-use crate::{Connection, Health, SessionState};
+use crate::{Connection, Health, Openings, SessionState};
 
 /// Bounds the time to open a connection; members take about 12 ms, and more
 /// when their slots are taken.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How often a host that keeps to its share may open one connection more, in sweeps.
-const GROWTH_SWEEPS: u32 = 4;
+const GROWTH_SWEEPS: u32 = 20;
 
 /// Connections above the share that a host may always try to open, because a
 /// share of one would make transactions wait for each other.
 const SURPLUS: usize = 1;
 
-/// Closes a connection above the share that was not used for this time.
-const SURPLUS_LIMIT: Duration = Duration::from_millis(1_500);
+/// One connection, as a share in thousandths.
+const ONE: usize = 1_000;
 
 /// Closes an unused connection after this time, below the members' own limit.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
@@ -37,10 +37,12 @@
     member: Rc<Member>,
     idle: RefCell<Vec<Connection>>,
     open: Cell<usize>,
+    /// In thousandths of a connection.
     share: Cell<usize>,
     surplus: Cell<usize>,
     sweeps: Cell<u32>,
     returned: Signal,
+    openings: Openings,
     /// The state of the member as seen by this host.
     pub health: Health,
 }
@@ -53,10 +55,11 @@
             member,
             idle: RefCell::default(),
             open: Cell::new(0),
-            share: Cell::new(1),
+            share: Cell::new(ONE),
             surplus: Cell::new(1),
             sweeps: Cell::new(0),
             returned: Signal::default(),
+            openings: Openings::default(),
             health: Health::default(),
         }
     }
@@ -73,19 +76,25 @@
             .any(|connection| connection.organisation() == organisation)
     }
 
-    /// Returns whether a connection can be had without waiting for another one.
-    pub fn has_room(&self) -> bool {
-        !self.idle.borrow().is_empty() || self.open.get() < self.limit()
+    /// Returns whether the member has refused connections just now.
+    pub fn is_paused(&self) -> bool {
+        self.openings.is_paused()
     }
 
-    /// Sets this host's part of the member's connections.
-    pub fn set_share(&self, share: usize) {
-        self.share.set(share.max(1));
+    /// Sets this host's part of the member's connections, in thousandths; it is
+    /// below one connection where there are more hosts than connections.
+    pub fn set_share(&self, thousandths: usize) {
+        self.share.set(thousandths);
+    }
+
+    /// Returns the connections that this host keeps for as long as they last.
+    const fn kept(&self) -> usize {
+        self.share.get() / ONE
     }
 
     /// Hosts may use more than they keep while the member has connections left.
     fn limit(&self) -> usize {
-        self.share.get() + self.surplus.get()
+        self.kept().max(1) + self.surplus.get()
     }
 
     /// Lends a connection for an organisation, preferably one with the
@@ -122,12 +131,16 @@
     }
 
     async fn open(self: &Rc<Self>, organisation: &Organisation, deadline: Instant) -> Result<Lent> {
+        if self.openings.is_paused() {
+            bail!(ErrorKind::QueueFull);
+        }
         let place = Place::new(self);
         let span = CONNECT_TIMEOUT.min(deadline.remaining());
         let opening = Connection::open(self.dialect, Rc::clone(&self.member), organisation.clone());
         match timeout(span, opening).await {
             Ok(Ok(connection)) => {
                 self.health.hear(None);
+                self.openings.succeed();
                 Ok(Lent {
                     connection: Some(connection),
                     place,
@@ -135,7 +148,10 @@
             }
             Ok(Err(report)) => {
                 match report.current_context() {
-                    ErrorKind::QueueFull => self.surplus.set(0),
+                    ErrorKind::QueueFull => {
+                        self.surplus.set(0);
+                        self.openings.refuse();
+                    }
                     _ => self.health.suspect(),
                 }
                 Err(report)
@@ -192,12 +208,13 @@
         if sweeps.is_multiple_of(GROWTH_SWEEPS) {
             self.surplus.set((self.surplus.get() + 1).min(SURPLUS));
         }
-        let mut above = self.open.get().saturating_sub(self.share.get());
+        let mut above = self.open.get().saturating_sub(self.kept());
+        let hold = self.openings.hold(self.share.get() % ONE, IDLE_LIMIT);
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
         idle.retain(|connection| {
             let unused = connection.used().elapsed();
-            let is_surplus = above > 0 && unused > SURPLUS_LIMIT;
+            let is_surplus = above > 0 && unused > hold;
             let is_kept = !is_surplus && unused < IDLE_LIMIT && connection.is_quiet();
             above -= usize::from(!is_kept && above > 0);
             is_kept
--- a/crates/burdockslip_upstream/src/pools.rs
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -15,16 +15,15 @@
 
 use crate::{Connection, MemberPool};
 
-/// The part of a member's connections that hosts together keep, in percent. A
-/// member holds the connections of hosts that lost power for seconds, and the
+/// The part of a member's connections that hosts together keep, in thousandths. A member holds the connections of hosts that lost power for seconds, and the
 /// hosts need others as soon as they are back.
-const KEPT_PERCENT: usize = 50;
+const KEPT_THOUSANDTHS: usize = 500;
 
 /// How often silent members are looked for.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
 
 /// How often idle connections are looked through.
-const SWEEP_TICKS: u32 = 10;
+const SWEEP_TICKS: u32 = 2;
 
 /// How long statements may wait without an answer before the member is probed.
 /// Ordinary statements take up to 300 ms.
@@ -149,7 +148,7 @@
             .as_ref()
             .and_then(|configuration| configuration.services.get(group))
             .map_or(1, |service| service.connections);
-        (limit.saturating_mul(KEPT_PERCENT) / 100 / self.hosts.get()).max(1)
+        limit.saturating_mul(KEPT_THOUSANDTHS) / self.hosts.get()
     }
 
     /// Members want the name of an organisation; any one will do for control.
--- /dev/null
+++ b/crates/burdockslip_upstream/tests/openings.rs
@@ -0,0 +1,63 @@
+//! Guards the pace at which connections to a member are opened and kept.
+
+use std::time::Duration;
+
+use burdockslip_runtime::{paused, sleep};
+use burdockslip_upstream::Openings;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Guards against hosts that ask a member without connections every few
+/// milliseconds, which takes the place of hosts that could be served.
+#[test]
+fn refusals_hold_openings_back_ever_longer() {
+    paused::run(1, async {
+        let openings = Openings::default();
+        let mut attempts = 0;
+        for _ in 0..300 {
+            if !openings.is_paused() {
+                attempts += 1;
+                openings.refuse();
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert!(attempts <= 15, "{attempts} attempts in 3 s");
+        assert!(attempts >= 5, "{attempts} attempts in 3 s");
+    });
+}
+
+/// Guards against long pauses after a member has connections again.
+#[test]
+fn success_ends_the_growth_of_pauses() {
+    paused::run(1, async {
+        let openings = Openings::default();
+        (0..5).for_each(|_| openings.refuse());
+        sleep(Duration::from_secs(1)).await;
+        assert!(!openings.is_paused());
+        openings.succeed();
+        openings.refuse();
+        assert!(openings.is_paused());
+        sleep(Duration::from_millis(80)).await;
+        assert!(!openings.is_paused());
+    });
+}
+
+/// Guards against hosts that together keep more connections than a member has:
+/// a host that opens one each 500 ms and may keep half a connection.
+#[test]
+fn connections_are_kept_for_the_share() {
+    paused::run(1, async {
+        let openings = Openings::default();
+        assert_eq!(openings.hold(500, LIMIT), LIMIT);
+        for _ in 0..60 {
+            openings.succeed();
+            sleep(Duration::from_millis(500)).await;
+        }
+        let held = openings.hold(500, LIMIT);
+        assert!(
+            held > Duration::from_millis(220) && held < Duration::from_millis(320),
+            "{held:?}"
+        );
+        assert_eq!(openings.hold(0, LIMIT), Duration::from_millis(100));
+    });
+}
