Spare calls to the store while a fleet starts

Now a host without a coordinator watches only the record of the duty, the configuration is confirmed again only after the first load, and a permission is renewed only when its lease is known.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -71,7 +71,7 @@
     /// Changes up to this revision are not kept.
     forgotten: Cell<Revision>,
     pub(crate) applied: Cell<Revision>,
-    pub(crate) relay: RefCell<Option<Relay>>,
+    pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
     is_loaded: Cell<bool>,
     pub(crate) is_leading: Cell<bool>,
     changed: Signal,
@@ -196,8 +196,10 @@
     }
 
     /// Gets changes from a peer while `relay` supplies them, and from the store else.
-    pub fn set_relay(&self, relay: Relay) {
-        *self.shared.relay.borrow_mut() = Some(relay);
+    ///
+    /// While `relay` fails with `NoPrimary`, only the record `leader` is watched.
+    pub fn set_relay(&self, relay: Relay, leader: &'static str) {
+        *self.shared.relay.borrow_mut() = Some((relay, leader));
     }
 
     /// Tells of every change.
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -8,7 +8,7 @@
 use burdockslip_types::{ErrorKind, Result};
 use error_stack::Report;
 use futures::StreamExt;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::directory::Shared;
 
@@ -67,7 +67,8 @@
                     warn!(?error, "store unreachable, serving from known state");
                 }
                 is_reachable = false;
-                follow_peer(&shared).await;
+                let relayed = follow_peer(&shared).await;
+                debug!(?relayed, "peer passes nothing on");
                 let spread = u32::try_from(random_range(75..125)).unwrap_or(100);
                 sleep(pause * spread / 100).await;
                 pause = (pause * 2).min(MAX_RETRY);
@@ -87,10 +88,15 @@
 /// Applies changes until some may have been missed.
 async fn apply(shared: &Shared) {
     loop {
-        follow_peer(shared).await;
-        let opened = shared.store.watch("", shared.applied.get());
+        // Without a leader only its record is watched, because every host
+        // registers while a fleet starts, and each answer of a watch costs a call.
+        let prefix = match follow_peer(shared).await {
+            Some((ErrorKind::NoPrimary, leader)) => leader,
+            _ => "",
+        };
+        let opened = shared.store.watch(prefix, shared.applied.get());
         let outcome = match within(CALL_TIMEOUT, opened).await {
-            Ok(watch) => follow_store(shared, watch).await,
+            Ok(watch) => follow_store(shared, watch, prefix).await,
             Err(error) => Err(error),
         };
         if let Err(error) = outcome {
@@ -100,24 +106,29 @@
     }
 }
 
-/// Applies what a peer passes on, until it does not.
-async fn follow_peer(shared: &Shared) {
+/// Applies what a peer passes on, until it does not; returns why, and the key
+/// of the leader's record.
+async fn follow_peer(shared: &Shared) -> Option<(ErrorKind, &'static str)> {
     let relay = shared.relay.borrow().clone();
-    let Some(relay) = relay.filter(|_| shared.is_loaded()) else {
-        return;
-    };
-    while let Ok(changes) = within(RELAY_TIMEOUT, relay(shared.applied.get())).await {
-        for event in changes.events {
-            apply_event(shared, event);
+    let (relay, leader) = relay.filter(|_| shared.is_loaded())?;
+    loop {
+        match within(RELAY_TIMEOUT, relay(shared.applied.get())).await {
+            Ok(changes) => {
+                for event in changes.events {
+                    apply_event(shared, event);
+                }
+                shared
+                    .applied
+                    .set(shared.applied.get().max(changes.revision));
+            }
+            Err(report) => return Some((*report.current_context(), leader)),
         }
-        shared
-            .applied
-            .set(shared.applied.get().max(changes.revision));
     }
 }
 
-/// Applies the changes of a watch, until a peer may pass them on.
-async fn follow_store(shared: &Shared, mut watch: Watch) -> Result<()> {
+/// Applies the changes of a watch, until a peer may pass them on. A watch of a
+/// part of the store does not say up to where everything is known.
+async fn follow_store(shared: &Shared, mut watch: Watch, prefix: &str) -> Result<()> {
     let until = now() + RELAY_PAUSE;
     loop {
         let wait = if shared.is_leading.get() {
@@ -126,7 +137,13 @@
             until.remaining()
         };
         match timeout(wait, watch.next()).await {
-            Ok(Some(Ok(event))) => apply_event(shared, event),
+            Ok(Some(Ok(Event::Progress(_)))) if !prefix.is_empty() => {}
+            Ok(Some(Ok(event))) => {
+                apply_event(shared, event);
+                if !prefix.is_empty() {
+                    return Ok(());
+                }
+            }
             Ok(Some(Err(error))) => return Err(error),
             Ok(None) => return Err(Report::new(ErrorKind::StoreUnavailable).attach("watch ended")),
             Err(_) if shared.is_leading.get() => {
@@ -153,7 +170,8 @@
         } else {
             CONFIRM_AGE
         };
-        if shared.age().is_some_and(|age| age < limit) {
+        // The first load confirms, too, and without it there is nothing to keep up.
+        if !shared.is_loaded() || shared.age().is_some_and(|age| age < limit) {
             sleep(CONFIRM_TICK).await;
             continue;
         }
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -1,12 +1,14 @@
 //! Guards what a host knows from the store and how old that is.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Configuration, Directory, Member, Role, Schema};
+use burdockslip_directory::{Changes, Configuration, Directory, Member, Relay, Role, Schema};
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_store::{Event, Faults, MemoryStore};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Result, Revision, Zone};
-use error_stack::bail;
+use error_stack::{bail, ensure};
+use futures::FutureExt;
 
 const SCHEMA: Schema = Schema {
     configuration: "config",
@@ -200,6 +202,43 @@
     });
 }
 
+/// Guards against a fleet that starts and makes a call of every host for each
+/// registration of another one.
+#[test]
+fn only_the_leader_is_watched_while_there_is_none() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        let directory = open(&store);
+        let knowing = directory.clone();
+        let relay: Relay = Rc::new(move |revision| {
+            let has_leader = knowing.record("leader").is_some();
+            async move {
+                ensure!(has_leader, ErrorKind::NoPrimary);
+                std::future::pending::<()>().await;
+                Ok(Changes {
+                    events: Vec::new(),
+                    revision,
+                })
+            }
+            .boxed_local()
+        });
+        directory.set_relay(relay, "leader");
+        wait().await;
+        let known = store.calls();
+        assert_eq!(known.ranges, 1, "the first load confirms, too");
+        for host in 0..20 {
+            store.put(&format!("hosts/{host}"), b"here");
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert!(directory.records("hosts/").is_empty());
+        assert_eq!(store.calls().watches, known.watches);
+        store.put("leader", b"host-1");
+        sleep(Duration::from_millis(20)).await;
+        assert!(directory.record("leader").is_some());
+    });
+}
+
 fn key(event: &Event) -> Option<&str> {
     match event {
         Event::Put(entry) => Some(&entry.key),
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -123,7 +123,7 @@
             ready(Ok(knowing.record(keys::DUTY)))
         });
         let relay = report::relay(coordinator.clone(), settings.host.clone(), &peers);
-        directory.set_relay(relay);
+        directory.set_relay(relay, keys::DUTY);
         let peer_server = PeerServer::bind(settings.peer_address, router)?;
         let stop = Rc::new(Stop::default());
         let is_draining = Rc::new(Cell::new(false));
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -9,7 +9,7 @@
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
 use burdockslip_types::{ErrorKind, HostId, Link, MemberName};
-use error_stack::bail;
+use error_stack::{bail, ensure};
 use futures::FutureExt;
 use futures::future::select;
 use tracing::{debug, info};
@@ -47,12 +47,14 @@
 pub(crate) fn relay(coordinator: Coordinator, host: HostId, peers: &PeerPool) -> Relay {
     let link: Link<FollowExchange> = peers.link();
     Rc::new(move |revision| {
-        let holder = coordinator.duty.holder().filter(|holder| *holder != host);
+        let holder = coordinator.duty.holder();
+        let is_own = holder.as_ref() == Some(&host);
         let link = link.clone();
         async move {
             let Some(holder) = holder else {
                 bail!(ErrorKind::NoPrimary);
             };
+            ensure!(!is_own, ErrorKind::Conflict);
             link.call(&holder, revision).await
         }
         .boxed_local()
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -205,7 +205,9 @@
         } else {
             RENEW_AGE
         };
-        if shared.proof.get().is_some_and(|at| at.elapsed() < limit) {
+        // Without a lease there is nothing to renew, and its record will be told.
+        let has_fence = shared.fence().is_some();
+        if !has_fence || shared.proof.get().is_some_and(|at| at.elapsed() < limit) {
             sleep(RENEW_TICK.min(limit / 2)).await;
             continue;
         }
