Hand out part of the tolerated slack, and bound tokens of a fleet that starts

Cause: with 140 hosts a small organisation (rate and burst below 10) was refused below its rate: each host that served it kept a token for the next operation, and what hosts kept was taken off the burst of the common bucket.

Now half of the slack that the operators tolerate is added to what the bucket and the hosts hold together, and a host that starts draws its first token with the probability that keeps all of them within burst and slack.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -38,6 +38,7 @@
     permission: Permission,
     cached: Rc<RefCell<Rc<Known>>>,
     allocator: Rc<RefCell<(Revision, Allocator)>>,
+    rate_slack: u32,
 }
 
 impl Coordinator {
@@ -46,6 +47,7 @@
         directory: Directory,
         supervisor: Supervisor,
         permission: Permission,
+        rate_slack: u32,
     ) -> Self {
         Self {
             duty,
@@ -53,7 +55,8 @@
             supervisor,
             permission,
             cached: Rc::default(),
-            allocator: Rc::default(),
+            allocator: Rc::new(RefCell::new((Revision(0), Allocator::new(rate_slack)))),
+            rate_slack,
         }
     }
 
@@ -108,7 +111,7 @@
         let known = self.known();
         let mut allocator = self.allocator.borrow_mut();
         if allocator.0 != token {
-            *allocator = (token, Allocator::default());
+            *allocator = (token, Allocator::new(self.rate_slack));
         }
         let grants = allocator
             .1
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -92,10 +92,12 @@
             directory.clone(),
             supervisor,
             permission.clone(),
+            settings.rate_slack,
         );
         let metrics = Metrics::new()?;
         let limits = Limits {
             sessions: settings.sessions,
+            rate_slack: settings.rate_slack,
         };
         let cx = Rc::new(Context::new(
             adapter.dialect,
--- a/crates/burdockslip_entry/src/settings.rs
+++ b/crates/burdockslip_entry/src/settings.rs
@@ -24,6 +24,9 @@
     pub sessions: usize,
     /// The processor time of the host, in thousandths of a core.
     pub capacity: u32,
+    /// Operations of an organisation beyond rate and burst that the operators
+    /// tolerate in a window.
+    pub rate_slack: u32,
     /// How long a planned stop may take.
     pub grace: Duration,
 }
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -27,6 +27,9 @@
 pub struct Limits {
     /// Client connections that may be open at once.
     pub sessions: usize,
+    /// Operations of an organisation beyond rate and burst that all hosts may
+    /// admit together in a window.
+    pub rate_slack: u32,
 }
 
 /// Holds what all sessions of a host share.
@@ -73,7 +76,7 @@
             directory,
             pools,
             permission,
-            rates: Rc::default(),
+            rates: Rc::new(RefCell::new(LocalRates::new(limits.rate_slack))),
             starved: Rc::default(),
             granted: Rc::default(),
             freshness: Freshness::default(),
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -25,9 +25,14 @@
 /// Counts demand below this rate as none, in operations a second.
 const LEAST_DEMAND: f64 = 0.05;
 
-/// The part of the burst that hosts may hold for operations to come.
+/// The part of burst and slack that hosts may hold for operations to come.
 const HELD_PART: f64 = 0.6;
 
+/// The part of the slack that is handed out. Tokens that a host holds are of no
+/// use elsewhere, so that small organisations would be refused below their
+/// rate; the rest is for changes of the coordinator and for restarts.
+const SLACK_PART: f64 = 0.5;
+
 /// The part of the burst that the bucket holds in any case, so that tokens go
 /// on being handed out while hosts keep many.
 const LEAST_BURST: f64 = 0.2;
@@ -62,8 +67,10 @@
 }
 
 /// Keeps the grants of all hosts while this host is the coordinator.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Allocator {
+    /// The operations beyond rate and burst that the operators tolerate.
+    slack: f64,
     hosts: HashMap<HostId, HostState>,
     /// Sums over all hosts, kept up to date because a fleet reports often.
     totals: HashMap<Organisation, Share>,
@@ -72,6 +79,18 @@
 }
 
 impl Allocator {
+    /// Builds an allocator that knows no grants; `slack` is how many operations
+    /// beyond rate and burst the operators tolerate in a window.
+    pub fn new(slack: u32) -> Self {
+        Self {
+            slack: f64::from(slack),
+            hosts: HashMap::new(),
+            totals: HashMap::new(),
+            buckets: HashMap::new(),
+            begun: None,
+        }
+    }
+
     /// Answers a host's report; `registered` lists the hosts that may hold grants.
     pub fn grant(
         &mut self,
@@ -122,13 +141,14 @@
     fn take(&mut self, demand: &Demand, limits: &Limits, rate: f64) -> f64 {
         let total = self.totals.get(&demand.organisation);
         let kept = total.copied().unwrap_or_default().kept;
-        let burst = (limits.burst - kept).max(limits.burst * LEAST_BURST);
+        let whole = limits.burst + self.slack * SLACK_PART;
+        let burst = (whole - kept).max(limits.burst * LEAST_BURST);
         let bucket = self
             .buckets
             .entry(demand.organisation.clone())
             .or_insert_with(|| Bucket::new(limits.rate));
         bucket.fill(rate, burst);
-        let is_scarce = kept >= limits.burst * HELD_PART;
+        let is_scarce = kept >= whole * HELD_PART;
         let wanted = if is_scarce {
             demand.waiting
         } else {
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Account;
-use burdockslip_runtime::{Instant, now};
+use burdockslip_runtime::{Instant, now, random_range};
 use burdockslip_types::Organisation;
 
 use crate::{Demand, Grant};
@@ -45,6 +45,12 @@
 /// The part of an organisation's burst that a fraction includes.
 const FALLBACK_BURST: f64 = 0.6;
 
+/// The steps in which the probability of a token at the start is drawn.
+const DRAWS: u32 = 10_000;
+
+/// The part of the slack that hosts share out at their start.
+const START_SLACK: f64 = 0.25;
+
 /// Says whether an operation may run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Admission {
@@ -68,6 +74,8 @@
 #[derive(Debug)]
 struct Holding {
     tokens: f64,
+    /// Whether the host has not heard from the coordinator and used nothing yet.
+    is_new: bool,
     fraction: f64,
     filled: Instant,
     wanted: f64,
@@ -83,9 +91,20 @@
     answered: Option<Instant>,
     has_failed: bool,
     start: f64,
+    /// The operations beyond rate and burst that the operators tolerate.
+    slack: f64,
 }
 
 impl LocalRates {
+    /// Builds the state of a host that holds nothing; `slack` is how many
+    /// operations beyond rate and burst the operators tolerate in a window.
+    pub fn new(slack: u32) -> Self {
+        Self {
+            slack: f64::from(slack),
+            ..Self::default()
+        }
+    }
+
     /// Sets the number of hosts, which gives a host that has just started and
     /// has not heard from the coordinator a part to start with.
     pub fn set_hosts(&mut self, hosts: usize) {
@@ -104,7 +123,11 @@
     pub fn admit(&mut self, account: &Account) -> Admission {
         let age = self.answered.map(Instant::elapsed);
         let is_alone = self.has_failed || age.is_none_or(|age| age > FALLBACK_AFTER);
+        let slack = self.slack;
         let holding = self.holding(&account.name);
+        if std::mem::take(&mut holding.is_new) {
+            holding.start(account, slack);
+        }
         holding.fill(account, is_alone);
         if holding.tokens >= 1.0 {
             holding.tokens -= 1.0;
@@ -185,7 +208,8 @@
         self.holdings
             .entry(organisation.clone())
             .or_insert_with(|| Holding {
-                tokens: if fraction > 0.0 { 1.0 } else { 0.0 },
+                tokens: 0.0,
+                is_new: fraction > 0.0,
                 fraction,
                 filled: now(),
                 wanted: 0.0,
@@ -197,6 +221,17 @@
 }
 
 impl Holding {
+    /// Gives a host that starts a token with the probability with which all
+    /// hosts that start together stay within burst and slack.
+    fn start(&mut self, account: &Account, slack: f64) {
+        let part = account.burst * FALLBACK_BURST + slack * START_SLACK;
+        let share = (self.fraction * part).min(1.0);
+        let drawn = u32::try_from(random_range(0..u64::from(DRAWS))).unwrap_or(DRAWS);
+        if f64::from(drawn) < share * f64::from(DRAWS) {
+            self.tokens = 1.0;
+        }
+    }
+
     /// Fills by the host's fraction while the coordinator cannot be reached.
     fn fill(&mut self, account: &Account, is_alone: bool) {
         let span = self.filled.elapsed().as_secs_f64();
