Report to the coordinator only what it does not know

Each repeated the positions of all groups, and the regular ones every organisation used in the last 30 s.

Now a report holds the positions that rose since the last one that was answered, and the organisations with operations since then or with half the demand; a host that hears from a new coordinator tells everything. Numbers take 4 bytes. An organisation that a host forgets is reported once more, since what the host kept of it stayed in the sums.

--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -1,5 +1,6 @@
 //! Reports to the coordinator and follows what it passes on.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,7 +9,8 @@
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
-use burdockslip_types::{ErrorKind, HostId, Link, MemberName};
+use burdockslip_shares::Scope;
+use burdockslip_types::{ErrorKind, GroupName, HostId, Link, Mark, MemberName, Revision};
 use error_stack::{bail, ensure};
 use futures::FutureExt;
 use futures::future::select;
@@ -43,6 +45,25 @@
 /// replicas. Ordinary commits take up to 100 ms.
 const COMMIT_LIMIT: Duration = Duration::from_millis(700);
 
+/// Holds what the coordinator was told, so that it is not told again.
+#[derive(Debug, Default)]
+struct Delivered {
+    /// The revision of the duty's record, which tells one coordinator from the next.
+    term: Option<Revision>,
+    /// Whether the last report was answered.
+    is_told: bool,
+    acknowledged: HashMap<GroupName, Mark>,
+}
+
+impl Delivered {
+    /// Returns the positions that the coordinator does not know.
+    fn news(&self, known: &[(GroupName, Mark)]) -> Vec<(GroupName, Mark)> {
+        let is_new =
+            |(group, mark): &&(GroupName, Mark)| self.acknowledged.get(group) != Some(mark);
+        known.iter().filter(is_new).cloned().collect()
+    }
+}
+
 /// Returns the function that gets changes from the coordinator.
 pub(crate) fn relay(coordinator: Coordinator, host: HostId, peers: &PeerPool) -> Relay {
     let link: Link<FollowExchange> = peers.link();
@@ -67,6 +88,7 @@
     let mut complete = None;
     let mut failed = None;
     let mut suspected = Vec::new();
+    let mut delivered = Delivered::default();
     loop {
         let sent = now();
         let seen = cx.starved.epoch();
@@ -84,11 +106,23 @@
         if is_full {
             complete = Some(sent);
         }
-        let demands = cx.rates.borrow_mut().demands(is_full);
+        let term = cx.directory.record(keys::DUTY).map(|entry| entry.revision);
+        if term != delivered.term {
+            delivered = Delivered {
+                term,
+                ..Delivered::default()
+            };
+        }
+        let scope = match (delivered.is_told, is_full) {
+            (false, _) => Scope::All,
+            (true, true) => Scope::Changed,
+            (true, false) => Scope::Urgent,
+        };
+        let acknowledged = cx.acknowledged();
         let report = Report {
             suspects,
-            acknowledged: cx.acknowledged(),
-            demands,
+            acknowledged: delivered.news(&acknowledged),
+            demands: cx.rates.borrow_mut().demands(scope),
         };
         let outcome = deliver(&coordinator, &host, &link, report).await;
         let error = outcome.as_ref().err().copied();
@@ -97,7 +131,9 @@
                 outcome = ?error, "report to the coordinator");
             failed = error;
         }
+        delivered.is_told = outcome.is_ok();
         if let Ok(verdict) = outcome {
+            delivered.acknowledged = acknowledged.into_iter().collect();
             // What held some time before the answer held that long before the report, too.
             if let Some((revision, age)) = verdict.configuration {
                 cx.directory.confirm(revision, sent - age);
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -7,6 +7,7 @@
 use burdockslip_types::{HostId, Organisation};
 
 use crate::bucket::Bucket;
+use crate::message::{short, whole};
 use crate::{Demand, Grant};
 
 /// How long a silent host is taken to use what it was granted. Hosts stop
@@ -119,18 +120,21 @@
             let Some(limits) = organisations.get(organisation) else {
                 continue;
             };
+            if demand.is_over() {
+                continue;
+            }
             let fraction = self.fraction(host, organisation, count, unknown > 0);
             let silent = self.silent_part(organisation) + unknown_part;
             let rate = limits.rate * (1.0 - silent).max(0.0);
             let tokens = self.take(demand, limits, rate);
             let mut share = self.share(host, organisation);
             share.bound = share.bound.max(fraction);
-            share.kept += tokens;
+            share.kept += f64::from(tokens);
             self.set_share(host, organisation, share);
             grants.push(Grant {
                 organisation: organisation.clone(),
                 tokens,
-                fraction,
+                fraction: short(fraction),
             });
         }
         grants
@@ -138,23 +142,23 @@
 
     /// Takes tokens for operations that wait, and for those to come as long as
     /// hosts do not hold too many. What hosts hold counts against the burst.
-    fn take(&mut self, demand: &Demand, limits: &Limits, rate: f64) -> f64 {
+    fn take(&mut self, demand: &Demand, limits: &Limits, rate: f64) -> u32 {
         let total = self.totals.get(&demand.organisation);
         let kept = total.copied().unwrap_or_default().kept;
-        let whole = limits.burst + self.slack * SLACK_PART;
-        let burst = (whole - kept).max(limits.burst * LEAST_BURST);
+        let budget = limits.burst + self.slack * SLACK_PART;
+        let burst = (budget - kept).max(limits.burst * LEAST_BURST);
         let bucket = self
             .buckets
             .entry(demand.organisation.clone())
             .or_insert_with(|| Bucket::new(limits.rate));
         bucket.fill(rate, burst);
-        let is_scarce = kept >= whole * HELD_PART;
+        let is_scarce = kept >= budget * HELD_PART;
         let wanted = if is_scarce {
             demand.waiting
         } else {
-            demand.waiting + demand.hold
+            demand.waiting.saturating_add(demand.hold)
         };
-        bucket.take(wanted)
+        whole(bucket.take(f64::from(wanted)))
     }
 
     /// Drops hosts that can no longer use what they were granted.
@@ -185,11 +189,11 @@
         });
         state.reported = now();
         for demand in demands {
-            let is_wanted = demand.wanted >= LEAST_DEMAND;
+            let wanted = f64::from(demand.wanted);
             let share = Share {
-                wanted: if is_wanted { demand.wanted } else { 0.0 },
-                kept: demand.kept,
-                bound: demand.held,
+                wanted: if wanted >= LEAST_DEMAND { wanted } else { 0.0 },
+                kept: f64::from(demand.kept),
+                bound: f64::from(demand.held),
             };
             self.set_share(host, &demand.organisation, share);
         }
--- a/crates/burdockslip_shares/src/lib.rs
+++ b/crates/burdockslip_shares/src/lib.rs
@@ -11,5 +11,5 @@
 mod message;
 
 pub use allocator::{Allocator, GRANT_MEMORY, Limits};
-pub use local::{Admission, LocalRates, Refusal};
+pub use local::{Admission, LocalRates, Refusal, Scope};
 pub use message::{Demand, Grant};
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -7,6 +7,7 @@
 use burdockslip_runtime::{Instant, now, random_range};
 use burdockslip_types::Organisation;
 
+use crate::message::{short, whole};
 use crate::{Demand, Grant};
 
 /// The time over which demand is averaged.
@@ -51,6 +52,24 @@
 /// The part of the slack that hosts share out at their start.
 const START_SLACK: f64 = 0.25;
 
+/// The part of the last reported demand below which it is reported again
+/// although there were no operations.
+const DECAY_PART: f64 = 0.5;
+
+/// Reports demand below this rate as none, in operations a second.
+const LEAST_TOLD: f64 = 0.05;
+
+/// Says what the coordinator is to be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Everything, because it may know nothing.
+    All,
+    /// What it knows differently.
+    Changed,
+    /// What cannot wait for the next regular report.
+    Urgent,
+}
+
 /// Says whether an operation may run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Admission {
@@ -82,6 +101,10 @@
     measured: Instant,
     waiting: usize,
     denied: Option<Instant>,
+    /// The demand that the coordinator was told last.
+    told: Option<f64>,
+    /// Whether there were operations since then.
+    is_used: bool,
 }
 
 /// Keeps the tokens of one host.
@@ -117,6 +140,7 @@
         let holding = self.holding(organisation);
         holding.wanted = holding.wanted_now() + 1.0 / DEMAND_SPAN.as_secs_f64();
         holding.measured = now();
+        holding.is_used = true;
     }
 
     /// Takes a token for an operation, if there is one.
@@ -159,24 +183,31 @@
         self.holdings.values().any(Holding::is_low)
     }
 
-    /// Returns what the coordinator should know of all organisations, or only
-    /// of those that need tokens now.
-    pub fn demands(&mut self, is_full: bool) -> Vec<Demand> {
-        self.holdings
-            .retain(|_, holding| holding.measured.elapsed() < FORGET_AFTER);
-        let is_due = |holding: &Holding| is_full || holding.waiting > 0 || holding.is_low();
-        self.holdings
-            .iter()
-            .filter(|(_, holding)| is_due(holding))
-            .map(|(name, holding)| Demand {
-                organisation: name.clone(),
-                wanted: holding.wanted_now(),
-                waiting: holding.needed(),
-                hold: holding.lack(),
-                kept: holding.tokens,
-                held: holding.fraction,
-            })
-            .collect()
+    /// Returns what the coordinator should know.
+    pub fn demands(&mut self, scope: Scope) -> Vec<Demand> {
+        let mut demands = Vec::new();
+        self.holdings.retain(|name, holding| {
+            let is_over = holding.measured.elapsed() >= FORGET_AFTER;
+            let is_due = match scope {
+                Scope::All => true,
+                Scope::Changed => holding.has_changed() || holding.is_urgent(),
+                Scope::Urgent => holding.is_urgent(),
+            };
+            if is_over {
+                demands.push(Demand {
+                    organisation: name.clone(),
+                    wanted: 0.0,
+                    waiting: 0,
+                    hold: 0,
+                    kept: 0.0,
+                    held: 0.0,
+                });
+            } else if is_due {
+                demands.push(holding.demand(name));
+            }
+            !is_over
+        });
+        demands
     }
 
     /// Notes that the coordinator did not answer, so that the host uses its
@@ -191,10 +222,10 @@
         self.has_failed = false;
         for grant in grants {
             let holding = self.holding(&grant.organisation);
-            let was_lacking = holding.needed() > 0.0;
-            holding.tokens += grant.tokens.max(0.0);
-            holding.fraction = grant.fraction.clamp(0.0, 1.0);
-            let is_denied = was_lacking && grant.tokens < 1.0 && holding.tokens < 1.0;
+            let was_lacking = holding.needed() > 0;
+            holding.tokens += f64::from(grant.tokens);
+            holding.fraction = f64::from(grant.fraction).clamp(0.0, 1.0);
+            let is_denied = was_lacking && grant.tokens == 0 && holding.tokens < 1.0;
             holding.denied = is_denied.then(|| now() + DENIAL_SPAN);
         }
     }
@@ -216,6 +247,8 @@
                 measured: now(),
                 waiting: 0,
                 denied: None,
+                told: None,
+                is_used: false,
             })
     }
 }
@@ -266,14 +299,41 @@
         level >= LOW_LEVEL && self.tokens < level * LOW_PART
     }
 
+    /// Returns whether the coordinator should be asked before the next report.
+    fn is_urgent(&self) -> bool {
+        self.waiting > 0 || self.is_low()
+    }
+
+    /// Returns whether the coordinator knows something else.
+    fn has_changed(&self) -> bool {
+        let has_decayed = |told: f64| told > 0.0 && self.wanted_now() < told * DECAY_PART;
+        self.is_used || self.told.is_none_or(has_decayed)
+    }
+
+    /// Returns what to tell the coordinator.
+    fn demand(&mut self, organisation: &Organisation) -> Demand {
+        let wanted = self.wanted_now();
+        let wanted = if wanted < LEAST_TOLD { 0.0 } else { wanted };
+        self.told = Some(wanted);
+        self.is_used = false;
+        Demand {
+            organisation: organisation.clone(),
+            wanted: short(wanted),
+            waiting: self.needed(),
+            hold: self.lack(),
+            kept: short(self.tokens),
+            held: short(self.fraction),
+        }
+    }
+
     /// Returns the tokens that operations wait for.
-    fn needed(&self) -> f64 {
+    fn needed(&self) -> u32 {
         let waiting = u32::try_from(self.waiting).map_or(0.0, f64::from);
-        (waiting - self.tokens).ceil().max(0.0)
+        whole((waiting - self.tokens).ceil())
     }
 
     /// Returns the tokens that are missing for operations to come.
-    fn lack(&self) -> f64 {
-        (self.level() - self.tokens).ceil().max(0.0)
+    fn lack(&self) -> u32 {
+        whole((self.level() - self.tokens).ceil())
     }
 }
--- a/crates/burdockslip_shares/src/message.rs
+++ b/crates/burdockslip_shares/src/message.rs
@@ -1,6 +1,7 @@
 //! Defines what hosts and the coordinator tell each other about rates.
 
 use burdockslip_types::Organisation;
+use num_traits::ToPrimitive;
 use serde::{Deserialize, Serialize};
 
 /// Tells the coordinator what a host holds and wants of one organisation's rate.
@@ -9,15 +10,22 @@
     /// The organisation.
     pub organisation: Organisation,
     /// The operations a second that clients asked for lately.
-    pub wanted: f64,
+    pub wanted: f32,
     /// The tokens for operations that wait.
-    pub waiting: f64,
+    pub waiting: u32,
     /// The tokens that the host would like to hold for operations to come.
-    pub hold: f64,
+    pub hold: u32,
     /// The tokens that the host has not used yet.
-    pub kept: f64,
+    pub kept: f32,
     /// The fraction of the rate that the host may use without the coordinator.
-    pub held: f64,
+    pub held: f32,
+}
+
+impl Demand {
+    /// Returns whether the host uses the organisation no longer.
+    pub const fn is_over(&self) -> bool {
+        self.wanted <= 0.0 && self.kept <= 0.0 && self.held <= 0.0 && self.waiting == 0
+    }
 }
 
 /// Tells a host what it may use of an organisation's rate.
@@ -26,7 +34,18 @@
     /// The organisation.
     pub organisation: Organisation,
     /// The tokens handed out, each good for one operation.
-    pub tokens: f64,
+    pub tokens: u32,
     /// The fraction of the rate that the host may use without the coordinator.
-    pub fraction: f64,
+    pub fraction: f32,
+}
+
+/// Shortens a number for a message; hosts report often, and the bytes between
+/// availability zones are charged.
+pub(crate) fn short(value: f64) -> f32 {
+    value.to_f32().unwrap_or_default()
+}
+
+/// Returns the whole tokens in `value`.
+pub(crate) fn whole(value: f64) -> u32 {
+    value.max(0.0).to_u32().unwrap_or(u32::MAX)
 }
--- a/crates/burdockslip_shares/tests/rates.rs
+++ b/crates/burdockslip_shares/tests/rates.rs
@@ -5,7 +5,7 @@
 
 use burdockslip_directory::Account;
 use burdockslip_runtime::{now, paused, random_range, sleep};
-use burdockslip_shares::{Admission, Allocator, Limits, LocalRates};
+use burdockslip_shares::{Admission, Allocator, Demand, Limits, LocalRates, Scope};
 use burdockslip_types::{HostId, Organisation};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -51,6 +51,8 @@
 struct Fleet {
     hosts: Vec<(HostId, LocalRates)>,
     allocator: Option<Allocator>,
+    /// The hosts that have reported to the present coordinator.
+    known: HashSet<HostId>,
     admitted: Vec<usize>,
     limits: Limits,
 }
@@ -70,11 +72,17 @@
         Self {
             hosts: (0..count).map(host).collect(),
             allocator: Some(Allocator::new(SLACK)),
+            known: HashSet::new(),
             admitted: Vec::new(),
             limits,
         }
     }
 
+    fn replace(&mut self, allocator: Option<Allocator>) {
+        self.allocator = allocator;
+        self.known.clear();
+    }
+
     fn registered(&self) -> HashSet<HostId> {
         self.hosts.iter().map(|(host, _)| host.clone()).collect()
     }
@@ -89,7 +97,13 @@
             rates.wait(&organisation());
         }
         if let Some(allocator) = &mut self.allocator {
-            let grants = allocator.grant(host, &rates.demands(waiting == 0), &limits, &registered);
+            let is_new = self.known.insert(host.clone());
+            let scope = match (is_new, waiting) {
+                (true, _) => Scope::All,
+                (false, 0) => Scope::Changed,
+                (false, _) => Scope::Urgent,
+            };
+            let grants = allocator.grant(host, &rates.demands(scope), &limits, &registered);
             rates.apply(grants);
         }
         for _ in 0..waiting {
@@ -170,16 +184,16 @@
             for fault in faults {
                 match fault {
                     Fault::None => {}
-                    Fault::NewCoordinator => fleet.allocator = Some(Allocator::new(SLACK)),
-                    Fault::NoCoordinator => fleet.allocator = None,
+                    Fault::NewCoordinator => fleet.replace(Some(Allocator::new(SLACK))),
+                    Fault::NoCoordinator => fleet.replace(None),
                     Fault::Restart => fleet.hosts[0].1 = LocalRates::new(SLACK),
                 }
                 for _ in 0..200 {
                     fleet.step(2).await;
                 }
-                fleet
-                    .allocator
-                    .get_or_insert_with(|| Allocator::new(SLACK));
+                if fleet.allocator.is_none() {
+                    fleet.replace(Some(Allocator::new(SLACK)));
+                }
             }
             fleet.busiest_window()
         });
@@ -345,14 +359,14 @@
     };
     let busiest = paused::run(9, async move {
         let mut fleet = Fleet::with_limits(140, limits);
-        fleet.allocator = None;
+        fleet.replace(None);
         for index in 0..140 {
             fleet.hosts[index].1.set_hosts(140);
         }
         for _ in 0..150 {
             fleet.step(1).await;
         }
-        fleet.allocator = Some(Allocator::new(SLACK));
+        fleet.replace(Some(Allocator::new(SLACK)));
         for _ in 0..WINDOW {
             fleet.step(1).await;
         }
@@ -362,3 +376,27 @@
     let busiest = u32::try_from(busiest).expect("tests admit few operations");
     assert!(f64::from(busiest) <= allowed, "{busiest} of {allowed}");
 }
+
+/// Guards against reports that repeat what the coordinator knows, which are
+/// the larger part of the bytes between availability zones in a large fleet.
+#[test]
+fn unused_organisation_is_reported_until_it_is_known() {
+    paused::run(4, async {
+        let mut rates = LocalRates::new(SLACK);
+        rates.set_hosts(2);
+        rates.want(&organisation());
+        assert_eq!(rates.demands(Scope::Changed).len(), 1);
+        let mut reports = 0;
+        let mut is_over = false;
+        for _ in 0..400 {
+            sleep(STEP * 10).await;
+            let demands = rates.demands(Scope::Changed);
+            reports += demands.len();
+            is_over |= demands.first().is_some_and(Demand::is_over);
+        }
+        // The demand halves four times, then it is none, then it is forgotten.
+        assert!((4..=7).contains(&reports), "{reports}");
+        assert!(is_over);
+        assert!(rates.demands(Scope::All).is_empty());
+    });
+}
