Open transactions at their member while the client gets its answer

The host answers BEGIN itself and chose a member only at the first statement, which then waited for a new connection (12 ms of a slot and two round trips), the session's values and the member's BEGIN.

Now the transaction is opened while the answer to BEGIN is on its way. It is opened anew if its member is no longer the primary, or if it waited more than 100 ms at a replica, because its position is taken at that moment.

--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod context;
 mod freshness;
+mod opening;
 mod outcome;
 mod place;
 mod read;
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -221,7 +221,9 @@
         if let Err(kind) = self.cx.admit(&self.organisation, text(&query.id)).await {
             return Response::failed(kind, Transaction::Idle);
         }
-        self.open = Some(Open::new(access, Rc::clone(route)));
+        let work = Work::Direct(query.text.clone());
+        let job = self.job(route, query.id.clone(), work, access);
+        self.open = Some(Open::new(&self.cx, job, access));
         Response::done(Transaction::Open)
     }
 
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -1,21 +1,16 @@
 //! Runs transactions, each on one connection from its first statement to its end.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use burdockslip_directory::{Consistency, Route};
-use burdockslip_runtime::{Instant, now, sleep, spawn};
-use burdockslip_statement::{Access, Command, Reply, Transaction};
-use burdockslip_types::{ErrorKind, Mark, MemberName};
+use burdockslip_directory::Route;
+use burdockslip_runtime::{Instant, now, spawn};
+use burdockslip_statement::{Access, Command, Reply};
+use burdockslip_types::{ErrorKind, Mark};
 use burdockslip_upstream::Lent;
-use tracing::info;
 
 use crate::context::Context;
-use crate::outcome::{self, Job, Lost, Served, kind_of};
-use crate::place::{self, Place};
-
-/// Pauses before a place is looked for again.
-const PAUSE: Duration = Duration::from_millis(10);
+use crate::opening::{self, Early};
+use crate::outcome::{self, Job, Lost, Served};
 
 /// Holds an open transaction.
 #[derive(Debug)]
@@ -24,6 +19,8 @@
     access: Access,
     /// The route at the start; a change applies to the next transaction.
     pub(crate) route: Rc<Route>,
+    /// The transaction at a member that is opened before the first statement.
+    early: Option<Early>,
     /// The connection, from the first statement on.
     lent: Option<Lent>,
     /// The position that the member's log had to hold at the start.
@@ -35,11 +32,12 @@
 }
 
 impl Open {
-    /// Opens a transaction, for which a member is chosen at its first statement.
-    pub(crate) fn new(access: Access, route: Rc<Route>) -> Self {
+    /// Opens a transaction for the client and starts to open it at a member.
+    pub(crate) fn new(cx: &Rc<Context>, job: Rc<Job>, access: Access) -> Self {
         Self {
             access,
-            route,
+            route: Rc::clone(&job.route),
+            early: Some(Early::spawn(cx, job, access)),
             lent: None,
             floor: None,
             has_written: false,
@@ -73,71 +71,18 @@
         Ok(served)
     }
 
-    /// Chooses a member and opens the transaction there.
+    /// Opens the transaction at a member, unless that was done ahead.
     async fn begin(&mut self, cx: &Rc<Context>, job: &Rc<Job>) -> Result<Lent, ErrorKind> {
-        let mut tried = Vec::new();
-        let mut last = None;
-        loop {
-            let kind = if let Some(place) = self.choose(cx, job, &tried) {
-                tried.push(place.pool.member().name.clone());
-                match self.begin_at(cx, job, &place).await {
-                    Ok(lent) => {
-                        self.floor = place.floor;
-                        return Ok(lent);
-                    }
-                    Err(kind) => kind,
-                }
-            } else {
-                tried.clear();
-                place::refusal(cx, job)
-            };
-            if job.patience().is_past() {
-                return Err(kind);
-            }
-            // An attempt every few milliseconds would fill the log.
-            if last.replace(kind) != Some(kind) {
-                info!(id = job.id(), outcome = ?kind, ?tried,
-                    after_ms = job.started.elapsed().as_millis(),
-                    "transaction not opened, trying again");
-            }
-            sleep(PAUSE).await;
-        }
-    }
-
-    fn choose(&self, cx: &Rc<Context>, job: &Rc<Job>, tried: &[MemberName]) -> Option<Place> {
-        let may_be_replica = matches!(self.route.consistency, Consistency::Bounded { .. });
-        if self.access == Access::Read && may_be_replica {
-            place::choose(cx, job, tried)
-        } else {
-            let place = place::primary(cx, &self.route)?;
-            (!place.pool.health.is_suspected()).then_some(place)
-        }
-    }
-
-    async fn begin_at(&self, cx: &Context, job: &Job, place: &Place) -> Result<Lent, ErrorKind> {
-        let lost = |lost| match lost {
-            Lost::NotSent(kind) => kind,
-            Lost::Broken | Lost::TimedOut => ErrorKind::ConnectionLost,
+        let early = match self.early.take() {
+            Some(early) => early.finish(cx, job).await,
+            None => None,
         };
-        let mut lent = outcome::lend(&place.pool, job).await.map_err(lost)?;
-        if place.floor.is_none() && !outcome::may_use(cx, job, &lent) {
-            return Err(ErrorKind::NoPrimary);
-        }
-        let begin = Command::Begin {
-            access: self.access,
-            floor: place.floor,
+        let begun = match early {
+            Some(begun) => begun,
+            None => opening::begin(cx, job, self.access).await?,
         };
-        let reply = outcome::send(cx, &mut lent, job, begin, false)
-            .await
-            .map_err(lost)?;
-        match reply.result {
-            Ok(_) if reply.state == Transaction::Open => Ok(lent),
-            Ok(_) => Err(ErrorKind::Internal),
-            Err(failure) => {
-                outcome::settle(lent, &reply);
-                Err(kind_of(failure))
-            }
-        }
+        self.floor = begun.floor;
+        Ok(begun.lent)
     }
 
     /// Sends the client's commit.
@@ -177,11 +122,16 @@
 
     /// Rolls back in the background, since the client need not wait for it.
     pub(crate) fn roll_back(mut self, cx: &Rc<Context>, job: Rc<Job>) {
-        let Some(mut lent) = self.lent.take() else {
-            return;
-        };
         let cx = Rc::clone(cx);
+        let (lent, early) = (self.lent.take(), self.early.take());
         spawn(async move {
+            let early = match early {
+                Some(early) => early.finish(&cx, &job).await.map(|begun| begun.lent),
+                None => None,
+            };
+            let Some(mut lent) = lent.or(early) else {
+                return;
+            };
             // A connection without an answer is closed, which rolls back too.
             if let Ok(reply) = outcome::send_quick(&cx, &mut lent, &job, Command::Rollback).await {
                 outcome::settle(lent, &reply);
