Learn positions of primaries at the coordinator for all hosts

Cause: a host uses replicas only with a position of the primary of the last 1.3 s, and asked for it at each read when its own was older than 400 ms. With 140 hosts and 8 groups a host meets a primary less often than that, so nearly each read asked, over a connection that had to be opened first (73,870 openings for 70,746 statements).

A host that starts takes a usual rate of openings for its own, and closes idle connections while the member has none left.

Ruled out: weak hosts (the lost statements spread over 138 of 140) and a surge of clients (as many in the first seconds as later).

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -8,8 +8,9 @@
 use burdockslip_directory::{Account, Changes, Directory};
 use burdockslip_failover::{Duty, Permission, Supervisor};
 use burdockslip_runtime::{now, sleep, timeout_at};
+use burdockslip_session::Freshness;
 use burdockslip_shares::{Allocator, Limits};
-use burdockslip_types::{ErrorKind, HostId, Organisation, Result, Revision};
+use burdockslip_types::{ErrorKind, GroupName, HostId, Mark, Organisation, Result, Revision};
 use error_stack::{bail, ensure};
 
 use crate::messages::{Report, Verdict};
@@ -18,6 +19,9 @@
 /// How long a request for changes waits.
 const FOLLOW_WAIT: Duration = Duration::from_secs(1);
 
+/// Positions above this age are not passed on; reads use those of up to 1.3 s.
+const POSITION_LIMIT: Duration = Duration::from_millis(800);
+
 /// Collects changes that come together into one answer.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(15);
 
@@ -39,6 +43,7 @@
     cached: Rc<RefCell<Rc<Known>>>,
     allocator: Rc<RefCell<(Revision, Allocator)>>,
     rate_slack: u32,
+    freshness: Rc<Freshness>,
 }
 
 impl Coordinator {
@@ -48,6 +53,7 @@
         supervisor: Supervisor,
         permission: Permission,
         rate_slack: u32,
+        freshness: Rc<Freshness>,
     ) -> Self {
         Self {
             duty,
@@ -57,6 +63,7 @@
             cached: Rc::default(),
             allocator: Rc::new(RefCell::new((Revision(0), Allocator::new(rate_slack)))),
             rate_slack,
+            freshness,
         }
     }
 
@@ -101,6 +108,13 @@
         Rc::clone(&cached)
     }
 
+    /// Returns the positions that hosts can use for some time.
+    fn recent_positions(&self) -> Vec<(GroupName, Mark, Duration)> {
+        let mut positions = self.freshness.latest();
+        positions.retain(|(_, _, age)| *age < POSITION_LIMIT);
+        positions
+    }
+
     /// Takes in a report and returns the grants of the host that sent it.
     pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
         let Some(token) = self.duty.leadership() else {
@@ -122,6 +136,11 @@
             configuration: age.map(|age| (self.directory.revision(), age)),
             doubtful: self.supervisor.suspected(),
             permission: self.permission.vouch(),
+            positions: if report.wants_positions {
+                self.recent_positions()
+            } else {
+                Vec::new()
+            },
         })
     }
 }
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -20,7 +20,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
-use crate::{EntrySettings, registration, report};
+use crate::{EntrySettings, positions, registration, report};
 
 /// How often the state that decides about sessions and readiness is looked at.
 const TICK: Duration = Duration::from_millis(100);
@@ -71,7 +71,7 @@
     grace: Duration,
     _listener: Listener,
     _servers: (AdminServer, AdminServer, PeerServer),
-    _tasks: [Task<()>; 3],
+    _tasks: [Task<()>; 4],
 }
 
 impl Host {
@@ -87,13 +87,6 @@
         let duty = Duty::spawn(settings.host.clone(), settings.capacity, directory.clone());
         let promote = adapter.promote;
         let supervisor = Supervisor::spawn(directory.clone(), pools.clone(), duty.clone(), promote);
-        let coordinator = Coordinator::new(
-            duty.clone(),
-            directory.clone(),
-            supervisor,
-            permission.clone(),
-            settings.rate_slack,
-        );
         let metrics = Metrics::new()?;
         let limits = Limits {
             sessions: settings.sessions,
@@ -107,6 +100,14 @@
             metrics.clone(),
             limits,
         ));
+        let coordinator = Coordinator::new(
+            duty.clone(),
+            directory.clone(),
+            supervisor,
+            cx.permission.clone(),
+            settings.rate_slack,
+            Rc::clone(&cx.freshness),
+        );
         let resolver = directory.clone();
         let peers = PeerPool::new(settings.host.clone(), move |host| {
             registration::address(&resolver, host)
@@ -146,6 +147,7 @@
         let host = settings.host.clone();
         let tasks = [
             spawn(registration::run(directory, host.clone(), own)),
+            spawn(positions::run(Rc::clone(&cx), duty.clone())),
             spawn(report::run(Rc::clone(&cx), host, coordinator, peers)),
             spawn(tend(
                 Rc::clone(&cx),
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod coordinator;
 mod host;
 mod messages;
+mod positions;
 mod registration;
 mod report;
 mod settings;
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -17,6 +17,8 @@
     pub acknowledged: Vec<(GroupName, Mark)>,
     /// What the host wants of the organisations' rates.
     pub demands: Vec<Demand>,
+    /// Whether the host wants the positions of primaries.
+    pub wants_positions: bool,
 }
 
 /// Tells a host what it may use.
@@ -30,6 +32,8 @@
     pub doubtful: Vec<MemberName>,
     /// The lease behind permissions and how long ago it was alive.
     pub permission: Option<(LeaseId, Duration)>,
+    /// Positions of primaries and how long ago they were asked for.
+    pub positions: Vec<(GroupName, Mark, Duration)>,
 }
 
 /// Carries reports to the coordinator.
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -123,6 +123,7 @@
             suspects,
             acknowledged: delivered.news(&acknowledged),
             demands: cx.rates.borrow_mut().demands(scope),
+            wants_positions: is_full,
         };
         let outcome = deliver(&coordinator, &host, &link, report).await;
         let error = outcome.as_ref().err().copied();
@@ -141,6 +142,9 @@
             if let Some((lease, age)) = verdict.permission {
                 cx.permission.accept(lease, sent - age);
             }
+            for (group, mark, age) in verdict.positions {
+                cx.freshness.note(&group, sent - age, mark);
+            }
             cx.pools.check(&verdict.doubtful);
             cx.rates.borrow_mut().apply(verdict.grants);
         } else {
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -49,7 +49,7 @@
     /// Wakes operations that wait for tokens.
     pub granted: Rc<Signal>,
     /// Knows positions of the groups' logs.
-    pub freshness: Freshness,
+    pub freshness: Rc<Freshness>,
     /// Counts and measures requests.
     pub metrics: Metrics,
     /// The limits of this host.
@@ -79,7 +79,7 @@
             rates: Rc::new(RefCell::new(LocalRates::new(limits.rate_slack))),
             starved: Rc::default(),
             granted: Rc::default(),
-            freshness: Freshness::default(),
+            freshness: Rc::default(),
             metrics,
             limits,
             acknowledged: RefCell::default(),
--- a/crates/burdockslip_session/src/freshness.rs
+++ b/crates/burdockslip_session/src/freshness.rs
@@ -65,6 +65,16 @@
         Some(own.map_or(sample.mark, |own| own.max(sample.mark)))
     }
 
+    /// Returns the latest position of each group with its age, for other hosts.
+    pub fn latest(&self) -> Vec<(GroupName, Mark, Duration)> {
+        let groups = self.groups.borrow();
+        let last = |(group, samples): (&GroupName, &VecDeque<Sample>)| {
+            let sample = samples.back()?;
+            Some((group.clone(), sample.mark, sample.sent.elapsed()))
+        };
+        groups.iter().filter_map(last).collect()
+    }
+
     /// Returns the age of the latest position.
     pub fn age(&self, group: &GroupName) -> Option<Duration> {
         let groups = self.groups.borrow();
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -7,6 +7,7 @@
 mod opening;
 mod outcome;
 mod place;
+mod position;
 mod read;
 mod serve;
 mod session;
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Consistency, Route};
-use burdockslip_runtime::{random_range, spawn, timeout};
-use burdockslip_statement::{Access, Command};
+use burdockslip_runtime::random_range;
 use burdockslip_types::{ErrorKind, Mark, MemberName};
 use burdockslip_upstream::MemberPool;
-use tracing::debug;
 
 use crate::context::Context;
-use crate::outcome::{self, Job, Lost};
+use crate::outcome::Job;
+use crate::position;
 
 /// Makes the primary less attractive for reads that a replica can serve, since
 /// only it can serve writes.
@@ -24,11 +23,9 @@
 /// Spreads the choice, in percent, so that hosts do not all pick the same member.
 const SPREAD_PERCENT: (u64, u64) = (100, 130);
 
-/// The age at which the position of a primary is asked for again.
-const REFRESH_AGE: Duration = Duration::from_millis(400);
-
-/// Bounds the question for a position.
-const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
+/// The age at which a host asks for the position of a primary itself, because
+/// the coordinator has not told one; reads use positions of up to 1.3 s.
+const REFRESH_AGE: Duration = Duration::from_millis(900);
 
 /// Holds a member with the position that its log must hold.
 #[derive(Debug, Clone)]
@@ -55,7 +52,7 @@
     };
     let age = cx.freshness.age(&job.route.group);
     if age.is_none_or(|age| age > REFRESH_AGE) {
-        refresh(cx, job);
+        position::refresh(cx, &job.route, &job.organisation);
     }
     let floor = cx.freshness.floor(&job.route.group, staleness, job.own);
     let replicas = floor
@@ -114,41 +111,6 @@
     place.pool.health.latency_ms() * queue + connect
 }
 
-/// Asks the primary for its position, once at a time for each group.
-///
-/// An empty transaction takes no slot and leaves the connection as it was.
-fn refresh(cx: &Rc<Context>, job: &Rc<Job>) {
-    let group = job.route.group.clone();
-    let Some(place) = primary(cx, &job.route) else {
-        return;
-    };
-    if cx.refreshing.borrow().contains_key(&group) {
-        return;
-    }
-    let (context, job) = (Rc::clone(cx), Rc::clone(job));
-    let name = group.clone();
-    let task = spawn(async move {
-        let outcome = timeout(REFRESH_TIMEOUT, ask_position(&context, &place, &job)).await;
-        if !matches!(outcome, Ok(Ok(()))) {
-            debug!(group = %name, ?outcome, "position not learned");
-        }
-        context.refreshing.borrow_mut().remove(&name);
-    });
-    cx.refreshing.borrow_mut().insert(group, task);
-}
-
-async fn ask_position(cx: &Context, place: &Place, job: &Job) -> Result<(), Lost> {
-    let mut lent = outcome::lend(&place.pool, job).await?;
-    let begin = Command::Begin {
-        access: Access::Read,
-        floor: None,
-    };
-    outcome::send_quick(cx, &mut lent, job, begin).await?;
-    let reply = outcome::send_quick(cx, &mut lent, job, Command::Rollback).await?;
-    outcome::settle(lent, &reply);
-    Ok(())
-}
-
 /// Says why no member could be chosen.
 pub(crate) fn refusal(cx: &Context, job: &Job) -> ErrorKind {
     if cx.permission.primary(&job.route.group).is_none() {
--- a/crates/burdockslip_session/tests/freshness.rs
+++ b/crates/burdockslip_session/tests/freshness.rs
@@ -54,3 +54,23 @@
         assert_eq!(floor, Some(Mark::new(1, 18)));
     });
 }
+
+/// Guards against hosts that ask every primary themselves: what the
+/// coordinator tells has an age, and serves reads until that is too high.
+#[test]
+fn positions_of_the_coordinator_bound_the_age() {
+    paused::run(1, async {
+        let coordinator = Freshness::default();
+        coordinator.note(&group(), now(), Mark::new(1, 10));
+        sleep(Duration::from_millis(700)).await;
+        let told = coordinator.latest();
+        assert_eq!(told.len(), 1);
+        let (name, mark, age) = told[0].clone();
+        assert_eq!(age, Duration::from_millis(700));
+        let host = Freshness::default();
+        host.note(&name, now() - age, mark);
+        assert_eq!(host.floor(&group(), STALENESS, None), Some(mark));
+        sleep(Duration::from_millis(700)).await;
+        assert_eq!(host.floor(&group(), STALENESS, None), None);
+    });
+}
--- a/crates/burdockslip_upstream/src/openings.rs
+++ b/crates/burdockslip_upstream/src/openings.rs
@@ -8,6 +8,10 @@
 /// The time over which the rate of openings is averaged.
 const RATE_SPAN: Duration = Duration::from_secs(4);
 
+/// Stands for the openings before the start: a host that starts knows no rate,
+/// and together such hosts would keep more connections than a member has.
+const INITIAL_WEIGHT: f64 = 4.0;
+
 /// How long a connection of a host that opens many is kept at least, so that
 /// the statements of one session follow each other on it.
 const MIN_HOLD: Duration = Duration::from_millis(100);
@@ -36,7 +40,7 @@
 impl Default for Openings {
     fn default() -> Self {
         Self {
-            weight: Cell::new(0.0),
+            weight: Cell::new(INITIAL_WEIGHT),
             weighed: Cell::new(now()),
             pause: Cell::new(FIRST_PAUSE),
             until: Cell::new(None),
@@ -68,7 +72,11 @@
 
     /// Returns how long an idle connection is kept, `limit` at most, so that a
     /// host keeps as many thousandths of a connection as `share` on average.
+    /// While the member has none left, they are wanted elsewhere.
     pub fn hold(&self, share: usize, limit: Duration) -> Duration {
+        if self.is_paused() {
+            return MIN_HOLD;
+        }
         let rate = self.decayed() / RATE_SPAN.as_secs_f64();
         let share = f64::from(u32::try_from(share).unwrap_or(u32::MAX)) / 1_000.0;
         let span = share / rate.max(f64::EPSILON);
