Go on sharing out rates and proofs while the store is down

Cause: when the store is down its coordinator loses its tenure, although nobody else can have taken the duty.

Now a coordinator whose lease was not renewed, but not refused either, answers reports for 4.5 s more. It hands out tokens only at the sum of the fractions that its hosts may use by themselves, which a next coordinator keeps back, and all that it passes on keeps its true age. It asks replicas for all hosts and tells the proofs with their terms.

Ruled out: reads that the primary served in place of replicas (positions were known).

Tests, which need the new functions: holder_stands_in_while_the_store_is_down, replaced_holder_stands_in_no_longer, interim_coordinator_shares_out_the_parts_ of_its_hosts.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -1,6 +1,6 @@
 //! Answers the hosts while this one is the coordinator.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use burdockslip_shares::{Allocator, Limits};
 use burdockslip_types::{ErrorKind, GroupName, HostId, Mark, Organisation, Result, Revision};
 use error_stack::{bail, ensure};
+use tracing::info;
 
 use crate::messages::{Report, Verdict};
 use crate::registration::registered;
@@ -44,6 +45,8 @@
     allocator: Rc<RefCell<(Revision, Allocator)>>,
     rate_slack: u32,
     freshness: Rc<Freshness>,
+    /// Whether the last report was answered without the store.
+    is_interim: Rc<Cell<bool>>,
 }
 
 impl Coordinator {
@@ -64,6 +67,7 @@
             allocator: Rc::new(RefCell::new((Revision(0), Allocator::new(rate_slack)))),
             rate_slack,
             freshness,
+            is_interim: Rc::default(),
         }
     }
 
@@ -117,25 +121,37 @@
 
     /// Takes in a report and returns the grants of the host that sent it.
     pub(crate) fn answer(&self, host: &HostId, report: Report) -> Result<Verdict> {
-        let Some(token) = self.duty.leadership() else {
+        let Some(standing) = self.duty.standing() else {
             bail!(ErrorKind::Conflict);
         };
+        if self.is_interim.replace(standing.is_interim) != standing.is_interim {
+            info!(
+                fence = standing.token.0,
+                is_interim = standing.is_interim,
+                "grounds for answering reports changed"
+            );
+        }
         self.supervisor
             .report(host.clone(), report.suspects, report.acknowledged);
         let known = self.known();
         let mut allocator = self.allocator.borrow_mut();
-        if allocator.0 != token {
-            *allocator = (token, Allocator::new(self.rate_slack));
+        if allocator.0 != standing.token {
+            *allocator = (standing.token, Allocator::new(self.rate_slack));
         }
-        let grants = allocator
-            .1
-            .grant(host, &report.demands, &known.limits, &known.hosts);
+        let grants = allocator.1.grant(
+            host,
+            &report.demands,
+            &known.limits,
+            &known.hosts,
+            standing.is_interim,
+        );
         let age = self.directory.age();
         Ok(Verdict {
             grants,
             configuration: age.map(|age| (self.directory.revision(), age)),
             doubtful: self.supervisor.suspected(),
             permission: self.permission.vouch(),
+            group_proofs: self.permission.vouch_groups(),
             positions: if report.wants_positions {
                 self.recent_positions()
             } else {
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -5,7 +5,7 @@
 use burdockslip_directory::Changes;
 use burdockslip_shares::{Demand, Grant};
 use burdockslip_store::{Entry, LeaseId};
-use burdockslip_types::{Exchange, GroupName, Mark, MemberName, Revision};
+use burdockslip_types::{Exchange, GroupName, Mark, MemberName, Revision, Term};
 use serde::{Deserialize, Serialize};
 
 /// Tells the coordinator what a host sees and wants.
@@ -32,6 +32,9 @@
     pub doubtful: Vec<MemberName>,
     /// The lease behind permissions and how long ago it was alive.
     pub permission: Option<(LeaseId, Duration)>,
+    /// Groups whose replicas follow the term, and how long ago they said so,
+    /// while the store gives no proof.
+    pub group_proofs: Vec<(GroupName, Term, Duration)>,
     /// Positions of primaries and how long ago they were asked for.
     pub positions: Vec<(GroupName, Mark, Duration)>,
 }
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -92,7 +92,7 @@
     loop {
         let sent = now();
         let seen = cx.starved.epoch();
-        let is_leading = coordinator.duty.tenure().is_some();
+        let is_leading = coordinator.duty.standing().is_some();
         cx.directory.set_leading(is_leading);
         cx.permission.set_leading(is_leading);
         let hosts = registered(&cx.directory).len();
@@ -142,6 +142,9 @@
             if let Some((lease, age)) = verdict.permission {
                 cx.permission.accept(lease, sent - age);
             }
+            for (group, term, age) in verdict.group_proofs {
+                cx.permission.accept_group(group, term, sent - age);
+            }
             for (group, mark, age) in verdict.positions {
                 cx.freshness.note(&group, sent - age, mark);
             }
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -34,6 +34,11 @@
 /// How long the holder may act after a renewal was sent.
 const TENURE: Duration = LEASE_TTL.saturating_sub(SAFETY_MARGIN);
 
+/// How long after its tenure a holder that cannot reach the store shares out
+/// what its hosts may use by themselves. A next holder keeps their parts back
+/// for 6 s.
+const INTERIM_SPAN: Duration = Duration::from_millis(4_500);
+
 /// Spreads the candidates, in milliseconds, so that one usually wins unopposed.
 const CANDIDATE_MS: (u64, u64) = (20, 150);
 
@@ -53,6 +58,16 @@
     pub until: Instant,
 }
 
+/// Says on what grounds a host answers reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// The token of the tenure.
+    pub token: Revision,
+    /// Whether the tenure has lapsed because the store cannot be reached, so
+    /// that another host may hold the duty.
+    pub is_interim: bool,
+}
+
 domain! {
     /// Records who holds the duty.
     struct Holding {
@@ -68,6 +83,8 @@
     capacity: u32,
     directory: Directory,
     tenure: Cell<Option<Tenure>>,
+    /// The last tenure, unless the store said that it ended.
+    lapsed: Cell<Option<Tenure>>,
     is_leaving: Cell<bool>,
     leaving: Signal,
 }
@@ -88,6 +105,7 @@
             capacity,
             directory,
             tenure: Cell::new(None),
+            lapsed: Cell::new(None),
             is_leaving: Cell::new(false),
             leaving: Signal::default(),
         });
@@ -113,6 +131,27 @@
         (!until.is_past()).then_some(tenure.token)
     }
 
+    /// Returns on what grounds this host may answer reports, if it may.
+    ///
+    /// Without the store nobody can take the duty, and hosts that can reach each
+    /// other need not fall back to their fractions.
+    pub fn standing(&self) -> Option<Standing> {
+        if let Some(token) = self.leadership() {
+            return Some(Standing {
+                token,
+                is_interim: false,
+            });
+        }
+        let tenure = self.shared.tenure.get().or(self.shared.lapsed.get())?;
+        let entry = self.shared.directory.record(keys::DUTY)?;
+        let is_last = entry.revision == tenure.token && !self.shared.is_leaving.get();
+        let until = tenure.until + INTERIM_SPAN;
+        (is_last && !until.is_past()).then_some(Standing {
+            token: tenure.token,
+            is_interim: true,
+        })
+    }
+
     /// Returns the host that holds the duty, as far as is known.
     pub fn holder(&self) -> Option<HostId> {
         self.shared.holding().map(|holding| holding.host)
@@ -195,6 +234,7 @@
         match claim(&shared).await {
             Ok(Some((duty, won))) => {
                 shared.tenure.set(Some(won));
+                shared.lapsed.set(None);
                 info!(fence = won.token.0, "duty taken");
                 hold(&shared, duty, won).await;
                 shared.tenure.set(None);
@@ -301,6 +341,7 @@
                     ?error,
                     "duty lost, lease not renewed"
                 );
+                shared.lapsed.set(Some(tenure));
                 return;
             }
             // Another renewal is on its way.
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -12,7 +12,7 @@
 mod supervisor;
 mod votes;
 
-pub use duty::{Duty, Tenure};
+pub use duty::{Duty, Standing, Tenure};
 pub use permission::{PERMISSION_SPAN, Permission};
 pub use promotion::{Promote, Promoted};
 pub use records::{GroupRecord, Registration, keys};
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -39,7 +39,11 @@
 const RENEW_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The age of the proof at which replicas are asked instead of the store.
-const REPLICA_CHECK_AGE: Duration = Duration::from_millis(600);
+const REPLICA_CHECK_AGE: Duration = Duration::from_millis(700);
+
+/// The age at which the coordinator asks replicas, on whom the others rely: its
+/// word has to come before they ask themselves.
+const LEADING_CHECK_AGE: Duration = Duration::from_millis(250);
 
 /// How often replicas may be asked.
 const REPLICA_CHECK_PERIOD: Duration = Duration::from_millis(250);
@@ -120,6 +124,35 @@
         }
     }
 
+    /// Returns the groups for which replicas gave a proof, with the term and the
+    /// age, for hosts that rely on this one while the store gives none.
+    pub fn vouch_groups(&self) -> Vec<(GroupName, Term, Duration)> {
+        let shared = &self.shared;
+        let limit = shared.check_age();
+        if shared.proof.get().is_some_and(|at| at.elapsed() < limit) {
+            return Vec::new();
+        }
+        let proofs = shared.group_proofs.borrow();
+        let fresh = proofs
+            .iter()
+            .filter(|(_, at)| at.elapsed() < PERMISSION_SPAN);
+        fresh
+            .filter_map(|(group, at)| {
+                Some((group.clone(), shared.record(group)?.term, at.elapsed()))
+            })
+            .collect()
+    }
+
+    /// Takes over from a peer that a replica of a group followed `term` at `moment`.
+    pub fn accept_group(&self, group: GroupName, term: Term, moment: Instant) {
+        let record = self.shared.record(&group);
+        if record.is_some_and(|record| record.is_stable() && record.term == term) {
+            let mut proofs = self.shared.group_proofs.borrow_mut();
+            let known = proofs.entry(group).or_insert(moment);
+            *known = moment.max(*known);
+        }
+    }
+
     /// Renews more often, because other hosts rely on this one.
     pub fn set_leading(&self, is_leading: bool) {
         self.shared.is_leading.set(is_leading);
@@ -159,6 +192,15 @@
         self.proof.get().max(own)
     }
 
+    /// Returns the age of the proof at which replicas are asked.
+    const fn check_age(&self) -> Duration {
+        if self.is_leading.get() {
+            LEADING_CHECK_AGE
+        } else {
+            REPLICA_CHECK_AGE
+        }
+    }
+
     fn fence(&self) -> Option<LeaseId> {
         let entry = self.directory.record(keys::FENCE)?;
         records::decode(&entry.value).ok()
@@ -233,7 +275,8 @@
 async fn check_replicas(shared: Rc<Shared>) {
     loop {
         sleep(REPLICA_CHECK_PERIOD).await;
-        let is_fresh = |at: Instant| at.elapsed() < REPLICA_CHECK_AGE;
+        let limit = shared.check_age();
+        let is_fresh = |at: Instant| at.elapsed() < limit;
         if shared.proof.get().is_some_and(is_fresh) || !shared.directory.is_current() {
             continue;
         }
@@ -241,6 +284,9 @@
             continue;
         };
         for group in configuration.services.keys() {
+            if shared.proof(group).is_some_and(is_fresh) {
+                continue;
+            }
             let record = shared.record(group);
             if let Some(record) = record.filter(GroupRecord::is_stable) {
                 ask_replica(&shared, group, &record);
--- a/crates/burdockslip_failover/tests/duty.rs
+++ b/crates/burdockslip_failover/tests/duty.rs
@@ -152,3 +152,47 @@
         assert!(second.1.tenure().is_some());
     });
 }
+
+/// Guards against hosts that fall back to their fractions because the store is
+/// down, and against a holder that stands in for ever or beside a next one.
+#[test]
+fn holder_stands_in_while_the_store_is_down() {
+    paused::run(3, async {
+        let store = store();
+        let first = open(&store, "a");
+        sleep(Duration::from_secs(1)).await;
+        let tenure = first.1.tenure().expect("the only candidate holds it");
+        store.set_faults(Faults {
+            is_down: true,
+            ..Faults::default()
+        });
+        for _ in 0..40 {
+            sleep(Duration::from_millis(100)).await;
+            let standing = first.1.standing().expect("nobody else can have it");
+            assert_eq!(standing.token, tenure.token);
+        }
+        assert!(first.1.tenure().is_none());
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(first.1.standing(), None);
+    });
+}
+
+/// Guards against a holder that stands in although it knows of the next one.
+#[test]
+fn replaced_holder_stands_in_no_longer() {
+    paused::run(3, async {
+        let store = store();
+        let first = open(&store, "a");
+        sleep(Duration::from_secs(1)).await;
+        let second = open(&store, "b");
+        sleep(Duration::from_secs(1)).await;
+        store.cut("a");
+        sleep(Duration::from_secs(2)).await;
+        assert!(second.1.tenure().is_some());
+        let standing = first.1.standing().expect("it cannot know yet");
+        assert!(standing.is_interim);
+        let entry = second.0.record("burdockslip/duty").expect("it is held");
+        first.0.learn(entry);
+        assert_eq!(first.1.standing(), None);
+    });
+}
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -93,12 +93,16 @@
     }
 
     /// Answers a host's report; `registered` lists the hosts that may hold grants.
+    ///
+    /// While the coordinator `is_interim`, there may be another one, and only
+    /// what the hosts that report here may use by themselves is handed out.
     pub fn grant(
         &mut self,
         host: &HostId,
         demands: &[Demand],
         organisations: &HashMap<Organisation, Limits>,
         registered: &HashSet<HostId>,
+        is_interim: bool,
     ) -> Vec<Grant> {
         let begun = *self.begun.get_or_insert_with(now);
         self.forget_silent();
@@ -124,8 +128,12 @@
                 continue;
             }
             let fraction = self.fraction(host, organisation, count, unknown > 0);
-            let silent = self.silent_part(organisation) + unknown_part;
-            let rate = limits.rate * (1.0 - silent).max(0.0);
+            let part = if is_interim {
+                self.part(organisation, false)
+            } else {
+                1.0 - self.part(organisation, true) - unknown_part
+            };
+            let rate = limits.rate * part.clamp(0.0, 1.0);
             let tokens = self.take(demand, limits, rate);
             let mut share = self.share(host, organisation);
             share.bound = share.bound.max(fraction);
@@ -219,11 +227,12 @@
         total.bound = (total.bound + new.bound - old.bound).max(0.0);
     }
 
-    /// Returns the part of a rate that hosts may be using by themselves.
-    fn silent_part(&self, organisation: &Organisation) -> f64 {
-        let is_silent = |state: &&HostState| state.reported.elapsed() > SILENT_AFTER;
-        let silent = self.hosts.values().filter(is_silent);
-        silent
+    /// Returns the part of a rate that the hosts which are silent, or those
+    /// which report, may use by themselves.
+    fn part(&self, organisation: &Organisation, is_silent: bool) -> f64 {
+        let is_meant = |state: &&HostState| (state.reported.elapsed() > SILENT_AFTER) == is_silent;
+        let hosts = self.hosts.values().filter(is_meant);
+        hosts
             .filter_map(|state| state.shares.get(organisation))
             .map(|share| share.bound)
             .sum()
--- a/crates/burdockslip_shares/tests/rates.rs
+++ b/crates/burdockslip_shares/tests/rates.rs
@@ -51,6 +51,7 @@
 struct Fleet {
     hosts: Vec<(HostId, LocalRates)>,
     allocator: Option<Allocator>,
+    is_interim: bool,
     /// The hosts that have reported to the present coordinator.
     known: HashSet<HostId>,
     admitted: Vec<usize>,
@@ -72,6 +73,7 @@
         Self {
             hosts: (0..count).map(host).collect(),
             allocator: Some(Allocator::new(SLACK)),
+            is_interim: false,
             known: HashSet::new(),
             admitted: Vec::new(),
             limits,
@@ -103,7 +105,13 @@
                 (false, 0) => Scope::Changed,
                 (false, _) => Scope::Urgent,
             };
-            let grants = allocator.grant(host, &rates.demands(scope), &limits, &registered);
+            let grants = allocator.grant(
+                host,
+                &rates.demands(scope),
+                &limits,
+                &registered,
+                self.is_interim,
+            );
             rates.apply(grants);
         }
         for _ in 0..waiting {
@@ -400,3 +408,35 @@
         assert!(rates.demands(Scope::All).is_empty());
     });
 }
+
+/// Guards against hosts that are refused below the rate because the store, and
+/// with it the coordinator's tenure, is lost; and against a coordinator without
+/// tenure that hands out more than its hosts may use by themselves.
+#[test]
+fn interim_coordinator_shares_out_the_parts_of_its_hosts() {
+    let (whole, half) = paused::run(6, async {
+        let mut fleet = Fleet::new(20);
+        for _ in 0..300 {
+            fleet.step(1).await;
+        }
+        fleet.is_interim = true;
+        fleet.admitted.clear();
+        for _ in 0..200 {
+            fleet.step(1).await;
+        }
+        let whole: usize = fleet.admitted.iter().sum();
+        // Half of the hosts are cut off and use their own parts elsewhere.
+        fleet.hosts.truncate(10);
+        for _ in 0..100 {
+            fleet.step(1).await;
+        }
+        fleet.admitted.clear();
+        for _ in 0..200 {
+            fleet.step(1).await;
+        }
+        (whole, fleet.admitted.iter().sum::<usize>())
+    });
+    // The rate gives 200 operations in 2 s.
+    assert!((150..=240).contains(&whole), "{whole}");
+    assert!((60..=120).contains(&half), "{half}");
+}
