Keep the coordinator's duty from weak hosts

It wins when the strong ones learn later that the duty is free, which takes up to 1 s.

Now a candidate with less than half of another host's processor time waits 800 ms longer, and one that holds the duty gives it up after 6 s.

Test: weak_host_gives_the_duty_up.

--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -49,6 +49,14 @@
 /// Bounds the ranks that count, so that weak hosts still stand in soon.
 const MAX_RANK: u32 = 6;
 
+/// Delays a candidate with less than half of the processor time of another
+/// host, which the reports of a large fleet would overload.
+const WEAK_DELAY: Duration = Duration::from_millis(800);
+
+/// How long such a host holds the duty before it gives it up again. Hosts that
+/// are registered but cannot take it are gone after 5 s.
+const WEAK_TENURE: Duration = Duration::from_secs(6);
+
 /// Proves that this host holds the duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Tenure {
@@ -176,17 +184,32 @@
         records::decode(&entry.value).ok()
     }
 
-    /// Returns how many hosts have more processor time, up to [`MAX_RANK`].
-    fn rank(&self) -> u32 {
+    /// Returns the processor time of the registered hosts that have more.
+    fn larger(&self) -> Vec<u32> {
         let registrations = self.directory.records(keys::HOSTS);
-        let capacities = registrations
+        registrations
             .iter()
             .filter_map(|entry| Registration::read(&entry.value).ok())
-            .map(|registration| registration.capacity);
-        let larger = capacities
+            .map(|registration| registration.capacity)
             .filter(|capacity| *capacity > self.capacity)
-            .count();
-        u32::try_from(larger).unwrap_or(MAX_RANK).min(MAX_RANK)
+            .collect()
+    }
+
+    /// Returns whether another host has more than twice the processor time.
+    fn is_weak(&self) -> bool {
+        let largest = self.larger().into_iter().max();
+        largest.is_some_and(|largest| largest / 2 > self.capacity)
+    }
+
+    /// Returns how long a candidate waits for better ones.
+    fn delay(&self) -> Duration {
+        let rank = u32::try_from(self.larger().len()).unwrap_or(MAX_RANK);
+        let weak = if self.is_weak() {
+            WEAK_DELAY
+        } else {
+            Duration::ZERO
+        };
+        RANK_DELAY * rank.min(MAX_RANK) + weak
     }
 
     /// Returns whether the duty is nobody's, or that of an earlier run of this host.
@@ -227,7 +250,7 @@
         end_earlier_run(&shared).await;
         let (least, most) = CANDIDATE_MS;
         let delay = Duration::from_millis(random_range(least..most));
-        sleep(delay + RANK_DELAY * shared.rank()).await;
+        sleep(delay + shared.delay()).await;
         if !shared.is_vacant() {
             continue;
         }
@@ -302,14 +325,17 @@
     let store = shared.directory.store();
     let mut renewals = FuturesUnordered::new();
     let mut next = now() + RENEW_PERIOD;
+    let begun = now();
     loop {
         let seen = shared.leaving.epoch();
-        if shared.is_leaving.get() {
+        let is_weak = begun.elapsed() > WEAK_TENURE && shared.is_weak();
+        if shared.is_leaving.get() || is_weak {
             shared.tenure.set(None);
             let outcome = within(CALL_TIMEOUT, store.revoke_lease(lease)).await;
             info!(
                 fence = tenure.token.0,
                 given_up = outcome.is_ok(),
+                is_weak,
                 "duty left"
             );
             return;
--- a/crates/burdockslip_failover/tests/duty.rs
+++ b/crates/burdockslip_failover/tests/duty.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Configuration, Directory, Schema};
-use burdockslip_failover::Duty;
+use burdockslip_failover::{Duty, Registration};
 use burdockslip_runtime::{paused, sleep};
 use burdockslip_store::{Faults, MemoryStore, Store};
-use burdockslip_types::{ErrorKind, HostId};
+use burdockslip_types::{ErrorKind, HostId, Zone};
 use error_stack::Report;
 
 const SCHEMA: Schema = Schema {
@@ -26,6 +26,16 @@
     (directory, duty)
 }
 
+fn register(store: &MemoryStore, name: &str, capacity: u32) {
+    let registration = Registration {
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: Zone::from("a"),
+        capacity,
+    };
+    let value = registration.write().expect("it can be encoded");
+    store.put(&format!("burdockslip/hosts/{name}"), &value);
+}
+
 fn store() -> MemoryStore {
     let store = MemoryStore::new();
     store.put("config", b"");
@@ -196,3 +206,21 @@
         assert_eq!(first.1.standing(), None);
     });
 }
+
+/// Guards against a duty that stays with a weak host, which answers the reports
+/// of a large fleet too late: it took it before it knew of the others.
+#[test]
+fn weak_host_gives_the_duty_up() {
+    paused::run(3, async {
+        let store = store();
+        let weak = open(&store, "a");
+        sleep(Duration::from_secs(1)).await;
+        assert!(weak.1.tenure().is_some());
+        register(&store, "b", 500);
+        let strong = Directory::spawn(store.client("b"), SCHEMA);
+        let duty = Duty::spawn(HostId::from("b"), 500, strong.clone());
+        sleep(Duration::from_secs(7)).await;
+        assert!(weak.1.tenure().is_none());
+        assert!(duty.tenure().is_some());
+    });
+}
