--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -67,8 +67,7 @@
                     warn!(?error, "store unreachable, serving from known state");
                 }
                 is_reachable = false;
-                let relayed = follow_peer(&shared).await;
-                debug!(?relayed, "peer passes nothing on");
+                follow_peer(&shared).await;
                 let spread = u32::try_from(random_range(75..125)).unwrap_or(100);
                 sleep(pause * spread / 100).await;
                 pause = (pause * 2).min(MAX_RETRY);
@@ -90,10 +89,7 @@
     loop {
         // Without a leader only its record is watched, because every host
         // registers while a fleet starts, and each answer of a watch costs a call.
-        let prefix = match follow_peer(shared).await {
-            Some((ErrorKind::NoPrimary, leader)) => leader,
-            _ => "",
-        };
+        let prefix = follow_peer(shared).await;
         let opened = shared.store.watch(prefix, shared.applied.get());
         let outcome = match within(CALL_TIMEOUT, opened).await {
             Ok(watch) => follow_store(shared, watch, prefix).await,
@@ -106,11 +102,13 @@
     }
 }
 
-/// Applies what a peer passes on, until it does not; returns why, and the key
-/// of the leader's record.
-async fn follow_peer(shared: &Shared) -> Option<(ErrorKind, &'static str)> {
+/// Applies what a peer passes on, until it does not; returns the prefix of the
+/// keys that have to be watched then.
+async fn follow_peer(shared: &Shared) -> &'static str {
     let relay = shared.relay.borrow().clone();
-    let (relay, leader) = relay.filter(|_| shared.is_loaded())?;
+    let Some((relay, leader)) = relay.filter(|_| shared.is_loaded()) else {
+        return "";
+    };
     loop {
         match within(RELAY_TIMEOUT, relay(shared.applied.get())).await {
             Ok(changes) => {
@@ -121,7 +119,11 @@
                     .applied
                     .set(shared.applied.get().max(changes.revision));
             }
-            Err(report) => return Some((*report.current_context(), leader)),
+            Err(report) => {
+                debug!(error = ?report, "peer passes nothing on");
+                let has_no_leader = *report.current_context() == ErrorKind::NoPrimary;
+                return if has_no_leader { leader } else { "" };
+            }
         }
     }
 }
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -42,7 +42,8 @@
     supervisor: Supervisor,
     permission: Permission,
     cached: Rc<RefCell<Rc<Known>>>,
-    allocator: Rc<RefCell<(Revision, Allocator)>>,
+    /// What was handed out in the tenure with this token.
+    allocator: Rc<RefCell<Option<(Revision, Allocator)>>>,
     rate_slack: u32,
     freshness: Rc<Freshness>,
     /// Whether the last report was answered without the store.
@@ -64,7 +65,7 @@
             supervisor,
             permission,
             cached: Rc::default(),
-            allocator: Rc::new(RefCell::new((Revision(0), Allocator::new(rate_slack)))),
+            allocator: Rc::default(),
             rate_slack,
             freshness,
             is_interim: Rc::default(),
@@ -134,11 +135,12 @@
         self.supervisor
             .report(host.clone(), report.suspects, report.acknowledged);
         let known = self.known();
-        let mut allocator = self.allocator.borrow_mut();
-        if allocator.0 != standing.token {
-            *allocator = (standing.token, Allocator::new(self.rate_slack));
-        }
-        let grants = allocator.1.grant(
+        let mut tenure = self.allocator.borrow_mut();
+        // Tokens of an earlier tenure are the business of those that came between.
+        tenure.take_if(|(token, _)| *token != standing.token);
+        let (_, allocator) =
+            tenure.get_or_insert_with(|| (standing.token, Allocator::new(self.rate_slack)));
+        let grants = allocator.grant(
             host,
             &report.demands,
             &known.limits,
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -55,7 +55,8 @@
     directory: Directory,
     pools: Pools,
     proof: Cell<Option<Instant>>,
-    group_proofs: RefCell<HashMap<GroupName, Instant>>,
+    /// The terms that replicas followed, and when they were asked.
+    group_proofs: RefCell<HashMap<GroupName, (Term, Instant)>>,
     asking: RefCell<HashMap<GroupName, Task<()>>>,
     has_store: Cell<bool>,
     is_leading: Cell<bool>,
@@ -133,23 +134,17 @@
             return Vec::new();
         }
         let proofs = shared.group_proofs.borrow();
-        let fresh = proofs
+        let ages = proofs
             .iter()
-            .filter(|(_, at)| at.elapsed() < PERMISSION_SPAN);
-        fresh
-            .filter_map(|(group, at)| {
-                Some((group.clone(), shared.record(group)?.term, at.elapsed()))
-            })
-            .collect()
+            .map(|(group, (term, at))| (group.clone(), *term, at.elapsed()));
+        ages.filter(|(_, _, age)| *age < PERMISSION_SPAN).collect()
     }
 
     /// Takes over from a peer that a replica of a group followed `term` at `moment`.
     pub fn accept_group(&self, group: GroupName, term: Term, moment: Instant) {
         let record = self.shared.record(&group);
         if record.is_some_and(|record| record.is_stable() && record.term == term) {
-            let mut proofs = self.shared.group_proofs.borrow_mut();
-            let known = proofs.entry(group).or_insert(moment);
-            *known = moment.max(*known);
+            self.shared.note_proof(group, term, moment);
         }
     }
 
@@ -188,10 +183,18 @@
     }
 
     fn proof(&self, group: &GroupName) -> Option<Instant> {
-        let own = self.group_proofs.borrow().get(group).copied();
+        let own = self.group_proofs.borrow().get(group).map(|(_, at)| *at);
         self.proof.get().max(own)
     }
 
+    fn note_proof(&self, group: GroupName, term: Term, moment: Instant) {
+        let mut proofs = self.group_proofs.borrow_mut();
+        let known = proofs.entry(group).or_insert((term, moment));
+        if known.1 < moment {
+            *known = (term, moment);
+        }
+    }
+
     /// Returns the age of the proof at which replicas are asked.
     const fn check_age(&self) -> Duration {
         if self.is_leading.get() {
@@ -207,12 +210,10 @@
     }
 
     /// Renews the shared lease, or reads the records again if it has ended.
-    async fn prove(&self) -> Result<Instant> {
+    async fn prove(&self, lease: LeaseId) -> Result<Instant> {
         let sent = now();
         let store = self.directory.store();
-        if let Some(lease) = self.fence()
-            && !store.keep_lease(lease).await?.is_zero()
-        {
+        if !store.keep_lease(lease).await?.is_zero() {
             return Ok(sent);
         }
         let sent = now();
@@ -248,12 +249,15 @@
             RENEW_AGE
         };
         // Without a lease there is nothing to renew, and its record will be told.
-        let has_fence = shared.fence().is_some();
-        if !has_fence || shared.proof.get().is_some_and(|at| at.elapsed() < limit) {
+        let is_fresh = |at: Instant| at.elapsed() < limit;
+        let Some(lease) = shared
+            .fence()
+            .filter(|_| !shared.proof.get().is_some_and(is_fresh))
+        else {
             sleep(RENEW_TICK.min(limit / 2)).await;
             continue;
-        }
-        match timeout(RENEW_TIMEOUT, shared.prove()).await {
+        };
+        match timeout(RENEW_TIMEOUT, shared.prove(lease)).await {
             Ok(Ok(sent)) => {
                 shared.proof.set(shared.proof.get().max(Some(sent)));
                 shared.note_store(true, None);
@@ -326,8 +330,7 @@
         .await;
     match status {
         Ok(status) if status.term <= known && status.held <= known => {
-            let mut proofs = shared.group_proofs.borrow_mut();
-            proofs.insert(group.clone(), sent);
+            shared.note_proof(group.clone(), known, sent);
         }
         Ok(status) => info!(
             %group,
--- a/crates/burdockslip_session/src/opening.rs
+++ b/crates/burdockslip_session/src/begin.rs
@@ -19,11 +19,11 @@
 
 /// How long a transaction that was opened ahead may wait at a replica for its
 /// first statement; it has to be within the margin of the age of reads.
-const EARLY_LIMIT: Duration = Duration::from_millis(100);
+const EAGER_LIMIT: Duration = Duration::from_millis(100);
 
 /// Holds a transaction that is open at a member.
 #[derive(Debug)]
-pub(crate) struct Begun {
+pub(crate) struct MemberTransaction {
     pub(crate) lent: Lent,
     /// The position that the member's log had to hold at the start.
     pub(crate) floor: Option<Mark>,
@@ -32,12 +32,12 @@
 /// Opens a transaction while its client gets the answer to `BEGIN` and thinks,
 /// because opening a connection takes longer than most statements.
 #[derive(Debug)]
-pub(crate) struct Early {
-    task: Task<Result<Begun, ErrorKind>>,
+pub(crate) struct EagerBegin {
+    task: Task<Result<MemberTransaction, ErrorKind>>,
     started: Instant,
 }
 
-impl Early {
+impl EagerBegin {
     /// Starts to open a transaction.
     pub(crate) fn spawn(cx: &Rc<Context>, job: Rc<Job>, access: Access) -> Self {
         let cx = Rc::clone(cx);
@@ -49,7 +49,7 @@
 
     /// Waits for the transaction; `None` if there is none or it is too old to
     /// be used for the first statement.
-    pub(crate) async fn finish(self, cx: &Context, job: &Job) -> Option<Begun> {
+    pub(crate) async fn finish(self, cx: &Context, job: &Job) -> Option<MemberTransaction> {
         let begun = match self.task.await? {
             Ok(begun) => begun,
             Err(kind) => {
@@ -58,7 +58,7 @@
             }
         };
         let is_usable = match begun.floor {
-            Some(_) => self.started.elapsed() < EARLY_LIMIT,
+            Some(_) => self.started.elapsed() < EAGER_LIMIT,
             None => outcome::may_use(cx, job, &begun.lent),
         };
         if !is_usable {
@@ -78,7 +78,7 @@
     cx: &Rc<Context>,
     job: &Rc<Job>,
     access: Access,
-) -> Result<Begun, ErrorKind> {
+) -> Result<MemberTransaction, ErrorKind> {
     let mut tried = Vec::new();
     let mut last = None;
     loop {
@@ -86,7 +86,7 @@
             tried.push(place.pool.member().name.clone());
             match begin_at(cx, job, access, &place).await {
                 Ok(lent) => {
-                    return Ok(Begun {
+                    return Ok(MemberTransaction {
                         lent,
                         floor: place.floor,
                     });
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! See `docs/platform.md`, "A statement's way".
 
+mod begin;
 mod context;
 mod freshness;
-mod opening;
 mod outcome;
 mod place;
 mod position;
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -182,13 +182,17 @@
 async fn converse(cx: &Rc<Context>, stop: &Stop, framed: &mut Framed, session: &mut Session) {
     loop {
         let query = match receive(cx, stop, framed, session).await {
-            Some(Inbound::Query(query)) => query,
-            Some(Inbound::Malformed | Inbound::Connect { .. }) => {
-                let response = Response::failed(ErrorKind::Protocol, session.transaction());
+            Some(Ok(Inbound::Query(query))) => query,
+            Some(Ok(Inbound::Release)) | None => return,
+            unusable => {
+                let kind = match unusable {
+                    Some(Err(kind)) => kind,
+                    _ => ErrorKind::Protocol,
+                };
+                let response = Response::failed(kind, session.transaction());
                 send(cx, framed, &response, false).await;
                 return;
             }
-            Some(Inbound::Release) | None => return,
         };
         let verdict = session.handle(query).await;
         if !send(cx, framed, &verdict.response, false).await || verdict.is_final {
@@ -197,13 +201,14 @@
     }
 }
 
-/// Waits for the next message; `None` ends the session.
+/// Waits for the next message, or says why it cannot be read; `None` ends the
+/// session.
 async fn receive(
     cx: &Rc<Context>,
     stop: &Stop,
     framed: &mut Framed,
     session: &mut Session,
-) -> Option<Inbound> {
+) -> Option<Result<Inbound, ErrorKind>> {
     loop {
         let seen = stop.changed.epoch();
         let is_idle = session.transaction() == Transaction::Idle;
@@ -216,10 +221,10 @@
         let message = Box::pin(framed.next(cx.dialect.read_inbound));
         let interrupt = Box::pin(interrupt(stop, seen, limit));
         match select(message, interrupt).await {
-            Either::Left((Ok(message), _)) => return Some(message),
+            Either::Left((Ok(message), _)) => return Some(Ok(message)),
             Either::Left((Err(report), _)) => {
                 let kind = *report.current_context();
-                return (kind != ErrorKind::ConnectionLost).then_some(Inbound::Malformed);
+                return (kind != ErrorKind::ConnectionLost).then_some(Err(kind));
             }
             Either::Right((Interrupt::Idle, _)) => session.abort("idle for too long"),
             Either::Right((Interrupt::Stop, _)) => {}
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -8,8 +8,8 @@
 use burdockslip_types::{ErrorKind, Mark};
 use burdockslip_upstream::Lent;
 
+use crate::begin::{self, EagerBegin};
 use crate::context::Context;
-use crate::opening::{self, Early};
 use crate::outcome::{self, Job, Lost, Served};
 
 /// Holds an open transaction.
@@ -20,7 +20,7 @@
     /// The route at the start; a change applies to the next transaction.
     pub(crate) route: Rc<Route>,
     /// The transaction at a member that is opened before the first statement.
-    early: Option<Early>,
+    eager: Option<EagerBegin>,
     /// The connection, from the first statement on.
     lent: Option<Lent>,
     /// The position that the member's log had to hold at the start.
@@ -37,7 +37,7 @@
         Self {
             access,
             route: Rc::clone(&job.route),
-            early: Some(Early::spawn(cx, job, access)),
+            eager: Some(EagerBegin::spawn(cx, job, access)),
             lent: None,
             floor: None,
             has_written: false,
@@ -73,13 +73,13 @@
 
     /// Opens the transaction at a member, unless that was done ahead.
     async fn begin(&mut self, cx: &Rc<Context>, job: &Rc<Job>) -> Result<Lent, ErrorKind> {
-        let early = match self.early.take() {
-            Some(early) => early.finish(cx, job).await,
+        let eager = match self.eager.take() {
+            Some(eager) => eager.finish(cx, job).await,
             None => None,
         };
-        let begun = match early {
+        let begun = match eager {
             Some(begun) => begun,
-            None => opening::begin(cx, job, self.access).await?,
+            None => begin::begin(cx, job, self.access).await?,
         };
         self.floor = begun.floor;
         Ok(begun.lent)
@@ -123,13 +123,13 @@
     /// Rolls back in the background, since the client need not wait for it.
     pub(crate) fn roll_back(mut self, cx: &Rc<Context>, job: Rc<Job>) {
         let cx = Rc::clone(cx);
-        let (lent, early) = (self.lent.take(), self.early.take());
+        let (lent, eager) = (self.lent.take(), self.eager.take());
         spawn(async move {
-            let early = match early {
-                Some(early) => early.finish(&cx, &job).await.map(|begun| begun.lent),
+            let eager = match eager {
+                Some(eager) => eager.finish(&cx, &job).await.map(|begun| begun.lent),
                 None => None,
             };
-            let Some(mut lent) = lent.or(early) else {
+            let Some(mut lent) = lent.or(eager) else {
                 return;
             };
             // A connection without an answer is closed, which rolls back too.
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -7,7 +7,7 @@
 use burdockslip_types::{HostId, Organisation};
 
 use crate::bucket::Bucket;
-use crate::message::{short, whole};
+use crate::message::{to_single, to_tokens};
 use crate::{Demand, Grant};
 
 /// How long a silent host is taken to use what it was granted. Hosts stop
@@ -142,7 +142,7 @@
             grants.push(Grant {
                 organisation: organisation.clone(),
                 tokens,
-                fraction: short(fraction),
+                fraction: to_single(fraction),
             });
         }
         grants
@@ -166,7 +166,7 @@
         } else {
             demand.waiting.saturating_add(demand.hold)
         };
-        whole(bucket.take(f64::from(wanted)))
+        to_tokens(bucket.take(f64::from(wanted)))
     }
 
     /// Drops hosts that can no longer use what they were granted.
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -7,7 +7,7 @@
 use burdockslip_runtime::{Instant, now, random_range};
 use burdockslip_types::Organisation;
 
-use crate::message::{short, whole};
+use crate::message::{to_single, to_tokens};
 use crate::{Demand, Grant};
 
 /// The time over which demand is averaged.
@@ -108,7 +108,7 @@
 }
 
 /// Keeps the tokens of one host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LocalRates {
     holdings: HashMap<Organisation, Holding>,
     answered: Option<Instant>,
@@ -123,8 +123,11 @@
     /// operations beyond rate and burst the operators tolerate in a window.
     pub fn new(slack: u32) -> Self {
         Self {
+            holdings: HashMap::new(),
+            answered: None,
+            has_failed: false,
+            start: 0.0,
             slack: f64::from(slack),
-            ..Self::default()
         }
     }
 
@@ -318,22 +321,22 @@
         self.is_used = false;
         Demand {
             organisation: organisation.clone(),
-            wanted: short(wanted),
+            wanted: to_single(wanted),
             waiting: self.needed(),
             hold: self.lack(),
-            kept: short(self.tokens),
-            held: short(self.fraction),
+            kept: to_single(self.tokens),
+            held: to_single(self.fraction),
         }
     }
 
     /// Returns the tokens that operations wait for.
     fn needed(&self) -> u32 {
         let waiting = u32::try_from(self.waiting).map_or(0.0, f64::from);
-        whole((waiting - self.tokens).ceil())
+        to_tokens((waiting - self.tokens).ceil())
     }
 
     /// Returns the tokens that are missing for operations to come.
     fn lack(&self) -> u32 {
-        whole((self.level() - self.tokens).ceil())
+        to_tokens((self.level() - self.tokens).ceil())
     }
 }
--- a/crates/burdockslip_shares/src/message.rs
+++ b/crates/burdockslip_shares/src/message.rs
@@ -41,11 +41,11 @@
 
 /// Shortens a number for a message; hosts report often, and the bytes between
 /// availability zones are charged.
-pub(crate) fn short(value: f64) -> f32 {
+pub(crate) fn to_single(value: f64) -> f32 {
     value.to_f32().unwrap_or_default()
 }
 
 /// Returns the whole tokens in `value`.
-pub(crate) fn whole(value: f64) -> u32 {
+pub(crate) fn to_tokens(value: f64) -> u32 {
     value.max(0.0).to_u32().unwrap_or(u32::MAX)
 }
--- a/crates/burdockslip_upstream/src/lib.rs
+++ b/crates/burdockslip_upstream/src/lib.rs
@@ -7,7 +7,8 @@
 mod framed;
 mod health;
 mod member_pool;
-mod openings;
+
+mod pacer;
 mod pools;
 mod settings;
 
@@ -15,6 +16,6 @@
 pub use framed::Framed;
 pub use health::Health;
 pub use member_pool::{Lent, MemberPool};
-pub use openings::Openings;
+pub use pacer::ConnectPacer;
 pub use pools::Pools;
 pub use settings::configure_socket;
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -11,7 +11,7 @@
 use burdockslip_types::{ErrorKind, Organisation, Result};
 use error_stack::bail;
 
-use crate::{Connection, Health, Openings, SessionState};
+use crate::{ConnectPacer, Connection, Health, SessionState};
 
 /// Bounds the time to open a connection; members take about 12 ms, and more
 /// when their slots are taken.
@@ -42,7 +42,7 @@
     surplus: Cell<usize>,
     sweeps: Cell<u32>,
     returned: Signal,
-    openings: Openings,
+    pacer: ConnectPacer,
     /// The state of the member as seen by this host.
     pub health: Health,
 }
@@ -59,7 +59,7 @@
             surplus: Cell::new(1),
             sweeps: Cell::new(0),
             returned: Signal::default(),
-            openings: Openings::default(),
+            pacer: ConnectPacer::default(),
             health: Health::default(),
         }
     }
@@ -78,7 +78,7 @@
 
     /// Returns whether the member has refused connections just now.
     pub fn is_paused(&self) -> bool {
-        self.openings.is_paused()
+        self.pacer.is_paused()
     }
 
     /// Sets this host's part of the member's connections, in thousandths; it is
@@ -117,6 +117,10 @@
             if let Some(connection) = self.take_idle(organisation, state) {
                 return Ok(self.lent(connection));
             }
+            // Closing an idle connection would make no room at the member.
+            if self.pacer.is_paused() {
+                bail!(ErrorKind::QueueFull);
+            }
             if self.open.get() >= self.limit() {
                 self.close_idle();
             }
@@ -131,16 +135,13 @@
     }
 
     async fn open(self: &Rc<Self>, organisation: &Organisation, deadline: Instant) -> Result<Lent> {
-        if self.openings.is_paused() {
-            bail!(ErrorKind::QueueFull);
-        }
         let place = Place::new(self);
         let span = CONNECT_TIMEOUT.min(deadline.remaining());
         let opening = Connection::open(self.dialect, Rc::clone(&self.member), organisation.clone());
         match timeout(span, opening).await {
             Ok(Ok(connection)) => {
                 self.health.hear(None);
-                self.openings.succeed();
+                self.pacer.succeed();
                 Ok(Lent {
                     connection: Some(connection),
                     place,
@@ -150,7 +151,7 @@
                 match report.current_context() {
                     ErrorKind::QueueFull => {
                         self.surplus.set(0);
-                        self.openings.refuse();
+                        self.pacer.refuse();
                     }
                     _ => self.health.suspect(),
                 }
@@ -209,12 +210,12 @@
             self.surplus.set((self.surplus.get() + 1).min(SURPLUS));
         }
         let mut above = self.open.get().saturating_sub(self.kept());
-        let hold = self.openings.hold(self.share.get() % ONE, IDLE_LIMIT);
+        let limit = self.pacer.idle_limit(self.share.get() % ONE, IDLE_LIMIT);
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
         idle.retain(|connection| {
             let unused = connection.used().elapsed();
-            let is_surplus = above > 0 && unused > hold;
+            let is_surplus = above > 0 && unused > limit;
             let is_kept = !is_surplus && unused < IDLE_LIMIT && connection.is_quiet();
             above -= usize::from(!is_kept && above > 0);
             is_kept
--- a/crates/burdockslip_upstream/src/openings.rs
+++ b/crates/burdockslip_upstream/src/pacer.rs
@@ -29,7 +29,7 @@
 /// Measures the openings of connections to a member and holds them back while
 /// the member has none left.
 #[derive(Debug)]
-pub struct Openings {
+pub struct ConnectPacer {
     /// Openings of the recent past, each weighed less the longer it is ago.
     weight: Cell<f64>,
     weighed: Cell<Instant>,
@@ -37,7 +37,7 @@
     until: Cell<Option<Instant>>,
 }
 
-impl Default for Openings {
+impl Default for ConnectPacer {
     fn default() -> Self {
         Self {
             weight: Cell::new(INITIAL_WEIGHT),
@@ -48,7 +48,7 @@
     }
 }
 
-impl Openings {
+impl ConnectPacer {
     /// Notes that a connection was opened.
     pub fn succeed(&self) {
         self.weight.set(self.decayed() + 1.0);
@@ -73,7 +73,7 @@
     /// Returns how long an idle connection is kept, `limit` at most, so that a
     /// host keeps as many thousandths of a connection as `share` on average.
     /// While the member has none left, they are wanted elsewhere.
-    pub fn hold(&self, share: usize, limit: Duration) -> Duration {
+    pub fn idle_limit(&self, share: usize, limit: Duration) -> Duration {
         if self.is_paused() {
             return MIN_HOLD;
         }
--- a/crates/burdockslip_upstream/tests/openings.rs
+++ b/crates/burdockslip_upstream/tests/pacer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use burdockslip_runtime::{paused, sleep};
-use burdockslip_upstream::Openings;
+use burdockslip_upstream::ConnectPacer;
 
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -12,12 +12,12 @@
 #[test]
 fn refusals_hold_openings_back_ever_longer() {
     paused::run(1, async {
-        let openings = Openings::default();
+        let pacer = ConnectPacer::default();
         let mut attempts = 0;
         for _ in 0..300 {
-            if !openings.is_paused() {
+            if !pacer.is_paused() {
                 attempts += 1;
-                openings.refuse();
+                pacer.refuse();
             }
             sleep(Duration::from_millis(10)).await;
         }
@@ -30,15 +30,15 @@
 #[test]
 fn success_ends_the_growth_of_pauses() {
     paused::run(1, async {
-        let openings = Openings::default();
-        (0..5).for_each(|_| openings.refuse());
+        let pacer = ConnectPacer::default();
+        (0..5).for_each(|_| pacer.refuse());
         sleep(Duration::from_secs(1)).await;
-        assert!(!openings.is_paused());
-        openings.succeed();
-        openings.refuse();
-        assert!(openings.is_paused());
+        assert!(!pacer.is_paused());
+        pacer.succeed();
+        pacer.refuse();
+        assert!(pacer.is_paused());
         sleep(Duration::from_millis(80)).await;
-        assert!(!openings.is_paused());
+        assert!(!pacer.is_paused());
     });
 }
 
@@ -47,18 +47,18 @@
 #[test]
 fn connections_are_kept_for_the_share() {
     paused::run(1, async {
-        let openings = Openings::default();
-        let first = openings.hold(500, LIMIT);
+        let pacer = ConnectPacer::default();
+        let first = pacer.idle_limit(500, LIMIT);
         assert!(first < Duration::from_secs(1), "{first:?} at the start");
         for _ in 0..60 {
-            openings.succeed();
+            pacer.succeed();
             sleep(Duration::from_millis(500)).await;
         }
-        let held = openings.hold(500, LIMIT);
+        let held = pacer.idle_limit(500, LIMIT);
         assert!(
             held > Duration::from_millis(220) && held < Duration::from_millis(320),
             "{held:?}"
         );
-        assert_eq!(openings.hold(0, LIMIT), Duration::from_millis(100));
+        assert_eq!(pacer.idle_limit(0, LIMIT), Duration::from_millis(100));
     });
 }
