Name the members that answer a change of primary in its log line

It now names the members that are missing, the size in the record, and each position with its member. One line an attempt, as before; no logic changes.

--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -248,11 +248,16 @@
             let received = best.as_ref().and_then(|best| statuses.get(&best.name));
             let holds_all = received.map(|status| status.received) >= acknowledged;
             let is_overdue = begun.elapsed() > GONE_PATIENCE;
-            info!(%group, held = held.0, answered = statuses.len(), of = candidates.len(),
+            let missing: Vec<_> = candidates
+                .iter()
+                .filter(|member| !answers(member))
+                .map(|member| member.name.as_str())
+                .collect();
+            info!(%group, held = held.0, answered = statuses.len(), of = candidates.len(), ?missing,
                 best = best.as_ref().map(|member| member.name.as_str()),
-                is_reduced, has_stepped_down, holds_all,
+                is_reduced, size = record.size, has_stepped_down, holds_all,
                 acknowledged = acknowledged.map(tracing::field::display),
-                positions = ?statuses.values().map(|status| status.received).collect::<Vec<Mark>>(),
+                positions = %positions(&statuses),
                 "replicas stopped");
             let is_safe =
                 is_whole || has_stepped_down || (have_answered && (holds_all || is_overdue));
@@ -366,6 +371,16 @@
     members.iter().find(leads).cloned()
 }
 
+/// Renders the positions of members for log lines.
+fn positions(statuses: &HashMap<MemberName, MemberStatus>) -> String {
+    let mut positions: Vec<_> = statuses
+        .iter()
+        .map(|(name, status)| format!("{name}={}", status.received))
+        .collect();
+    positions.sort();
+    positions.join(" ")
+}
+
 /// Picks the member with the newest log; among equals one that stays.
 fn best(
     members: &[Rc<Member>],
