Promote only when every member that may hold acknowledged commits has answered

Cause: a zone with the primary and the replica that received its commits was cut off. Both lost their records in the store, and a promotion left out members without a record as soon as the positions that hosts had reported were there. The hosts that had acknowledged the missing commits were behind the same partition and could not report. The class of the fault: absence of a registration was taken for absence of a log, and silence for agreement.

Change: the record of a group lists its roster, the members whose logs may hold acknowledged commits, registered or not. A change of primary asks all of them, those without a record at their last address, and goes on when every replica is stopped or the old primary has stepped down with a log that is not behind any replica's. A replica counts as stopped only if its answer says so. The bound of 15 s, the count of members in the record and in the coordinator's memory, and the reports of acknowledged positions are removed, since none of them can stand for a member that does not answer. A member leaves the roster in calm operation only: it is silent, and after that a replica holds what the primary then held. While a change waits, the old primary is asked beside the replicas. After a change, RESUME and DEMOTE are sent only while the duty is held.

What it costs: while neither the old primary nor a missing member answers, there is no promotion.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -132,8 +132,7 @@
                 "grounds for answering reports changed"
             );
         }
-        self.supervisor
-            .report(host.clone(), report.suspects, report.acknowledged);
+        self.supervisor.report(host.clone(), report.suspects);
         let known = self.known();
         let mut tenure = self.allocator.borrow_mut();
         // Tokens of an earlier tenure are the business of those that came between.
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -13,8 +13,6 @@
 pub struct Report {
     /// The members that the host cannot reach.
     pub suspects: Vec<MemberName>,
-    /// The positions up to which callers were told that commits are kept.
-    pub acknowledged: Vec<(GroupName, Mark)>,
     /// What the host wants of the organisations' rates.
     pub demands: Vec<Demand>,
     /// Whether the host wants the positions of primaries.
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -1,6 +1,5 @@
 //! Reports to the coordinator and follows what it passes on.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
 use burdockslip_shares::Scope;
-use burdockslip_types::{ErrorKind, GroupName, HostId, Link, Mark, MemberName, Revision};
+use burdockslip_types::{ErrorKind, HostId, Link, MemberName, Revision};
 use error_stack::{bail, ensure};
 use futures::FutureExt;
 use futures::future::select;
@@ -45,23 +44,13 @@
 /// replicas. Ordinary commits take up to 100 ms.
 const COMMIT_LIMIT: Duration = Duration::from_millis(700);
 
-/// Holds what the coordinator was told, so that it is not told again.
+/// Holds whom the last report reached, so that nothing is told twice.
 #[derive(Debug, Default)]
 struct Delivered {
     /// The revision of the duty's record, which tells one coordinator from the next.
     term: Option<Revision>,
     /// Whether the last report was answered.
     is_told: bool,
-    acknowledged: HashMap<GroupName, Mark>,
-}
-
-impl Delivered {
-    /// Returns the positions that the coordinator does not know.
-    fn news(&self, known: &[(GroupName, Mark)]) -> Vec<(GroupName, Mark)> {
-        let is_new =
-            |(group, mark): &&(GroupName, Mark)| self.acknowledged.get(group) != Some(mark);
-        known.iter().filter(is_new).cloned().collect()
-    }
 }
 
 /// Returns the function that gets changes from the coordinator.
@@ -110,7 +99,7 @@
         if term != delivered.term {
             delivered = Delivered {
                 term,
-                ..Delivered::default()
+                is_told: false,
             };
         }
         let scope = match (delivered.is_told, is_full) {
@@ -118,10 +107,8 @@
             (true, true) => Scope::Changed,
             (true, false) => Scope::Urgent,
         };
-        let acknowledged = cx.acknowledged();
         let report = Report {
             suspects,
-            acknowledged: delivered.news(&acknowledged),
             demands: cx.rates.borrow_mut().demands(scope),
             wants_positions: is_full,
         };
@@ -134,7 +121,6 @@
         }
         delivered.is_told = outcome.is_ok();
         if let Ok(verdict) = outcome {
-            delivered.acknowledged = acknowledged.into_iter().collect();
             // What held some time before the answer held that long before the report, too.
             if let Some((revision, age)) = verdict.configuration {
                 cx.directory.confirm(revision, sent - age);
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -9,6 +9,7 @@
 mod permission;
 mod promotion;
 mod records;
+mod roster;
 mod supervisor;
 mod votes;
 
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -1,6 +1,5 @@
 //! Replaces the primary of one group.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,22 +8,21 @@
 use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout};
 use burdockslip_statement::{Command, MemberStatus};
 use burdockslip_store::{Compare, Entry, Operation, Txn, within};
-use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result, Revision, Term};
+use burdockslip_types::{ErrorKind, GroupName, MemberName, Result, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::{Report, bail, ensure};
-use futures::future::{LocalBoxFuture, join_all};
+use futures::future::{LocalBoxFuture, join, join_all};
 use tracing::{info, warn};
 
 use crate::records::{self, GroupRecord, keys};
+use crate::roster::{join as join_names, merge};
 use crate::{Duty, PERMISSION_SPAN, Tenure};
 
 /// Added to the permissions' span for differences of clocks' rates.
 const PERMISSION_MARGIN: Duration = Duration::from_millis(50);
 
-/// How long a change waits for members whose records are gone. A crashed
-/// primary is back with its log within some seconds; a group without writes for
-/// ever would be worse than the loss of what only a lost member had.
-const GONE_PATIENCE: Duration = Duration::from_secs(15);
+/// How long a change waits for members before this is logged as a warning.
+const WAIT_WARNING: Duration = Duration::from_secs(5);
 
 /// Bounds a control command to a member.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -64,10 +62,6 @@
     pub(crate) pools: Pools,
     pub(crate) duty: Duty,
     pub(crate) promote: Promote,
-    /// The positions up to which callers were told that commits are kept.
-    pub(crate) acknowledged: Rc<RefCell<HashMap<GroupName, Mark>>>,
-    /// The most members that each group had.
-    pub(crate) counts: Rc<RefCell<HashMap<GroupName, usize>>>,
 }
 
 impl Promotion {
@@ -83,7 +77,7 @@
             .next();
         let record = GroupRecord {
             held: Some(held),
-            size: self.count_members(group, record.size),
+            roster: merge(&record.roster, &self.directory.members(group)),
             ..record
         };
         let revision = self.write(group, &record, entry.revision).await?;
@@ -95,7 +89,7 @@
         let record = GroupRecord {
             primary: chosen.name.clone(),
             term,
-            size: self.directory.members(group).len(),
+            roster: merge(&record.roster, &self.directory.members(group)),
             held: None,
         };
         self.write(group, &record, revision).await?;
@@ -125,7 +119,7 @@
         let record = GroupRecord {
             primary: primary.clone(),
             term: status.term,
-            size: members.len(),
+            roster: merge(&[], &members),
             held: None,
         };
         self.write(group, &record, Revision(0)).await?;
@@ -169,7 +163,7 @@
         Ok(())
     }
 
-    async fn write(
+    pub(crate) async fn write(
         &self,
         group: &GroupName,
         record: &GroupRecord,
@@ -210,10 +204,10 @@
     /// Stops the members and picks the one that holds most.
     ///
     /// The old primary acknowledges a commit as soon as one replica has it. So
-    /// either every replica has to answer, or the old primary has stepped down
-    /// and its log holds everything. A replica whose record is gone cannot be
-    /// asked; then the choice must hold what callers were told, since the
-    /// replica may only be cut off.
+    /// either every replica on the roster has to answer, or the old primary has
+    /// stepped down and its log holds everything. No time bound and no report of
+    /// hosts can stand for a replica that does not answer: it may be cut off
+    /// together with the primary and hosts that go on using it.
     async fn choose(
         &self,
         group: &GroupName,
@@ -221,59 +215,91 @@
         held: Term,
     ) -> Result<(Rc<Member>, Instant)> {
         let begun = now();
+        let mut is_warned = false;
+        let mut is_waiting = false;
         loop {
             self.tenure()?;
-            let members = self.directory.members(group);
-            let is_reduced = members.len() < record.size;
-            let (primary, replicas): (Vec<_>, Vec<_>) = members
+            let (primary, replicas): (Vec<_>, Vec<_>) = self
+                .roster(record, group)
                 .into_iter()
                 .partition(|member| member.name == record.primary);
-            let mut statuses = self.step_down(&primary, held).await;
-            let has_stepped_down = !statuses.is_empty();
-            statuses.extend(self.ask(&replicas, &Command::Suspend(held)).await);
+            let statuses = self.stop(&primary, &replicas, held, is_waiting).await;
             if let Some(leader) = leader(&replicas, &statuses, record.term) {
                 info!(%group, member = %leader.name, "member was promoted before");
                 return Ok((leader, now()));
             }
-            let answers = |member: &Rc<Member>| statuses.contains_key(&member.name);
-            let have_answered = replicas.iter().all(answers);
-            let is_whole = have_answered && !is_reduced;
-            let candidates = if is_whole {
-                replicas
-            } else {
-                [primary, replicas].concat()
+            let is_stopped = |member: &&Rc<Member>| {
+                let status = statuses.get(&member.name);
+                status.is_some_and(|status| !status.is_primary && status.held >= held)
             };
-            let best = best(&candidates, &statuses);
-            let acknowledged = self.acknowledged.borrow().get(group).copied();
-            let received = best.as_ref().and_then(|best| statuses.get(&best.name));
-            let holds_all = received.map(|status| status.received) >= acknowledged;
-            let is_overdue = begun.elapsed() > GONE_PATIENCE;
-            let missing: Vec<_> = candidates
+            let missing: Vec<_> = replicas
                 .iter()
-                .filter(|member| !answers(member))
-                .map(|member| member.name.as_str())
+                .filter(|member| !is_stopped(member))
+                .map(|member| &member.name)
                 .collect();
-            info!(%group, held = held.0, answered = statuses.len(), of = candidates.len(), ?missing,
+            let is_whole = missing.is_empty() && !replicas.is_empty();
+            let has_stepped_down = has_stepped_down(record, &statuses);
+            let candidates = if is_whole {
+                &replicas
+            } else {
+                &[primary, replicas.clone()].concat()
+            };
+            let best = best(candidates, &statuses);
+            info!(%group, held = held.0, answered = statuses.len(), of = candidates.len(),
+                missing = %join_names(missing.iter().copied()),
                 best = best.as_ref().map(|member| member.name.as_str()),
-                is_reduced, size = record.size, has_stepped_down, holds_all,
-                acknowledged = acknowledged.map(tracing::field::display),
-                positions = %positions(&statuses),
+                is_whole, has_stepped_down, positions = %positions(&statuses),
                 "replicas stopped");
-            let is_safe =
-                is_whole || has_stepped_down || (have_answered && (holds_all || is_overdue));
-            if let Some(best) = best.filter(|_| is_safe) {
+            if let Some(best) = best.filter(|_| is_whole || has_stepped_down) {
                 return Ok((best, now()));
             }
+            is_waiting = true;
+            if begun.elapsed() > WAIT_WARNING && !is_warned {
+                is_warned = true;
+                warn!(%group, primary = %record.primary,
+                    missing = %join_names(missing.iter().copied()),
+                    "no promotion until the primary or these members answer");
+            }
             sleep(STEP_PAUSE).await;
         }
     }
 
-    /// Returns the most members that the group had, `count` included.
-    pub(crate) fn count_members(&self, group: &GroupName, count: usize) -> usize {
-        let mut counts = self.counts.borrow_mut();
-        let most = counts.entry(group.clone()).or_insert(count);
-        *most = count.max(*most);
-        *most
+    /// Ends the writes of the old primary and stops the replicas; returns the
+    /// status of those that answered.
+    ///
+    /// A reachable primary comes first, so that its replicas get all that it has.
+    /// One that is silent would only delay the answers of the replicas; it is
+    /// asked once these do not suffice.
+    async fn stop(
+        &self,
+        primary: &[Rc<Member>],
+        replicas: &[Rc<Member>],
+        held: Term,
+        is_waiting: bool,
+    ) -> HashMap<MemberName, MemberStatus> {
+        let command = Command::Suspend(held);
+        let is_silent = |member: &Rc<Member>| self.pools.of(member).health.is_suspected();
+        let (mut statuses, stopped) = if is_waiting {
+            join(self.step_down(primary, held), self.ask(replicas, &command)).await
+        } else if primary.iter().any(is_silent) {
+            (HashMap::new(), self.ask(replicas, &command).await)
+        } else {
+            let statuses = self.step_down(primary, held).await;
+            (statuses, self.ask(replicas, &command).await)
+        };
+        // A primary of an earlier term that has not heard of the present one.
+        let outdated: Vec<_> = replicas
+            .iter()
+            .filter(|member| {
+                stopped
+                    .get(&member.name)
+                    .is_some_and(|status| status.is_primary)
+            })
+            .cloned()
+            .collect();
+        self.ask(&outdated, &Command::Demote(held)).await;
+        statuses.extend(stopped);
+        statuses
     }
 
     /// Ends the writes of an old primary that is still reachable; returns its
@@ -283,17 +309,12 @@
         primary: &[Rc<Member>],
         term: Term,
     ) -> HashMap<MemberName, MemberStatus> {
-        let reachable: Vec<_> = primary
-            .iter()
-            .filter(|member| !self.pools.of(member).health.is_suspected())
-            .cloned()
-            .collect();
-        let mut statuses = self.ask(&reachable, &Command::Demote(term)).await;
+        let mut statuses = self.ask(primary, &Command::Demote(term)).await;
         statuses.retain(|_, status| !status.is_primary);
         statuses
     }
 
-    async fn ask(
+    pub(crate) async fn ask(
         &self,
         members: &[Rc<Member>],
         command: &Command,
@@ -353,8 +374,13 @@
     async fn release_replicas(&self, group: &GroupName, primary: &MemberName, term: Term) {
         let mut members = self.directory.members(group);
         members.retain(|member| member.name != *primary);
-        self.ask(&members, &Command::Resume).await;
-        self.ask(&members, &Command::Demote(term)).await;
+        for command in [Command::Resume, Command::Demote(term)] {
+            // A next holder may have stopped the replicas again.
+            if self.tenure().is_err() {
+                return;
+            }
+            self.ask(&members, &command).await;
+        }
     }
 }
 
@@ -371,6 +397,16 @@
     members.iter().find(leads).cloned()
 }
 
+/// Returns whether the old primary has stepped down with a log that holds
+/// everything; one that lost its log on a restart lacks what its replicas have.
+fn has_stepped_down(record: &GroupRecord, statuses: &HashMap<MemberName, MemberStatus>) -> bool {
+    let Some(primary) = statuses.get(&record.primary) else {
+        return false;
+    };
+    let newest = statuses.values().map(|status| status.received).max();
+    newest <= Some(primary.received)
+}
+
 /// Renders the positions of members for log lines.
 fn positions(statuses: &HashMap<MemberName, MemberStatus>) -> String {
     let mut positions: Vec<_> = statuses
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use burdockslip_directory::Member;
 use burdockslip_types::{ErrorKind, MemberName, Result, Term, Zone, domain};
 use error_stack::ResultExt;
 use serde::Serialize;
@@ -33,9 +34,9 @@
         pub primary: MemberName,
         /// The term in which the primary leads.
         pub term: Term,
-        /// The members that the group had when the record was written; a later
-        /// coordinator would not know of one whose record has lapsed.
-        pub size: usize,
+        /// The members whose logs may hold acknowledged commits, the primary
+        /// included, whether they are registered at the moment or not.
+        pub roster: Vec<Member>,
         /// The term at which replicas are stopped while the primary is being replaced.
         pub held: Option<Term>,
     }
--- /dev/null
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -0,0 +1,139 @@
+//! Keeps the roster of a group: the members whose logs may hold acknowledged commits.
+//!
+//! The platform lists the members that it hears of. A member behind a partition
+//! is not listed and may still receive what a primary on its side acknowledges,
+//! so it stays on the roster until its log is known to be needless; see
+//! `docs/platform.md`, "Promotion".
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::Member;
+use burdockslip_statement::{Command, MemberStatus};
+use burdockslip_store::Entry;
+use burdockslip_types::{ErrorKind, GroupName, MemberName, Result};
+use futures::future::join_all;
+use tracing::info;
+
+use crate::promotion::Promotion;
+use crate::records::GroupRecord;
+
+/// Bounds a question to a member.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Adds the registered members to a roster. A member that started again or
+/// moved replaces its earlier entry.
+pub(crate) fn merge(roster: &[Member], registered: &[Rc<Member>]) -> Vec<Member> {
+    let mut merged = roster.to_vec();
+    for member in registered {
+        match merged.iter_mut().find(|known| known.name == member.name) {
+            Some(known) if is_same_run(known, member) => {}
+            Some(known) => known.clone_from(member),
+            None => merged.push(Member::clone(member)),
+        }
+    }
+    merged
+}
+
+/// Returns whether every member is on the roster and the roster names no other.
+pub(crate) fn is_current(roster: &[Member], registered: &[Rc<Member>]) -> bool {
+    roster.len() == registered.len() && merge(roster, registered) == roster
+}
+
+/// Renders names for log lines.
+pub(crate) fn join<'a>(names: impl IntoIterator<Item = &'a MemberName>) -> String {
+    let names: Vec<_> = names.into_iter().map(MemberName::as_str).collect();
+    names.join(" ")
+}
+
+fn is_same_run(known: &Member, member: &Member) -> bool {
+    known.address == member.address && known.born == member.born
+}
+
+impl Promotion {
+    /// Returns the members that have to answer before a primary is replaced:
+    /// those on the roster and those that have registered since.
+    pub(crate) fn roster(&self, record: &GroupRecord, group: &GroupName) -> Vec<Rc<Member>> {
+        let registered = self.directory.members(group);
+        let roster = merge(&record.roster, &registered);
+        roster.into_iter().map(Rc::new).collect()
+    }
+
+    /// Brings the roster of a group without a change up to date: members that
+    /// have registered join, members that are gone leave. Returns the absent
+    /// members that have to stay.
+    pub(crate) async fn update_roster(
+        &self,
+        group: &GroupName,
+        entry: Entry,
+    ) -> Result<Vec<MemberName>> {
+        let record = GroupRecord::read(&entry.value)?;
+        let registered = self.directory.members(group);
+        let mut roster = merge(&record.roster, &registered);
+        let is_registered =
+            |member: &Member| registered.iter().any(|other| other.name == member.name);
+        let absent: Vec<_> = roster
+            .iter()
+            .filter(|member| !is_registered(member) && member.name != record.primary)
+            .cloned()
+            .map(Rc::new)
+            .collect();
+        let mut kept: Vec<_> = absent.iter().map(|member| member.name.clone()).collect();
+        let gone = self.gone(&record, absent, &registered).await;
+        kept.retain(|name| !gone.contains(name));
+        roster.retain(|member| !gone.contains(&member.name));
+        if roster != record.roster {
+            let record = GroupRecord { roster, ..record };
+            self.write(group, &record, entry.revision).await?;
+            let names = record.roster.iter().map(|member| &member.name);
+            info!(%group, roster = %join(names), gone = %join(&gone), "roster changed");
+        }
+        Ok(kept)
+    }
+
+    /// Returns the absent members whose logs are needless: they give no answer,
+    /// and a replica holds all that the primary held after that.
+    async fn gone(
+        &self,
+        record: &GroupRecord,
+        absent: Vec<Rc<Member>>,
+        registered: &[Rc<Member>],
+    ) -> Vec<MemberName> {
+        if absent.is_empty() {
+            return Vec::new();
+        }
+        let silent = join_all(absent.into_iter().map(|member| async move {
+            (!self.is_running(&member).await).then(|| member.name.clone())
+        }));
+        let silent: Vec<_> = silent.await.into_iter().flatten().collect();
+        let (primary, replicas): (Vec<_>, Vec<_>) = registered
+            .iter()
+            .cloned()
+            .partition(|member| member.name == record.primary);
+        // The primary is asked after the absent members and before the replicas,
+        // so that the replicas hold all that only an absent member could have had.
+        let primary = self.ask(&primary, &Command::Status).await;
+        let leads = |status: &&MemberStatus| status.is_primary && status.term == record.term;
+        let Some(held) = primary.values().find(leads).map(|status| status.received) else {
+            return Vec::new();
+        };
+        let replicas = self.ask(&replicas, &Command::Status).await;
+        if replicas.values().any(|status| status.received >= held) {
+            silent
+        } else {
+            Vec::new()
+        }
+    }
+
+    async fn is_running(&self, member: &Rc<Member>) -> bool {
+        let answer = self
+            .pools
+            .control(member, Command::Status, STATUS_TIMEOUT)
+            .await;
+        // A member that is too busy to answer runs; another one at its address does not count.
+        answer.map_or_else(
+            |error| *error.current_context() == ErrorKind::QueueFull,
+            |_| true,
+        )
+    }
+}
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -9,13 +9,13 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Task, sleep, spawn};
 use burdockslip_store::Entry;
-use burdockslip_types::{GroupName, HostId, Mark, MemberName};
+use burdockslip_types::{GroupName, HostId, MemberName};
 use burdockslip_upstream::Pools;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::promotion::{Promote, Promotion};
 use crate::records::{GroupRecord, keys};
-use crate::{Duty, Votes};
+use crate::{Duty, Votes, roster};
 
 /// How often the groups are looked at.
 const TICK: Duration = Duration::from_millis(60);
@@ -23,6 +23,10 @@
 /// How often the lease behind all permissions is looked at, in ticks.
 const FENCE_TICKS: u32 = 8;
 
+/// Pauses between looks at absent members, each of which takes a slot of the
+/// primary and of a replica.
+const ROSTER_PAUSE: Duration = Duration::from_secs(1);
+
 /// Pauses after a change that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -30,6 +34,8 @@
     promotion: Promotion,
     votes: RefCell<Votes>,
     changes: RefCell<HashMap<GroupName, Task<()>>>,
+    /// The updates of rosters, which a change of primary does not wait for.
+    updates: RefCell<HashMap<GroupName, Task<()>>>,
 }
 
 /// Watches the groups; clones share the state.
@@ -48,11 +54,10 @@
                 pools,
                 duty,
                 promote,
-                acknowledged: Rc::default(),
-                counts: Rc::default(),
             },
             votes: RefCell::default(),
             changes: RefCell::default(),
+            updates: RefCell::default(),
         });
         Self {
             _running: Rc::new(spawn(run(Rc::clone(&shared)))),
@@ -60,20 +65,8 @@
         }
     }
 
-    /// Takes in which members a host cannot reach and up to which positions its
-    /// callers were told that commits are kept.
-    pub fn report(
-        &self,
-        host: HostId,
-        suspects: Vec<MemberName>,
-        acknowledged: Vec<(GroupName, Mark)>,
-    ) {
-        let mut known = self.shared.promotion.acknowledged.borrow_mut();
-        for (group, mark) in acknowledged {
-            let highest = known.entry(group).or_insert(mark);
-            *highest = mark.max(*highest);
-        }
-        drop(known);
+    /// Takes in which members a host cannot reach.
+    pub fn report(&self, host: HostId, suspects: Vec<MemberName>) {
         self.shared.votes.borrow_mut().record(host, suspects);
     }
 
@@ -95,6 +88,7 @@
         sleep(TICK).await;
         if shared.promotion.duty.tenure().is_none() {
             shared.changes.borrow_mut().clear();
+            shared.updates.borrow_mut().clear();
             continue;
         }
         if ticks.is_multiple_of(FENCE_TICKS)
@@ -115,8 +109,6 @@
 
 impl Shared {
     fn look_at(self: &Rc<Self>, group: &GroupName) {
-        let members = self.promotion.directory.members(group).len();
-        self.promotion.count_members(group, members);
         if self.changes.borrow().contains_key(group) {
             return;
         }
@@ -133,7 +125,35 @@
         };
         if let Some(reason) = self.reason(&record) {
             self.start(group, Some(entry), reason);
+            return;
+        }
+        let registered = self.promotion.directory.members(group);
+        if !roster::is_current(&record.roster, &registered) {
+            self.update_roster(group, entry);
+        }
+    }
+
+    /// Brings the roster up to date as a task of its own, one at a time.
+    fn update_roster(self: &Rc<Self>, group: &GroupName, entry: Entry) {
+        if self.updates.borrow().contains_key(group) {
+            return;
         }
+        let (shared, name) = (Rc::clone(self), group.clone());
+        let task = spawn(async move {
+            match shared.promotion.update_roster(&name, entry).await {
+                Ok(kept) if kept.is_empty() => {}
+                Ok(kept) => {
+                    debug!(group = %name, kept = %roster::join(&kept), "absent members stay on the roster");
+                    sleep(ROSTER_PAUSE).await;
+                }
+                Err(error) => {
+                    info!(group = %name, ?error, "roster not updated");
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+            shared.updates.borrow_mut().remove(&name);
+        });
+        self.updates.borrow_mut().insert(group.clone(), task);
     }
 
     /// Returns why the primary has to be replaced, if so.
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -12,7 +12,7 @@
 use burdockslip_shares::{Admission, LocalRates};
 use burdockslip_statement::Dialect;
 use burdockslip_telemetry::Metrics;
-use burdockslip_types::{ErrorKind, GroupName, Mark, Organisation, Zone};
+use burdockslip_types::{ErrorKind, GroupName, Organisation, Zone};
 use burdockslip_upstream::Pools;
 use tracing::info;
 
@@ -56,8 +56,6 @@
     pub limits: Limits,
     /// The availability zone of this host.
     pub zone: Zone,
-    /// The highest acknowledged position of each group, which a promotion must keep.
-    pub(crate) acknowledged: RefCell<HashMap<GroupName, Mark>>,
     /// The open client connections.
     pub open: Cell<usize>,
     pub(crate) refreshing: RefCell<HashMap<GroupName, Task<()>>>,
@@ -86,7 +84,6 @@
             metrics,
             limits,
             zone,
-            acknowledged: RefCell::default(),
             open: Cell::new(0),
             refreshing: RefCell::default(),
         }
@@ -104,15 +101,6 @@
             .ok_or(ErrorKind::ConfigMissing)
     }
 
-    /// Returns the positions up to which callers were told that commits are kept.
-    pub fn acknowledged(&self) -> Vec<(GroupName, Mark)> {
-        let known = self.acknowledged.borrow();
-        known
-            .iter()
-            .map(|(group, mark)| (group.clone(), *mark))
-            .collect()
-    }
-
     /// Charges an operation to its organisation.
     ///
     /// # Errors
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -333,10 +333,6 @@
             && reply.result.is_ok()
             && let Some(mark) = reply.mark
         {
-            let mut acknowledged = self.cx.acknowledged.borrow_mut();
-            let highest = acknowledged.entry(group.clone()).or_insert(mark);
-            *highest = mark.max(*highest);
-            drop(acknowledged);
             let known = self.own.take().filter(|(known, _)| known == group);
             let mark = known.map_or(mark, |(_, known)| known.max(mark));
             self.own = Some((group.clone(), mark));
