Log and count the proof behind each acknowledged commit

The line of a statement now names the proof's source, the replica that gave it and the position of the commit; one line is written when a group's proof moves between the lease and a replica. Proofs and acknowledged commits are counted by source. No decision changes.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -83,11 +83,11 @@
     pub fn bind(settings: &EntrySettings, adapter: Adapter) -> Result<Self> {
         let directory = Directory::spawn(adapter.store, adapter.schema);
         let pools = Pools::spawn(adapter.dialect, directory.clone());
-        let permission = Permission::spawn(directory.clone(), pools.clone());
+        let metrics = Metrics::new()?;
+        let permission = Permission::spawn(directory.clone(), pools.clone(), metrics.clone());
         let duty = Duty::spawn(settings.host.clone(), settings.capacity, directory.clone());
         let promote = adapter.promote;
         let supervisor = Supervisor::spawn(directory.clone(), pools.clone(), duty.clone(), promote);
-        let metrics = Metrics::new()?;
         let limits = Limits {
             sessions: settings.sessions,
             rate_slack: settings.rate_slack,
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -129,7 +129,7 @@
                 cx.permission.accept(lease, sent - age);
             }
             for (group, term, age) in verdict.group_proofs {
-                cx.permission.accept_group(group, term, sent - age);
+                cx.permission.accept_group(&group, term, sent - age);
             }
             for (group, mark, age) in verdict.positions {
                 cx.freshness.note(&group, sent - age, mark);
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -8,6 +8,7 @@
 mod duty;
 mod permission;
 mod promotion;
+mod proof;
 mod records;
 mod roster;
 mod supervisor;
@@ -16,6 +17,7 @@
 pub use duty::{Duty, Standing, Tenure};
 pub use permission::{PERMISSION_SPAN, Permission};
 pub use promotion::{Promote, Promoted};
+pub use proof::{Proof, ProofSource};
 pub use records::{GroupRecord, Registration, keys};
 pub use supervisor::Supervisor;
 pub use votes::Votes;
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -1,20 +1,22 @@
 //! Decides whether this host may use a primary.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
 use burdockslip_directory::{Directory, Member, Role};
 use burdockslip_runtime::{Instant, Task, now, random_range, sleep, spawn, timeout};
-use burdockslip_statement::Command;
+use burdockslip_statement::{Command, MemberStatus};
 use burdockslip_store::LeaseId;
+use burdockslip_telemetry::Metrics;
 use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
 use tracing::{info, warn};
 
+use crate::proof::{Proof, ProofSource};
 use crate::records::{self, GroupRecord, keys};
 
 /// How long a permission lasts after the moment at which it was proved. A
@@ -54,9 +56,13 @@
 struct Shared {
     directory: Directory,
     pools: Pools,
-    proof: Cell<Option<Instant>>,
+    metrics: Metrics,
+    /// The newest proof that the lease behind all permissions was alive.
+    lease_proof: RefCell<Option<Proof>>,
     /// The terms that replicas followed, and when they were asked.
-    group_proofs: RefCell<HashMap<GroupName, (Term, Instant)>>,
+    group_proofs: RefCell<HashMap<GroupName, (Term, Proof)>>,
+    /// The groups whose newest proof is a replica's, as far as it was logged.
+    on_replicas: RefCell<HashSet<GroupName>>,
     asking: RefCell<HashMap<GroupName, Task<()>>>,
     has_store: Cell<bool>,
     is_leading: Cell<bool>,
@@ -71,12 +77,14 @@
 
 impl Permission {
     /// Starts to renew the permission.
-    pub fn spawn(directory: Directory, pools: Pools) -> Self {
+    pub fn spawn(directory: Directory, pools: Pools, metrics: Metrics) -> Self {
         let shared = Rc::new(Shared {
             directory,
             pools,
-            proof: Cell::new(None),
+            metrics,
+            lease_proof: RefCell::default(),
             group_proofs: RefCell::default(),
+            on_replicas: RefCell::default(),
             asking: RefCell::default(),
             has_store: Cell::new(true),
             is_leading: Cell::new(false),
@@ -102,16 +110,16 @@
         record.is_some_and(|record| !record.is_stable())
     }
 
-    /// Returns the age of the proof for a group, for log lines.
-    pub fn age(&self, group: &GroupName) -> Option<Duration> {
-        self.shared.proof(group).map(Instant::elapsed)
+    /// Returns the newest proof for a group.
+    pub fn proof(&self, group: &GroupName) -> Option<Proof> {
+        self.shared.proof(group)
     }
 
     /// Returns the lease behind the permission and the age of its proof, for
     /// hosts that rely on this one.
     pub fn vouch(&self) -> Option<(LeaseId, Duration)> {
-        let proof = self.shared.proof.get()?;
-        Some((self.shared.fence()?, proof.elapsed()))
+        let age = self.shared.lease_proof.borrow().as_ref()?.age();
+        Some((self.shared.fence()?, age))
     }
 
     /// Takes over from a peer that the lease was alive at `moment`.
@@ -120,8 +128,8 @@
     /// read yet.
     pub fn accept(&self, lease: LeaseId, moment: Instant) {
         if self.shared.fence() == Some(lease) {
-            let proof = &self.shared.proof;
-            proof.set(proof.get().max(Some(moment)));
+            self.shared
+                .note_lease_proof(moment, ProofSource::Coordinator);
         }
     }
 
@@ -130,21 +138,22 @@
     pub fn vouch_groups(&self) -> Vec<(GroupName, Term, Duration)> {
         let shared = &self.shared;
         let limit = shared.check_age();
-        if shared.proof.get().is_some_and(|at| at.elapsed() < limit) {
+        if shared.has_lease_proof(limit) {
             return Vec::new();
         }
         let proofs = shared.group_proofs.borrow();
         let ages = proofs
             .iter()
-            .map(|(group, (term, at))| (group.clone(), *term, at.elapsed()));
+            .map(|(group, (term, proof))| (group.clone(), *term, proof.age()));
         ages.filter(|(_, _, age)| *age < PERMISSION_SPAN).collect()
     }
 
     /// Takes over from a peer that a replica of a group followed `term` at `moment`.
-    pub fn accept_group(&self, group: GroupName, term: Term, moment: Instant) {
-        let record = self.shared.record(&group);
+    pub fn accept_group(&self, group: &GroupName, term: Term, moment: Instant) {
+        let record = self.shared.record(group);
         if record.is_some_and(|record| record.is_stable() && record.term == term) {
-            self.shared.note_proof(group, term, moment);
+            let source = ProofSource::CoordinatorReplica;
+            self.shared.note_proof(group, term, moment, source, None);
         }
     }
 
@@ -160,7 +169,8 @@
     }
 
     fn is_proved(&self, group: &GroupName) -> bool {
-        self.age(group).is_some_and(|age| age < PERMISSION_SPAN)
+        self.proof(group)
+            .is_some_and(|proof| proof.age() < PERMISSION_SPAN)
     }
 }
 
@@ -182,16 +192,93 @@
         }
     }
 
-    fn proof(&self, group: &GroupName) -> Option<Instant> {
-        let own = self.group_proofs.borrow().get(group).map(|(_, at)| *at);
-        self.proof.get().max(own)
+    fn proof(&self, group: &GroupName) -> Option<Proof> {
+        let lease = self.lease_proof.borrow().clone();
+        let proofs = self.group_proofs.borrow();
+        let own = proofs.get(group).map(|(_, proof)| proof.clone());
+        let newest = lease.into_iter().chain(own);
+        newest.max_by_key(|proof| proof.at)
+    }
+
+    /// Returns whether the proof of the lease is younger than `limit`.
+    fn has_lease_proof(&self, limit: Duration) -> bool {
+        let proof = self.lease_proof.borrow();
+        proof.as_ref().is_some_and(|proof| proof.age() < limit)
+    }
+
+    fn note_lease_proof(&self, moment: Instant, source: ProofSource) {
+        self.metrics.count_proof(source.name());
+        let mut proof = self.lease_proof.borrow_mut();
+        if proof.as_ref().is_some_and(|known| known.at >= moment) {
+            return;
+        }
+        *proof = Some(Proof { at: moment, source });
+        drop(proof);
+        self.note_return();
     }
 
-    fn note_proof(&self, group: GroupName, term: Term, moment: Instant) {
+    fn note_proof(
+        &self,
+        group: &GroupName,
+        term: Term,
+        moment: Instant,
+        source: ProofSource,
+        status: Option<&MemberStatus>,
+    ) {
+        self.metrics.count_proof(source.name());
+        let proof = Proof { at: moment, source };
         let mut proofs = self.group_proofs.borrow_mut();
-        let known = proofs.entry(group).or_insert((term, moment));
-        if known.1 < moment {
-            *known = (term, moment);
+        let known = proofs
+            .entry(group.clone())
+            .or_insert_with(|| (term, proof.clone()));
+        if known.1.at < moment {
+            *known = (term, proof);
+        }
+        drop(proofs);
+        self.note_replica(group, term, status);
+    }
+
+    /// Logs that the newest proof for a group is a replica's from now on.
+    fn note_replica(&self, group: &GroupName, known: Term, status: Option<&MemberStatus>) {
+        let Some(proof) = self.proof(group) else {
+            return;
+        };
+        if !proof.source.is_replica() || !self.on_replicas.borrow_mut().insert(group.clone()) {
+            return;
+        }
+        let lease_age = self.lease_proof.borrow().as_ref().map(Proof::age);
+        info!(
+            %group,
+            proof = proof.source.name(),
+            replica = proof.source.replica().map(MemberName::as_str),
+            term = status.map(|status| status.term.0),
+            held = status.map(|status| status.held.0),
+            received = status.map(|status| tracing::field::display(status.received)),
+            known = known.0,
+            lease_age_ms = lease_age.map(|age| age.as_millis()),
+            "primary used on the proof of a replica"
+        );
+    }
+
+    /// Logs the groups whose newest proof is the lease's again.
+    fn note_return(&self) {
+        let proofs: Vec<_> = self
+            .on_replicas
+            .borrow()
+            .iter()
+            .filter_map(|group| Some((group.clone(), self.proof(group)?)))
+            .filter(|(_, proof)| !proof.source.is_replica())
+            .collect();
+        for (group, proof) in proofs {
+            self.on_replicas.borrow_mut().remove(&group);
+            let known = self.record(&group).map(|record| record.term.0);
+            info!(
+                %group,
+                proof = proof.source.name(),
+                known,
+                age_ms = proof.age().as_millis(),
+                "primary used on the proof of the lease again"
+            );
         }
     }
 
@@ -228,7 +315,8 @@
         if self.has_store.replace(is_reachable) == is_reachable {
             return;
         }
-        let age = self.proof.get().map(|at| at.elapsed().as_millis());
+        let proof = self.lease_proof.borrow();
+        let age = proof.as_ref().map(|proof| proof.age().as_millis());
         if is_reachable {
             info!(age, "permission renewed at the store again");
         } else {
@@ -249,17 +337,14 @@
             RENEW_AGE
         };
         // Without a lease there is nothing to renew, and its record will be told.
-        let is_fresh = |at: Instant| at.elapsed() < limit;
-        let Some(lease) = shared
-            .fence()
-            .filter(|_| !shared.proof.get().is_some_and(is_fresh))
-        else {
+        let lease = shared.fence();
+        let Some(lease) = lease.filter(|_| !shared.has_lease_proof(limit)) else {
             sleep(RENEW_TICK.min(limit / 2)).await;
             continue;
         };
         match timeout(RENEW_TIMEOUT, shared.prove(lease)).await {
             Ok(Ok(sent)) => {
-                shared.proof.set(shared.proof.get().max(Some(sent)));
+                shared.note_lease_proof(sent, ProofSource::Store);
                 shared.note_store(true, None);
             }
             Ok(Err(error)) => {
@@ -280,8 +365,8 @@
     loop {
         sleep(REPLICA_CHECK_PERIOD).await;
         let limit = shared.check_age();
-        let is_fresh = |at: Instant| at.elapsed() < limit;
-        if shared.proof.get().is_some_and(is_fresh) || !shared.directory.is_current() {
+        let is_fresh = |proof: Proof| proof.age() < limit;
+        if shared.has_lease_proof(limit) || !shared.directory.is_current() {
             continue;
         }
         let Some(configuration) = shared.directory.configuration() else {
@@ -330,7 +415,8 @@
         .await;
     match status {
         Ok(status) if status.term <= known && status.held <= known => {
-            shared.note_proof(group.clone(), known, sent);
+            let source = ProofSource::Replica(replica.name.clone());
+            shared.note_proof(&group, known, sent, source, Some(&status));
         }
         Ok(status) => info!(
             %group,
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -34,6 +34,8 @@
     started: Instant,
     /// The member that answered last and the position that its log had to hold.
     last: Option<(MemberName, Option<Mark>)>,
+    /// The position of the commit that the running statement made.
+    committed: Option<Mark>,
     metrics: RequestMetrics,
 }
 
@@ -74,6 +76,7 @@
             has_failed: false,
             started: now(),
             last: None,
+            committed: None,
         })
     }
 
@@ -333,6 +336,7 @@
             && reply.result.is_ok()
             && let Some(mark) = reply.mark
         {
+            self.committed = Some(mark);
             let known = self.own.take().filter(|(known, _)| known == group);
             let mark = known.map_or(mark, |(_, known)| known.max(mark));
             self.own = Some((group.clone(), mark));
@@ -368,6 +372,11 @@
         let took = self.started.elapsed();
         self.metrics.record(result, took);
         let (member, floor) = self.last.take().unzip();
+        let committed = self.committed.take();
+        let proof = self.cx.permission.proof(&route.group);
+        if let Some(proof) = proof.as_ref().filter(|_| committed.is_some()) {
+            self.cx.metrics.count_commit(proof.source.name());
+        }
         info!(
             id = text(id),
             organisation = %self.organisation,
@@ -379,7 +388,10 @@
             floor = floor.flatten().map(tracing::field::display),
             own = self.own.as_ref().map(|(_, mark)| tracing::field::display(mark)),
             position = response.mark.map(tracing::field::display),
-            primary_age_ms = self.cx.permission.age(&route.group).map(|age| age.as_millis()),
+            commit = committed.map(tracing::field::display),
+            proof = proof.as_ref().map(|proof| proof.source.name()),
+            replica = proof.as_ref().and_then(|proof| proof.source.replica()).map(MemberName::as_str),
+            primary_age_ms = proof.as_ref().map(|proof| proof.age().as_millis()),
             config_age_ms = self.cx.directory.age().map(|age| age.as_millis()),
             "statement answered"
         );
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -42,6 +42,8 @@
     wait: Histogram<f64>,
     requests: Counter<u64>,
     reads: Counter<u64>,
+    proofs: Counter<u64>,
+    commits: Counter<u64>,
     gap: Histogram<f64>,
     connections: Gauge<u64>,
     staleness: Gauge<f64>,
@@ -86,6 +88,16 @@
                 "burdockslip_reads",
                 "Reads by the member that served.",
             ),
+            proofs: counter(
+                &meter,
+                "burdockslip_proofs",
+                "Proofs that primaries may be used, by their source.",
+            ),
+            commits: counter(
+                &meter,
+                "burdockslip_commits",
+                "Commits that callers were told are kept, by the source of the newest proof.",
+            ),
             gap: histogram(
                 &meter,
                 "burdockslip_failover",
@@ -132,6 +144,17 @@
         self.reads.add(1, &[group, KeyValue::new("source", source)]);
     }
 
+    /// Counts a proof that primaries may be used.
+    pub fn count_proof(&self, source: &'static str) {
+        self.proofs.add(1, &[KeyValue::new("source", source)]);
+    }
+
+    /// Counts a commit that a caller was told is kept, by the source of the
+    /// newest proof that the primary may be used.
+    pub fn count_commit(&self, source: &'static str) {
+        self.commits.add(1, &[KeyValue::new("source", source)]);
+    }
+
     /// Records how long a phase of a change of primary took, such as `detection`.
     pub fn record_failover(&self, group: &GroupName, phase: &'static str, span: Duration) {
         let group = KeyValue::new("group", group.as_str().to_owned());
--- a/crates/burdockslip_telemetry/tests/metrics.rs
+++ b/crates/burdockslip_telemetry/tests/metrics.rs
@@ -16,6 +16,9 @@
     metrics.count_read(&"orders".into(), Source::Replica);
     metrics.count_read(&"orders".into(), Source::Replica);
     metrics.count_read(&"orders".into(), Source::Primary);
+    metrics.count_proof("store");
+    metrics.count_proof("replica");
+    metrics.count_commit("replica");
     metrics.record_failover(&"orders".into(), "detection", Duration::from_millis(700));
     metrics.set_connections(12);
     metrics.set_config(34, Duration::from_millis(1500));
@@ -32,6 +35,9 @@
     wait = { "burdockslip_wait_seconds_bucket{class=\"check\",organisation=\"acme\",otel_scope_name=\"burdockslip\",le=\"0.0002\"} 1" },
     replica = { "burdockslip_reads_total{group=\"orders\",source=\"replica\",otel_scope_name=\"burdockslip\"} 2" },
     primary = { "burdockslip_reads_total{group=\"orders\",source=\"primary\",otel_scope_name=\"burdockslip\"} 1" },
+    proof_store = { "burdockslip_proofs_total{source=\"store\",otel_scope_name=\"burdockslip\"} 1" },
+    proof_replica = { "burdockslip_proofs_total{source=\"replica\",otel_scope_name=\"burdockslip\"} 1" },
+    commit = { "burdockslip_commits_total{source=\"replica\",otel_scope_name=\"burdockslip\"} 1" },
     failover = { "burdockslip_failover_seconds_bucket{group=\"orders\",phase=\"detection\",otel_scope_name=\"burdockslip\",le=\"1\"} 1" },
     connections = { "burdockslip_connections{otel_scope_name=\"burdockslip\"} 12" },
     revision = { "burdockslip_config_revision{otel_scope_name=\"burdockslip\"} 34" },
