Recognise members that come back under another name by their address

The old primary, back in its old term under a new id, was taken for a replica and could be chosen; the order for it is answered 200 and changes nothing.

Change: the roster follows logs by their address; a later run at the address replaces the earlier entry, and the record of an earlier run that turns up late is ignored. The record holds the primary's address, so that its later run is asked to step down and counts with its log. A member that still leads is never chosen.

Evidence: members_that_come_back_under_other_names_are_recognised failed before (waited 30 s in vain for a write) and passes; the tests of failover and partition pass.

--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -88,6 +88,7 @@
         sleep_until(fenced.max(suspended) + PERMISSION_SPAN + PERMISSION_MARGIN).await;
         let record = GroupRecord {
             primary: chosen.name.clone(),
+            address: chosen.address,
             term,
             roster: merge(&record.roster, &self.directory.members(group)),
             held: None,
@@ -113,11 +114,17 @@
             .iter()
             .filter(|(_, status)| status.is_primary)
             .max_by_key(|(_, status)| status.term);
-        let Some((primary, status)) = leader else {
+        let leader = leader.and_then(|(name, status)| {
+            let member = members.iter().find(|member| member.name == *name)?;
+            Some((member, status))
+        });
+        let Some((member, status)) = leader else {
             bail!(Report::new(ErrorKind::NoPrimary).attach("no member acts as primary"));
         };
+        let primary = &member.name;
         let record = GroupRecord {
             primary: primary.clone(),
+            address: member.address,
             term: status.term,
             roster: merge(&[], &members),
             held: None,
@@ -222,7 +229,7 @@
             let (primary, replicas): (Vec<_>, Vec<_>) = self
                 .roster(record, group)
                 .into_iter()
-                .partition(|member| member.name == record.primary);
+                .partition(|member| record.is_primary(member));
             let statuses = self.stop(&primary, &replicas, held, is_waiting).await;
             if let Some(leader) = leader(&replicas, &statuses, record.term) {
                 info!(%group, member = %leader.name, "member was promoted before");
@@ -238,7 +245,7 @@
                 .map(|member| &member.name)
                 .collect();
             let is_whole = missing.is_empty() && !replicas.is_empty();
-            let has_stepped_down = has_stepped_down(record, &statuses);
+            let has_stepped_down = has_stepped_down(&primary, &statuses);
             let candidates = if is_whole {
                 &replicas
             } else {
@@ -399,12 +406,12 @@
 
 /// Returns whether the old primary has stepped down with a log that holds
 /// everything; one that lost its log on a restart lacks what its replicas have.
-fn has_stepped_down(record: &GroupRecord, statuses: &HashMap<MemberName, MemberStatus>) -> bool {
-    let Some(primary) = statuses.get(&record.primary) else {
-        return false;
-    };
+fn has_stepped_down(primary: &[Rc<Member>], statuses: &HashMap<MemberName, MemberStatus>) -> bool {
     let newest = statuses.values().map(|status| status.received).max();
-    newest <= Some(primary.received)
+    primary
+        .iter()
+        .filter_map(|member| statuses.get(&member.name))
+        .any(|status| Some(status.received) >= newest)
 }
 
 /// Renders the positions of members for log lines.
@@ -417,7 +424,8 @@
     positions.join(" ")
 }
 
-/// Picks the member with the newest log; among equals one that stays.
+/// Picks the member with the newest log; among equals one that stays. A
+/// promotion of a member that leads already would change nothing.
 fn best(
     members: &[Rc<Member>],
     statuses: &HashMap<MemberName, MemberStatus>,
@@ -425,6 +433,7 @@
     members
         .iter()
         .filter_map(|member| Some((member, statuses.get(&member.name)?)))
+        .filter(|(_, status)| !status.is_primary)
         .max_by_key(|(member, status)| (status.received, !member.is_draining))
         .map(|(member, _)| Rc::clone(member))
 }
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -32,6 +32,9 @@
     pub struct GroupRecord {
         /// The primary, or the one being replaced.
         pub primary: MemberName,
+        /// Where the primary accepts connections. A member that crashed comes
+        /// back at its address with its log, but under another name.
+        pub address: SocketAddr,
         /// The term in which the primary leads.
         pub term: Term,
         /// The members whose logs may hold acknowledged commits, the primary
@@ -75,6 +78,11 @@
         decode(bytes)
     }
 
+    /// Returns whether a member has the log of the primary.
+    pub fn is_primary(&self, member: &Member) -> bool {
+        member.name == self.primary || member.address == self.address
+    }
+
     /// Returns whether the primary serves.
     pub const fn is_stable(&self) -> bool {
         self.held.is_none()
--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -21,13 +21,18 @@
 /// Bounds a question to a member.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Adds the registered members to a roster. A member that started again or
-/// moved replaces its earlier entry.
+/// Adds the registered members to a roster.
+///
+/// A log stays at its address: a member that crashed comes back with it under
+/// another name and replaces its earlier entry, and the record of its earlier
+/// run may still turn up.
 pub(crate) fn merge(roster: &[Member], registered: &[Rc<Member>]) -> Vec<Member> {
     let mut merged = roster.to_vec();
     for member in registered {
-        match merged.iter_mut().find(|known| known.name == member.name) {
-            Some(known) if is_same_run(known, member) => {}
+        let is_same =
+            |known: &&mut Member| known.address == member.address || known.name == member.name;
+        match merged.iter_mut().find(is_same) {
+            Some(known) if known.born >= member.born => {}
             Some(known) => known.clone_from(member),
             None => merged.push(Member::clone(member)),
         }
@@ -35,9 +40,17 @@
     merged
 }
 
-/// Returns whether every member is on the roster and the roster names no other.
+/// Returns whether the roster names the newest run of every registered member
+/// and no other member.
 pub(crate) fn is_current(roster: &[Member], registered: &[Rc<Member>]) -> bool {
-    roster.len() == registered.len() && merge(roster, registered) == roster
+    merge(roster, registered) == roster
+        && roster
+            .iter()
+            .all(|member| is_registered(member, registered))
+}
+
+fn is_registered(member: &Member, registered: &[Rc<Member>]) -> bool {
+    registered.iter().any(|other| other.name == member.name)
 }
 
 /// Renders names for log lines.
@@ -46,10 +59,6 @@
     names.join(" ")
 }
 
-fn is_same_run(known: &Member, member: &Member) -> bool {
-    known.address == member.address && known.born == member.born
-}
-
 impl Promotion {
     /// Returns the members that have to answer before a primary is replaced:
     /// those on the roster and those that have registered since.
@@ -70,11 +79,9 @@
         let record = GroupRecord::read(&entry.value)?;
         let registered = self.directory.members(group);
         let mut roster = merge(&record.roster, &registered);
-        let is_registered =
-            |member: &Member| registered.iter().any(|other| other.name == member.name);
         let absent: Vec<_> = roster
             .iter()
-            .filter(|member| !is_registered(member) && member.name != record.primary)
+            .filter(|member| !is_registered(member, &registered) && !record.is_primary(member))
             .cloned()
             .map(Rc::new)
             .collect();
@@ -109,7 +116,7 @@
         let (primary, replicas): (Vec<_>, Vec<_>) = registered
             .iter()
             .cloned()
-            .partition(|member| member.name == record.primary);
+            .partition(|member| record.is_primary(member));
         // The primary is asked after the absent members and before the replicas,
         // so that the replicas hold all that only an absent member could have had.
         let primary = self.ask(&primary, &Command::Status).await;
