Compare rosters without copies, and take the last of several promoted members

The roster of each group is compared on each tick of the coordinator, and the comparison copied it. Of two members that earlier attempts have promoted the first by name was taken, which may be the one of the lower term; this follows from reading, no run has shown it. Tests of failover and partition pass.

--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -391,17 +391,19 @@
     }
 }
 
-/// Returns the member that an earlier holder of the duty has promoted, if any.
+/// Returns the member that an earlier holder of the duty has promoted, if any;
+/// of several, the last one.
 fn leader(
     members: &[Rc<Member>],
     statuses: &HashMap<MemberName, MemberStatus>,
     old: Term,
 ) -> Option<Rc<Member>> {
-    let leads = |member: &&Rc<Member>| {
-        let status = statuses.get(&member.name);
-        status.is_some_and(|status| status.is_primary && status.term > old)
-    };
-    members.iter().find(leads).cloned()
+    members
+        .iter()
+        .filter_map(|member| Some((member, statuses.get(&member.name)?)))
+        .filter(|(_, status)| status.is_primary && status.term > old)
+        .max_by_key(|(_, status)| status.term)
+        .map(|(member, _)| Rc::clone(member))
 }
 
 /// Returns whether the old primary has stepped down with a log that holds
--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -29,9 +29,7 @@
 pub(crate) fn merge(roster: &[Member], registered: &[Rc<Member>]) -> Vec<Member> {
     let mut merged = roster.to_vec();
     for member in registered {
-        let is_same =
-            |known: &&mut Member| known.address == member.address || known.name == member.name;
-        match merged.iter_mut().find(is_same) {
+        match merged.iter_mut().find(|known| has_same_log(known, member)) {
             Some(known) if known.born >= member.born => {}
             Some(known) => known.clone_from(member),
             None => merged.push(Member::clone(member)),
@@ -43,12 +41,20 @@
 /// Returns whether the roster names the newest run of every registered member
 /// and no other member.
 pub(crate) fn is_current(roster: &[Member], registered: &[Rc<Member>]) -> bool {
-    merge(roster, registered) == roster
+    let is_listed = |member: &Rc<Member>| {
+        let mut runs = roster.iter().filter(|known| has_same_log(known, member));
+        runs.any(|known| known.born >= member.born)
+    };
+    registered.iter().all(is_listed)
         && roster
             .iter()
             .all(|member| is_registered(member, registered))
 }
 
+fn has_same_log(known: &Member, member: &Member) -> bool {
+    known.address == member.address || known.name == member.name
+}
+
 fn is_registered(member: &Member, registered: &[Rc<Member>]) -> bool {
     registered.iter().any(|other| other.name == member.name)
 }
