Leave a member that an earlier attempt promoted in place

What callers saw: a second promotion and about a second more without writes when the coordinator that ordered a promotion was killed before it finished.

Cause: the next coordinator stops members at a higher term. Since it also asks primaries among them to step down, meant for one of an earlier term that has not heard of the present one, and so undid the promotion that it then took for granted.

Change: only a primary of the record's term or an earlier one is asked.

Evidence: promotion_ordered_by_a_killed_coordinator_is_finished failed before (2 promotions, 1 expected) and passes. Found by review.

--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -230,7 +230,7 @@
                 .roster(record, group)
                 .into_iter()
                 .partition(|member| record.is_primary(member));
-            let statuses = self.stop(&primary, &replicas, held, is_waiting).await;
+            let statuses = self.stop(record, &primary, &replicas, is_waiting).await;
             if let Some(leader) = leader(&replicas, &statuses, record.term) {
                 info!(%group, member = %leader.name, "member was promoted before");
                 return Ok((leader, now()));
@@ -279,11 +279,12 @@
     /// asked once these do not suffice.
     async fn stop(
         &self,
+        record: &GroupRecord,
         primary: &[Rc<Member>],
         replicas: &[Rc<Member>],
-        held: Term,
         is_waiting: bool,
     ) -> HashMap<MemberName, MemberStatus> {
+        let held = record.held.unwrap_or_default();
         let command = Command::Suspend(held);
         let is_silent = |member: &Rc<Member>| self.pools.of(member).health.is_suspected();
         let (mut statuses, stopped) = if is_waiting {
@@ -294,16 +295,13 @@
             let statuses = self.step_down(primary, held).await;
             (statuses, self.ask(replicas, &command).await)
         };
-        // A primary of an earlier term that has not heard of the present one.
-        let outdated: Vec<_> = replicas
-            .iter()
-            .filter(|member| {
-                stopped
-                    .get(&member.name)
-                    .is_some_and(|status| status.is_primary)
-            })
-            .cloned()
-            .collect();
+        // A primary of an earlier term may not have heard of the present one. One
+        // of a later term was promoted by an earlier attempt.
+        let is_outdated = |member: &&Rc<Member>| {
+            let status = stopped.get(&member.name);
+            status.is_some_and(|status| status.is_primary && status.term <= record.term)
+        };
+        let outdated: Vec<_> = replicas.iter().filter(is_outdated).cloned().collect();
         self.ask(&outdated, &Command::Demote(held)).await;
         statuses.extend(stopped);
         statuses
