Note on the roster that a member is about to leave

What callers would see: a second change of primary right after the first, when a replica that is about to leave was promoted although one that stays had the same log.

Cause: since a change looks at members as the roster has them, and the roster kept what a member said when it joined.

Evidence: replica_that_stays_is_preferred failed before and passes. Found by review. Costs one write of the group's record for each member that leaves.

--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -30,8 +30,8 @@
     let mut merged = roster.to_vec();
     for member in registered {
         match merged.iter_mut().find(|known| has_same_log(known, member)) {
-            Some(known) if known.born >= member.born => {}
-            Some(known) => known.clone_from(member),
+            Some(known) if is_newer(member, known) => known.clone_from(member),
+            Some(_) => {}
             None => merged.push(Member::clone(member)),
         }
     }
@@ -43,7 +43,7 @@
 pub(crate) fn is_current(roster: &[Member], registered: &[Rc<Member>]) -> bool {
     let is_listed = |member: &Rc<Member>| {
         let mut runs = roster.iter().filter(|known| has_same_log(known, member));
-        runs.any(|known| known.born >= member.born)
+        runs.any(|known| !is_newer(member, known))
     };
     registered.iter().all(is_listed)
         && roster
@@ -55,6 +55,13 @@
     known.address == member.address || known.name == member.name
 }
 
+/// Returns whether a member's record says more than the roster: it started again
+/// or is about to leave.
+fn is_newer(member: &Member, known: &Member) -> bool {
+    let is_leaving = member.is_draining && !known.is_draining;
+    known.born < member.born || known.born == member.born && is_leaving
+}
+
 fn is_registered(member: &Member, registered: &[Rc<Member>]) -> bool {
     registered.iter().any(|other| other.name == member.name)
 }
