Count votes against a primary only when half of the hosts report

What callers would see: no primary in any group while the coordinator is cut off from members and other hosts but not from the store.

Cause: the vote counted the hosts that report. A coordinator that nobody reaches hears of its own opinion only, started a change of every group and could finish none.

Change: at least half of the registered hosts have to report.

Found by review, not seen in a run.

--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -168,8 +168,10 @@
             return Some("primary leaves");
         }
         let (against, total) = self.votes.borrow().count(&record.primary);
-        if total > 0 && self.votes.borrow().is_lost(&record.primary) {
-            info!(primary = %record.primary, against, total, "primary unreachable for most hosts");
+        let hosts = self.promotion.directory.records(keys::HOSTS).len();
+        if total > 0 && self.votes.borrow().is_lost(&record.primary, hosts) {
+            info!(primary = %record.primary, against, total, hosts,
+                "primary unreachable for most hosts");
             return Some("primary unreachable");
         }
         None
--- a/crates/burdockslip_failover/src/votes.rs
+++ b/crates/burdockslip_failover/src/votes.rs
@@ -48,11 +48,13 @@
         (against, fresh().count())
     }
 
-    /// Returns whether more than half of the hosts that report suspect a member.
+    /// Returns whether more than half of the hosts that report suspect a member,
+    /// and at least half of the `registered` hosts report.
     ///
-    /// A host with a broken link suspects members that serve all others.
-    pub fn is_lost(&self, member: &MemberName) -> bool {
+    /// A host with a broken link suspects members that serve all others, and a
+    /// coordinator that is cut off hears of no other opinion.
+    pub fn is_lost(&self, member: &MemberName, registered: usize) -> bool {
         let (against, total) = self.count(member);
-        against * 2 > total
+        against * 2 > total && total * 2 >= registered
     }
 }
