Read a record again after a write that was not confirmed

What callers would see: a group without a primary for up to 14 s when the store loses the answer to a write of the group's record while the watch is silent.

Cause: a write that was done and not answered left the old revision known, so that each further attempt failed its condition; only the watch, which notices its own silence after 14 s, brought the new one.

Change: after a write that is not known to have been done the key is read. Found by review; not shown by a test.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -170,6 +170,32 @@
         Some(Rc::clone(&known.member))
     }
 
+    /// Returns whether the store lists a member as far as is known; a member that
+    /// is not listed may stay usable for some time.
+    pub fn is_listed(&self, name: &MemberName) -> bool {
+        let members = self.shared.members.borrow();
+        members
+            .get(name)
+            .is_some_and(|known| known.missing.is_none())
+    }
+
+    /// Reads the records under `prefix` from the store, since changes that a
+    /// silent watch has missed are not known.
+    ///
+    /// # Errors
+    ///
+    /// Returns `StoreUnavailable` if the store gives no answer.
+    pub async fn refresh(&self, prefix: &str) -> Result<()> {
+        let page = self.shared.store.range(prefix).await?;
+        page.entries.into_iter().for_each(|entry| self.learn(entry));
+        Ok(())
+    }
+
+    /// Returns the prefix of the members' records.
+    pub fn members_prefix(&self) -> &'static str {
+        self.shared.schema.members
+    }
+
     /// Returns a record of the system's own.
     pub fn record(&self, key: &str) -> Option<Entry> {
         self.shared.entries.borrow().get(key).cloned()
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -193,8 +193,15 @@
                 operations: vec![Operation::Put(key.to_owned(), value.clone(), None)],
             }),
         )
-        .await?;
-        ensure!(reply.is_applied, ErrorKind::Conflict);
+        .await;
+        let is_applied = matches!(&reply, Ok(reply) if reply.is_applied);
+        if !is_applied {
+            // The write may have been done, or another one, and the watch may be
+            // silent: the next attempt needs the present revision.
+            within(STORE_TIMEOUT, self.directory.refresh(key)).await?;
+        }
+        let reply = reply?;
+        ensure!(is_applied, ErrorKind::Conflict);
         self.directory.learn(Entry {
             key: key.to_owned(),
             value,
