Look at the stopped members again before a promotion is ordered

What callers would see: an acknowledged commit that is lost although every replica was stopped.

A round of questions takes up to 1.2 s when a member is silent, so that one that answered first may have restarted before the choice. And a replica that joined while the coordinator's watch was silent is not known, neither asked nor stopped.

Change: the members' records are read from the store beside the first round, and a round is repeated if there is a member that it did not ask. The members that the choice rests on are asked once more right before it; if one does not say that it is still stopped, the choice is made again. The time until the order takes effect, 0.3 to 1 s, is not covered.

--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -233,22 +233,28 @@
         let mut is_waiting = false;
         loop {
             self.tenure()?;
-            let (primary, replicas): (Vec<_>, Vec<_>) = self
-                .roster(record, group)
-                .into_iter()
+        let mut is_refreshed = false;
+            let roster = self.roster(record, group);
+            let (primary, replicas): (Vec<_>, Vec<_>) = roster
+                .iter()
+                .cloned()
                 .partition(|member| record.is_primary(member));
-            let statuses = self.stop(record, &primary, &replicas, is_waiting).await;
+            let stop = self.stop(record, &primary, &replicas, is_waiting);
+            let statuses = if is_refreshed {
+                stop.await
+            } else {
+                let (statuses, refreshed) = join(stop, self.refresh_members()).await;
+                is_refreshed = refreshed;
+                statuses
+            };
+            let stopped = now();
             if let Some(leader) = leader(&replicas, &statuses, record.term) {
                 info!(%group, member = %leader.name, "member was promoted before");
-                return Ok((leader, now()));
+                return Ok((leader, stopped));
             }
-            let is_stopped = |member: &&Rc<Member>| {
-                let status = statuses.get(&member.name);
-                status.is_some_and(|status| !status.is_primary && status.held >= held)
-            };
             let missing: Vec<_> = replicas
                 .iter()
-                .filter(|member| !is_stopped(member))
+                .filter(|member| !is_stopped(member, &statuses, held))
                 .map(|member| &member.name)
                 .collect();
             let is_whole = missing.is_empty() && !replicas.is_empty();
@@ -256,7 +262,7 @@
             let candidates = if is_whole {
                 &replicas
             } else {
-                &[primary, replicas.clone()].concat()
+                &[primary.clone(), replicas.clone()].concat()
             };
             let best = best(candidates, &statuses);
             info!(%group, held = held.0, answered = statuses.len(), of = candidates.len(),
@@ -264,8 +270,15 @@
                 best = best.as_ref().map(|member| member.name.as_str()),
                 is_whole, has_stepped_down, positions = %positions(&statuses),
                 "replicas stopped");
-            if let Some(best) = best.filter(|_| is_whole || has_stepped_down) {
-                return Ok((best, now()));
+            let best = best.filter(|_| is_whole || has_stepped_down);
+            let counted = if is_whole { &replicas } else { &primary };
+            if let Some(best) = best
+                && self.roster(record, group) == roster
+                && self
+                    .are_still_stopped(counted, is_whole.then_some(held))
+                    .await
+            {
+                return Ok((best, stopped));
             }
             is_waiting = true;
             if begun.elapsed() > WAIT_WARNING && !is_warned {
@@ -280,6 +293,28 @@
 
     /// Ends the writes of the old primary and stops the replicas; returns the
     /// status of those that answered.
+    /// Reads the members' records, since a member that joined while the watch was
+    /// silent may hold acknowledged commits; returns whether they were read.
+    async fn refresh_members(&self) -> bool {
+        let refresh = self.directory.refresh(self.directory.members_prefix());
+        match within(STORE_TIMEOUT, refresh).await {
+            Ok(()) => true,
+            Err(error) => {
+                info!(?error, "members not read again");
+                false
+            }
+        }
+    }
+
+    /// Returns whether members that were stopped, or have stepped down, still say
+    /// so: one that restarts receives, or leads, again.
+    async fn are_still_stopped(&self, members: &[Rc<Member>], held: Option<Term>) -> bool {
+        let statuses = self.ask(members, &Command::Status).await;
+        members
+            .iter()
+            .all(|member| is_stopped(member, &statuses, held.unwrap_or_default()))
+    }
+
     ///
     /// A reachable primary comes first, so that its replicas get all that it has.
     /// One that is silent would only delay the answers of the replicas; it is
@@ -396,6 +431,13 @@
     }
 }
 
+/// Returns whether a member said that it is a replica which does not receive
+/// below the term `held`.
+fn is_stopped(member: &Member, statuses: &HashMap<MemberName, MemberStatus>, held: Term) -> bool {
+    let status = statuses.get(&member.name);
+    status.is_some_and(|status| !status.is_primary && status.held >= held)
+}
+
 /// Returns the member that an earlier holder of the duty has promoted, if any;
 /// of several, the last one.
 fn leader(
