Keep the lease behind permissions while a change of primary waits

What callers would see: hosts that read all records of the store at each renewal, when the lease has ended during a long outage of the store while one group waits for members.

Cause: the lease was not looked at while any group was being changed, so that a change does not find its record replaced.

Found by review; not shown by a test.

--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Directory;
-use burdockslip_runtime::{Task, sleep, spawn};
+use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
 use burdockslip_store::Entry;
 use burdockslip_types::{GroupName, HostId, MemberName};
 use burdockslip_upstream::Pools;
@@ -33,8 +33,9 @@
 struct Shared {
     promotion: Promotion,
     votes: RefCell<Votes>,
-    changes: RefCell<HashMap<GroupName, Task<()>>>,
-    /// The updates of rosters, which a change of primary does not wait for.
+    /// The changes that are running, and when they began.
+    changes: RefCell<HashMap<GroupName, (Instant, Task<()>)>>,
+    /// The updates of rosters, which a change of primary ends.
     updates: RefCell<HashMap<GroupName, Task<()>>>,
 }
 
@@ -92,7 +93,7 @@
             continue;
         }
         if ticks.is_multiple_of(FENCE_TICKS)
-            && shared.changes.borrow().is_empty()
+            && !shared.is_fencing()
             && let Err(error) = shared.promotion.ensure_fence().await
         {
             info!(?error, "permission lease not checked");
@@ -115,6 +116,15 @@
         let Some(entry) = self.promotion.directory.record(&keys::group(group)) else {
             self.start(group, None, "no record");
             return;
+    /// Returns whether a change may be replacing the lease behind all permissions.
+    /// A change that waits for members has done so long before.
+    fn is_fencing(&self) -> bool {
+        let changes = self.changes.borrow();
+        changes
+            .values()
+            .any(|(begun, _)| begun.elapsed() < FENCE_SPAN)
+    }
+
         };
         let record = match GroupRecord::read(&entry.value) {
             Ok(record) => record,
@@ -191,6 +201,7 @@
             }
             shared.changes.borrow_mut().remove(&name);
         });
-        self.changes.borrow_mut().insert(group.clone(), task);
+        let change = (now(), task);
+        self.changes.borrow_mut().insert(group.clone(), change);
     }
 }
