Resume replicas that an unfinished change has left stopped

What callers would see: commits that hang after the crash of a second member, because a replica received nothing since an earlier change of primary.

Cause: replicas were resumed once, by the coordinator that finished the change, and only those that were registered; nobody looked again when it was killed before, or the answer to its last write was lost.

Change: a coordinator asks the replicas of each group after it has taken the duty and after each change, until all have said that they receive, and resumes those that are stopped above the group's term. A change of primary ends such an update, which could resume what the change stops. After a change all members of the roster are resumed, registered or not.

--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -102,7 +102,9 @@
             took_ms = started.elapsed().as_millis(),
             "change of primary finished"
         );
-        self.release_replicas(group, &chosen.name, term).await;
+        let mut others = self.roster(&record, group);
+        others.retain(|member| !record.is_primary(member));
+        self.resume(&others, term).await;
         Ok(())
     }
 
@@ -231,9 +233,9 @@
         let begun = now();
         let mut is_warned = false;
         let mut is_waiting = false;
+        let mut is_refreshed = false;
         loop {
             self.tenure()?;
-        let mut is_refreshed = false;
             let roster = self.roster(record, group);
             let (primary, replicas): (Vec<_>, Vec<_>) = roster
                 .iter()
@@ -291,8 +293,6 @@
         }
     }
 
-    /// Ends the writes of the old primary and stops the replicas; returns the
-    /// status of those that answered.
     /// Reads the members' records, since a member that joined while the watch was
     /// silent may hold acknowledged commits; returns whether they were read.
     async fn refresh_members(&self) -> bool {
@@ -315,6 +315,8 @@
             .all(|member| is_stopped(member, &statuses, held.unwrap_or_default()))
     }
 
+    /// Ends the writes of the old primary and stops the replicas; returns the
+    /// status of those that answered.
     ///
     /// A reachable primary comes first, so that its replicas get all that it has.
     /// One that is silent would only delay the answers of the replicas; it is
@@ -417,16 +419,14 @@
         bail!(Report::new(ErrorKind::NoPrimary).attach("promoted member does not lead"))
     }
 
-    /// Lets the other members follow the new primary.
-    async fn release_replicas(&self, group: &GroupName, primary: &MemberName, term: Term) {
-        let mut members = self.directory.members(group);
-        members.retain(|member| member.name != *primary);
+    /// Lets members follow the primary of `term`.
+    pub(crate) async fn resume(&self, members: &[Rc<Member>], term: Term) {
         for command in [Command::Resume, Command::Demote(term)] {
             // A next holder may have stopped the replicas again.
             if self.tenure().is_err() {
                 return;
             }
-            self.ask(&members, &command).await;
+            self.ask(members, &command).await;
         }
     }
 }
--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -126,8 +126,34 @@
         Ok(kept)
     }
 
+    /// Lets replicas receive again that an unfinished release has left stopped.
+    /// Returns whether all replicas have answered that they receive.
+    pub(crate) async fn resume_stopped(&self, group: &GroupName) -> Result<bool> {
+        let Some(entry) = self.directory.record(&keys::group(group)) else {
+            return Ok(false);
+        };
+        let record = GroupRecord::read(&entry.value)?;
+        let mut replicas = self.present(group);
+        replicas.retain(|member| !record.is_primary(member));
+        let statuses = self.ask(&replicas, &Command::Status).await;
+        let is_stopped = |member: &&Rc<Member>| {
+            let status = statuses.get(&member.name);
+            status.is_some_and(|status| !status.is_primary && status.held > record.term)
+        };
+        let stopped: Vec<_> = replicas.iter().filter(is_stopped).cloned().collect();
+        if !stopped.is_empty() && record.is_stable() {
+            let names = stopped.iter().map(|member| &member.name);
+            info!(%group, replicas = %join(names), "replicas were left stopped");
+            self.resume(&stopped, record.term).await;
+        }
+        Ok(stopped.is_empty() && statuses.len() == replicas.len())
+    }
+
     /// Returns the absent members whose logs are needless: they give no answer,
     /// and a replica holds all that the primary held after that.
+    ///
+    /// One that was about to leave is asked once. Another one may only be slow, so
+    /// that it is asked several times.
     async fn gone(
         &self,
         record: &GroupRecord,
@@ -155,9 +181,6 @@
         let leads = |status: &&MemberStatus| status.is_primary && status.term == record.term;
         let Some(last) = primary.values().find(leads).map(|status| status.received) else {
             return Vec::new();
-    ///
-    /// One that was about to leave is asked once. Another one may only be slow, so
-    /// that it is asked several times.
         };
         let replicas = self.ask(&replicas, &Command::Status).await;
         if replicas.values().any(|status| status.received >= last) {
@@ -167,6 +190,13 @@
         }
     }
 
+    async fn silent(&self, members: Vec<Rc<Member>>) -> Vec<Rc<Member>> {
+        let looks = members
+            .into_iter()
+            .map(|member| async move { (!self.is_running(&member).await).then_some(member) });
+        join_all(looks).await.into_iter().flatten().collect()
+    }
+
     async fn is_running(&self, member: &Rc<Member>) -> bool {
         let answer = self
             .pools
@@ -179,10 +209,3 @@
         )
     }
 }
-    async fn silent(&self, members: Vec<Rc<Member>>) -> Vec<Rc<Member>> {
-        let looks = members
-            .into_iter()
-            .map(|member| async move { (!self.is_running(&member).await).then_some(member) });
-        join_all(looks).await.into_iter().flatten().collect()
-    }
-
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -1,7 +1,7 @@
 //! Watches the groups while this host holds the duty.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
 use burdockslip_store::Entry;
-use burdockslip_types::{GroupName, HostId, MemberName};
+use burdockslip_types::{GroupName, HostId, MemberName, Result};
 use burdockslip_upstream::Pools;
 use tracing::{debug, info, warn};
 
@@ -40,6 +40,8 @@
     changes: RefCell<HashMap<GroupName, (Instant, Task<()>)>>,
     /// The updates of rosters, which a change of primary ends.
     updates: RefCell<HashMap<GroupName, Task<()>>>,
+    /// The groups whose replicas have all said in this tenure that they receive.
+    receiving: RefCell<HashSet<GroupName>>,
 }
 
 /// Watches the groups; clones share the state.
@@ -62,6 +64,7 @@
             votes: RefCell::default(),
             changes: RefCell::default(),
             updates: RefCell::default(),
+            receiving: RefCell::default(),
         });
         Self {
             _running: Rc::new(spawn(run(Rc::clone(&shared)))),
@@ -93,6 +96,7 @@
         if shared.promotion.duty.tenure().is_none() {
             shared.changes.borrow_mut().clear();
             shared.updates.borrow_mut().clear();
+            shared.receiving.borrow_mut().clear();
             continue;
         }
         if ticks.is_multiple_of(FENCE_TICKS)
@@ -112,13 +116,6 @@
 }
 
 impl Shared {
-    fn look_at(self: &Rc<Self>, group: &GroupName) {
-        if self.changes.borrow().contains_key(group) {
-            return;
-        }
-        let Some(entry) = self.promotion.directory.record(&keys::group(group)) else {
-            self.start(group, None, "no record");
-            return;
     /// Returns whether a change may be replacing the lease behind all permissions.
     /// A change that waits for members has done so long before.
     fn is_fencing(&self) -> bool {
@@ -128,6 +125,13 @@
             .any(|(begun, _)| begun.elapsed() < FENCE_SPAN)
     }
 
+    fn look_at(self: &Rc<Self>, group: &GroupName) {
+        if self.changes.borrow().contains_key(group) {
+            return;
+        }
+        let Some(entry) = self.promotion.directory.record(&keys::group(group)) else {
+            self.start(group, None, "no record");
+            return;
         };
         let record = match GroupRecord::read(&entry.value) {
             Ok(record) => record,
@@ -140,25 +144,23 @@
             self.start(group, Some(entry), reason);
             return;
         }
-        let registered = self.promotion.directory.members(group);
-        if !roster::is_current(&record.roster, &registered) {
-            self.update_roster(group, entry);
+        let is_current = roster::is_current(&record.roster, &self.promotion.present(group));
+        if !is_current || !self.receiving.borrow().contains(group) {
+            self.update(group, entry);
         }
     }
 
-    /// Brings the roster up to date as a task of its own, one at a time.
-    fn update_roster(self: &Rc<Self>, group: &GroupName, entry: Entry) {
+    /// Brings the roster up to date and resumes stopped replicas, as a task of its
+    /// own, one at a time.
+    fn update(self: &Rc<Self>, group: &GroupName, entry: Entry) {
         if self.updates.borrow().contains_key(group) {
             return;
         }
         let (shared, name) = (Rc::clone(self), group.clone());
         let task = spawn(async move {
-            match shared.promotion.update_roster(&name, entry).await {
-                Ok(kept) if kept.is_empty() => {}
-                Ok(kept) => {
-                    debug!(group = %name, kept = %roster::join(&kept), "absent members stay on the roster");
-                    sleep(ROSTER_PAUSE).await;
-                }
+            match shared.run_update(&name, entry).await {
+                Ok(true) => {}
+                Ok(false) => sleep(UPDATE_PAUSE).await,
                 Err(error) => {
                     info!(group = %name, ?error, "roster not updated");
                     sleep(RETRY_PAUSE).await;
@@ -169,6 +171,19 @@
         self.updates.borrow_mut().insert(group.clone(), task);
     }
 
+    /// Returns whether nothing is left to do.
+    async fn run_update(&self, group: &GroupName, entry: Entry) -> Result<bool> {
+        let kept = self.promotion.update_roster(group, entry).await?;
+        if !kept.is_empty() {
+            debug!(%group, kept = %roster::join(&kept), "absent members stay on the roster");
+        }
+        let is_receiving = self.promotion.resume_stopped(group).await?;
+        if is_receiving {
+            self.receiving.borrow_mut().insert(group.clone());
+        }
+        Ok(is_receiving && kept.is_empty())
+    }
+
     /// Returns why the primary has to be replaced, if so.
     fn reason(&self, record: &GroupRecord) -> Option<&'static str> {
         if !record.is_stable() {
@@ -192,6 +207,9 @@
 
     /// Runs a change of the group's record as a task of its own.
     fn start(self: &Rc<Self>, group: &GroupName, entry: Option<Entry>, reason: &'static str) {
+        // An update could resume what the change stops.
+        self.updates.borrow_mut().remove(group);
+        self.receiving.borrow_mut().remove(group);
         let (shared, name) = (Rc::clone(self), group.clone());
         let task = spawn(async move {
             let outcome = match entry {
