Ask the primary, too, before it is used without the store

Callers saw: while a group was given a new primary, a host that had neither the store nor the coordinator answered reads of `primary` routes from the old one, after a commit of the new one had been acknowledged elsewhere.

Cause: the proof without the store was one replica that still receives in the known term. A promotion stops every replica first, or goes on because the old primary has stepped down. In the second case a replica that the coordinator cannot reach is not stopped, and its answer proved nothing.

The host asks the primary at the same time. The primary must lead in the known term, and the replica receive in it. Either kind of promotion makes one of the two answers differ, and for good in this term, so that the proof holds for the moment before both questions.

Ruled out: more than one replica. It would not help, since all that the host reaches may be cut off from the coordinator.

Not covered: a replica whose restart has ended its stop while the old primary was never reached. STATUS does not tell when a member started.

--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -14,6 +14,7 @@
 use burdockslip_types::{ErrorKind, GroupName, Mark, MemberName, Result, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
+use futures::future::try_join;
 use tracing::{info, warn};
 
 use crate::proof::{Proof, ProofSource};
@@ -40,18 +41,18 @@
 /// Bounds a renewal; a slow store takes up to about 0.5 s.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The age of the proof at which replicas are asked instead of the store.
-const REPLICA_CHECK_AGE: Duration = Duration::from_millis(700);
+/// The age of the proof at which members are asked instead of the store.
+const MEMBER_CHECK_AGE: Duration = Duration::from_millis(700);
 
-/// The age at which the coordinator asks replicas, on whom the others rely: its
+/// The age at which the coordinator asks members, on whom the others rely: its
 /// word has to come before they ask themselves.
 const LEADING_CHECK_AGE: Duration = Duration::from_millis(250);
 
-/// How often replicas may be asked.
-const REPLICA_CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// How often members may be asked.
+const MEMBER_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// Bounds the question to a replica.
-const REPLICA_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bounds the questions to the members.
+const MEMBER_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
 struct Shared {
     directory: Directory,
@@ -59,7 +60,7 @@
     metrics: Metrics,
     /// The newest proof that the lease behind all permissions was alive.
     lease_proof: RefCell<Option<Proof>>,
-    /// The terms that replicas followed, and when they were asked.
+    /// The terms that members confirmed, and when they were asked.
     group_proofs: RefCell<HashMap<GroupName, (Term, Proof)>>,
     /// The groups whose newest proof is a replica's, as far as it was logged.
     on_replicas: RefCell<HashSet<GroupName>>,
@@ -90,7 +91,7 @@
             is_leading: Cell::new(false),
         });
         let renewing = spawn(renew(Rc::clone(&shared)));
-        let checking = spawn(check_replicas(Rc::clone(&shared)));
+        let checking = spawn(check_groups(Rc::clone(&shared)));
         Self {
             shared,
             _renewing: Rc::new((renewing, checking)),
@@ -133,7 +134,7 @@
         }
     }
 
-    /// Returns the groups for which replicas gave a proof, with the term and the
+    /// Returns the groups for which members gave a proof, with the term and the
     /// age, for hosts that rely on this one while the store gives none.
     pub fn vouch_groups(&self) -> Vec<(GroupName, Term, Duration)> {
         let shared = &self.shared;
@@ -148,7 +149,7 @@
         ages.filter(|(_, _, age)| *age < PERMISSION_SPAN).collect()
     }
 
-    /// Takes over from a peer that a replica of a group followed `term` at `moment`.
+    /// Takes over from a peer that the members of a group confirmed `term` at `moment`.
     pub fn accept_group(&self, group: &GroupName, term: Term, moment: Instant) {
         let record = self.shared.record(group);
         if record.is_some_and(|record| record.is_stable() && record.term == term) {
@@ -282,12 +283,12 @@
         }
     }
 
-    /// Returns the age of the proof at which replicas are asked.
+    /// Returns the age of the proof at which members are asked.
     const fn check_age(&self) -> Duration {
         if self.is_leading.get() {
             LEADING_CHECK_AGE
         } else {
-            REPLICA_CHECK_AGE
+            MEMBER_CHECK_AGE
         }
     }
 
@@ -323,7 +324,7 @@
             warn!(
                 age,
                 ?error,
-                "permission not renewed at the store, asking replicas"
+                "permission not renewed at the store, asking members"
             );
         }
     }
@@ -357,13 +358,14 @@
     }
 }
 
-/// Asks a replica of each group while the store gives no proof.
+/// Asks the primary and a replica of each group while the store gives no proof.
 ///
-/// A promotion stops every replica at a higher term first, so a replica that
-/// still receives in the known term proves that none has happened.
-async fn check_replicas(shared: Rc<Shared>) {
+/// A promotion either stops every replica at a higher term first or goes on
+/// because the old primary has stepped down. So no promotion has happened while
+/// the primary still leads in the known term and one replica still receives in it.
+async fn check_groups(shared: Rc<Shared>) {
     loop {
-        sleep(REPLICA_CHECK_PERIOD).await;
+        sleep(MEMBER_CHECK_PERIOD).await;
         let limit = shared.check_age();
         let is_fresh = |proof: Proof| proof.age() < limit;
         if shared.has_lease_proof(limit) || !shared.directory.is_current() {
@@ -378,16 +380,19 @@
             }
             let record = shared.record(group);
             if let Some(record) = record.filter(GroupRecord::is_stable) {
-                ask_replica(&shared, group, &record);
+                ask_members(&shared, group, &record);
             }
         }
     }
 }
 
-fn ask_replica(shared: &Rc<Shared>, group: &GroupName, record: &GroupRecord) {
+fn ask_members(shared: &Rc<Shared>, group: &GroupName, record: &GroupRecord) {
     if shared.asking.borrow().contains_key(group) {
         return;
     }
+    let Some(primary) = shared.directory.member(&record.primary) else {
+        return;
+    };
     let mut replicas = shared.directory.members(group);
     replicas.retain(|member| {
         member.name != record.primary
@@ -400,34 +405,56 @@
     let last = u64::try_from(replicas.len()).unwrap_or(1);
     let index = usize::try_from(random_range(0..last)).unwrap_or_default();
     let replica = replicas.swap_remove(index);
-    let check = check_replica(Rc::clone(shared), group.clone(), replica, record.term);
+    let check = check_members(
+        Rc::clone(shared),
+        group.clone(),
+        [primary, replica],
+        record.term,
+    );
     shared
         .asking
         .borrow_mut()
         .insert(group.clone(), spawn(check));
 }
 
-async fn check_replica(shared: Rc<Shared>, group: GroupName, replica: Rc<Member>, known: Term) {
+/// Notes a proof if the primary leads in the known term and the replica follows.
+///
+/// The proof dates from before both questions, since what the answers say of
+/// that moment holds: a member that was stopped or has stepped down stays so in
+/// this term.
+async fn check_members(
+    shared: Rc<Shared>,
+    group: GroupName,
+    [primary, replica]: [Rc<Member>; 2],
+    known: Term,
+) {
     let sent = now();
-    let status = shared
-        .pools
-        .control(&replica, Command::Status, REPLICA_CHECK_TIMEOUT)
-        .await;
-    match status {
-        Ok(status) if status.term <= known && status.held <= known => {
-            let source = ProofSource::Replica(replica.name.clone());
-            shared.note_proof(&group, known, sent, source, Some(&status));
+    let ask = |member| {
+        let pools = &shared.pools;
+        pools.control(member, Command::Status, MEMBER_CHECK_TIMEOUT)
+    };
+    match try_join(ask(&primary), ask(&replica)).await {
+        Ok((leading, following)) => {
+            let is_leading = leading.is_primary && leading.term == known;
+            let is_following =
+                !following.is_primary && following.term == known && following.held <= known;
+            if is_leading && is_following {
+                let source = ProofSource::Replica(replica.name.clone());
+                shared.note_proof(&group, known, sent, source, Some(&following));
+            } else {
+                info!(
+                    %group,
+                    primary = %primary.name,
+                    is_leading,
+                    replica = %replica.name,
+                    is_following,
+                    known = known.0,
+                    "members report a change, primary not used"
+                );
+            }
         }
-        Ok(status) => info!(
-            %group,
-            replica = %replica.name,
-            known = known.0,
-            term = status.term.0,
-            held = status.held.0,
-            "replica reports a higher term, primary not used"
-        ),
         Err(error) => {
-            info!(%group, replica = %replica.name, ?error, "replica gives no proof");
+            info!(%group, primary = %primary.name, replica = %replica.name, ?error, "members give no proof");
         }
     }
     shared.asking.borrow_mut().remove(&group);
