Reset the connection of a call that is given up

Callers saw nothing yet: an order to promote, or a change of the store, whose sender had given it up could be carried out after a partition healed. A late order could promote a member that lacks commits of a primary promoted meanwhile.

Cause: a call that is given up dropped its connection with a plain close, and bytes held up by a partition are lost only if their sender resets it. SO_LINGER of zero is set before the connection is made, since the socket cannot be reached safely afterwards; so every close of these connections is a reset. Kept ones are closed with nothing outstanding.

Ruled out: a shutdown or a close with unread bytes; the first is a plain close, and the second needs bytes from the other end.

--- a/crates/burdockslip_upstream/src/lib.rs
+++ b/crates/burdockslip_upstream/src/lib.rs
@@ -18,4 +18,4 @@
 pub use member_pool::{Lent, MemberPool};
 pub use pacer::ConnectPacer;
 pub use pools::Pools;
-pub use settings::configure_socket;
+pub use settings::{configure_socket, connect};
