Reset member connections whose command is given up

What callers would see: an acknowledged commit that is lost because a replica receives again during a change of primary.

Cause: a control command that is not answered in 400 ms is given up by closing its connection, and the bytes still arrive after a partition has healed. RESUME names no term, so a late one undoes the stop of a later change.

Change: connections to members are reset when they are closed, as those to the store and the cloud interface are since the commit before.

Found by review, not seen in a run.

--- a/crates/burdockslip_upstream/src/connection.rs
+++ b/crates/burdockslip_upstream/src/connection.rs
@@ -9,9 +9,8 @@
 use burdockslip_types::{ErrorKind, Organisation, Result};
 use bytes::{Bytes, BytesMut};
 use error_stack::{Report, bail};
-use monoio::net::TcpStream;
 
-use crate::{Framed, configure_socket};
+use crate::{Framed, connect};
 
 /// Bounds the prepared statements of a connection, since each takes memory
 /// here and at the member.
@@ -62,8 +61,9 @@
         organisation: Organisation,
     ) -> Result<Self> {
         let lost = |error| Report::new(error).change_context(ErrorKind::ConnectionLost);
-        let stream = TcpStream::connect(member.address).await.map_err(lost)?;
-        configure_socket(&stream);
+        // A command that is given up must not reach the member later: RESUME names
+        // no term, and would undo the stop of a later change.
+        let stream = connect(member.address).await.map_err(lost)?;
         let command = Command::Connect {
             group: member.group.clone(),
             organisation: organisation.clone(),
