Keep a session when a signal interrupts the look at its socket

Seen by callers: a connection ended without an answer to a request that was on its way, on any signal that the process handles, so also on a reload.

Cause: a session waits with poll(2), which fails with EINTR when a signal comes in that moment, also with SA_RESTART and without a timeout. The error was taken for the end of the connection. Connections to members and those of the PostgreSQL wire wait in the same way.

Ruled out: other calls of monoio on sockets; they do not block and are not interrupted, and its epoll wait handles EINTR. Masking signals on the thread of the runtime: it needs a further library or unsafe code.

Conclusion: an interrupted look is repeated.

--- a/crates/burdockslip_runtime/src/lib.rs
+++ b/crates/burdockslip_runtime/src/lib.rs
@@ -8,11 +8,13 @@
 mod executor;
 pub mod paused;
 mod random;
+mod readable;
 mod signal;
 mod task;
 
 pub use clock::{Elapsed, Instant, Sleep, now, sleep, sleep_until, timeout, timeout_at};
 pub use executor::block_on;
 pub use random::{random_bytes, random_range, random_u64};
+pub use readable::readable;
 pub use signal::{Changed, Signal};
 pub use task::{Task, spawn, yield_now};
--- a/crates/burdockslip_upstream/src/framed.rs
+++ b/crates/burdockslip_upstream/src/framed.rs
@@ -2,6 +2,7 @@
 
 use std::pin::pin;
 
+use burdockslip_runtime::readable;
 use burdockslip_types::{ErrorKind, Result};
 use bytes::BytesMut;
 use error_stack::{Report, bail};
@@ -50,7 +51,7 @@
 
     async fn fill(&mut self) -> Result<()> {
         let lost = |error| Report::new(error).change_context(ErrorKind::ConnectionLost);
-        self.stream.readable(false).await.map_err(lost)?;
+        readable(&self.stream).await.map_err(lost)?;
         let (outcome, chunk) = self.stream.read(Vec::with_capacity(CHUNK)).await;
         if outcome.map_err(lost)? == 0 {
             bail!(Report::new(ErrorKind::ConnectionLost).attach("closed by the peer"));
@@ -74,6 +75,6 @@
     /// Returns whether nothing has arrived; an idle connection on which
     /// something has arrived was closed or answers something unasked.
     pub fn is_quiet(&self) -> bool {
-        self.received.is_empty() && pin!(self.stream.readable(false)).now_or_never().is_none()
+        self.received.is_empty() && pin!(readable(&self.stream)).now_or_never().is_none()
     }
 }
--- a/crates/burdockslip_wire/src/connection.rs
+++ b/crates/burdockslip_wire/src/connection.rs
@@ -8,7 +8,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use burdockslip_runtime::timeout;
+use burdockslip_runtime::{readable, timeout};
 use burdockslip_types::{ErrorKind, Result};
 use bytes::{Bytes, BytesMut};
 use error_stack::{Report, ResultExt, bail};
@@ -230,9 +230,7 @@
         let Io::Plain(io) = &self.io else {
             bail!(ErrorKind::ConnectionLost);
         };
-        io.readable(false)
-            .await
-            .change_context(ErrorKind::ConnectionLost)
+        readable(io).await.change_context(ErrorKind::ConnectionLost)
     }
 
     fn take(&mut self, len: usize) -> Bytes {
