Refuse sessions that a stopping host would end at once

Seen by callers: a new session was opened, and its first request was not answered.

Cause: from 0.4 of the grace period on a host ends idle sessions, and a session that was just opened is idle. Its client sends a request as soon as it reads READY, when the connection is closed already. The balancer still sends clients to such a host when few hosts of a zone are in rotation.

Ruled out: serving the first request of such a session; whatever follows it would meet the same close.

The reason of a close is kept with it, so that a host without a current configuration says so.

Conclusion: while sessions are being ended, CONNECT is answered with an error.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -13,7 +13,7 @@
 use burdockslip_statement::Dialect;
 use burdockslip_store::Store;
 use burdockslip_telemetry::{Admin, AdminServer, HostStatus, Metrics, serve_admin, serve_ready};
-use burdockslip_types::{Result, Revision};
+use burdockslip_types::{ErrorKind, Result, Revision};
 use burdockslip_upstream::Pools;
 use futures::future::ready;
 use tracing::{info, warn};
@@ -177,7 +177,7 @@
         self.is_draining.set(true);
         self.duty.leave();
         sleep_until(at(CLOSE_IDLE_PART)).await;
-        self.stop.close_idle();
+        self.stop.close_idle(ErrorKind::Draining);
         sleep_until(at(CLOSE_ALL_PART)).await;
         self.stop.close_all();
         while self.cx.open.get() > 0 && !at(END_PART).is_past() {
@@ -249,7 +249,7 @@
             stop.reopen();
         } else {
             warn!(age, "configuration too old, requests are refused");
-            stop.close_idle();
+            stop.close_idle(ErrorKind::ConfigMissing);
         }
     }
 }
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -11,9 +11,11 @@
 mod read;
 mod serve;
 mod session;
+mod stop;
 mod transaction;
 mod write;
 
 pub use context::{Context, Limits};
 pub use freshness::Freshness;
-pub use serve::{Listener, Stop};
+pub use serve::Listener;
+pub use stop::Stop;
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -1,11 +1,10 @@
 //! Accepts client connections and carries their messages.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, Signal, Task, sleep, sleep_until, spawn, timeout};
+use burdockslip_runtime::{Instant, Task, sleep, sleep_until, spawn, timeout};
 use burdockslip_statement::{Inbound, Response, Transaction};
 use burdockslip_types::{ErrorKind, Result};
 use burdockslip_upstream::{Framed, configure_socket};
@@ -17,6 +16,7 @@
 
 use crate::Context;
 use crate::session::Session;
+use crate::stop::{Level, Stop};
 
 /// How long a new connection may take to say what it wants.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -27,53 +27,6 @@
 /// Waits this long after a failed accept, which happens when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Says how far a host has stopped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Level {
-    Open,
-    ClosingIdle,
-    ClosingAll,
-}
-
-/// Tells sessions to end.
-#[derive(Debug)]
-pub struct Stop {
-    level: Cell<Level>,
-    changed: Signal,
-}
-
-impl Default for Stop {
-    fn default() -> Self {
-        Self {
-            level: Cell::new(Level::Open),
-            changed: Signal::default(),
-        }
-    }
-}
-
-impl Stop {
-    /// Lets sessions go on.
-    pub fn reopen(&self) {
-        self.set(Level::Open);
-    }
-
-    /// Ends sessions as soon as they have no transaction.
-    pub fn close_idle(&self) {
-        self.set(Level::ClosingIdle);
-    }
-
-    /// Rolls transactions back that wait for their client, and ends all sessions.
-    pub fn close_all(&self) {
-        self.set(Level::ClosingAll);
-    }
-
-    fn set(&self, level: Level) {
-        if self.level.replace(level) != level {
-            self.changed.notify();
-        }
-    }
-}
-
 /// Listens for clients until dropped.
 #[derive(Debug)]
 pub struct Listener {
@@ -142,6 +95,12 @@
     let opened = match first {
         Ok(Inbound::Connect { database, key }) => {
             let opened = Session::open(Rc::clone(cx), database.clone(), key);
+            // A session that ends at once would lose the query that its client
+            // sends as soon as the session is open.
+            let opened = opened.and_then(|session| match stop.level() {
+                Level::Open => Ok(session),
+                _ => Err(stop.reason()),
+            });
             if let Err(kind) = &opened {
                 info!(database, outcome = ?kind, "session refused");
             }
@@ -210,9 +169,9 @@
     session: &mut Session,
 ) -> Option<Result<Inbound, ErrorKind>> {
     loop {
-        let seen = stop.changed.epoch();
+        let seen = stop.epoch();
         let is_idle = session.transaction() == Transaction::Idle;
-        match stop.level.get() {
+        match stop.level() {
             Level::ClosingIdle | Level::ClosingAll if is_idle && framed.is_quiet() => return None,
             Level::ClosingAll if framed.is_quiet() => session.abort("host stops"),
             _ => {}
@@ -238,7 +197,7 @@
 }
 
 async fn interrupt(stop: &Stop, seen: u64, limit: Option<Instant>) -> Interrupt {
-    let changed = stop.changed.changed(seen);
+    let changed = stop.changed(seen);
     let Some(limit) = limit else {
         changed.await;
         return Interrupt::Stop;
