Tell clients before their idle sessions are closed

Cause: the host closed the connection while the request was on its way, or waited unread: the look at the socket sees only what the last epoll wait reported. A close with unread bytes resets the connection.

Ruled out: a stricter look before the close; it leaves the way from the client. Reading on after the end of the stream was sent; nothing can be answered then.

Change: the client is sent an error that answers nothing, on which it closes the session (PROTOCOL.md, "Clients"). If a request crosses it, the client takes the error as its answer, and the host completes it with READY. The promise is true: nothing of the request is run. After 1 s without a reaction the host closes.

--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, Task, sleep, sleep_until, spawn, timeout};
-use burdockslip_statement::{Inbound, Response, Transaction};
+use burdockslip_runtime::{Instant, Task, now, sleep, sleep_until, spawn, timeout, timeout_at};
+use burdockslip_statement::{Inbound, Query, Response, Transaction};
 use burdockslip_types::{ErrorKind, Result};
 use burdockslip_upstream::{Framed, configure_socket};
 use bytes::BytesMut;
@@ -15,7 +15,7 @@
 use tracing::{info, warn};
 
 use crate::Context;
-use crate::session::Session;
+use crate::session::{Session, text};
 use crate::stop::{Level, Stop};
 
 /// How long a new connection may take to say what it wants.
@@ -24,6 +24,9 @@
 /// Bounds the time to send an answer to a client that does not read.
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long a client may take to close a session whose end it was told.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Waits this long after a failed accept, which happens when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -141,17 +144,14 @@
 async fn converse(cx: &Rc<Context>, stop: &Stop, framed: &mut Framed, session: &mut Session) {
     loop {
         let query = match receive(cx, stop, framed, session).await {
-            Some(Ok(Inbound::Query(query))) => query,
-            Some(Ok(Inbound::Release)) | None => return,
-            unusable => {
-                let kind = match unusable {
-                    Some(Err(kind)) => kind,
-                    _ => ErrorKind::Protocol,
-                };
+            Received::Query(query) => query,
+            Received::Unusable(kind) => {
                 let response = Response::failed(kind, session.transaction());
                 send(cx, framed, &response, false).await;
                 return;
             }
+            Received::HostStops => return end_idle(cx, framed, stop.reason()).await,
+            Received::Closed => return,
         };
         let verdict = session.handle(query).await;
         if !send(cx, framed, &verdict.response, false).await || verdict.is_final {
@@ -160,19 +160,53 @@
     }
 }
 
-/// Waits for the next message, or says why it cannot be read; `None` ends the
-/// session.
+/// Ends a session whose client waits for nothing.
+///
+/// The client may send a query at this moment and would not learn what became
+/// of it if the connection were closed. It is told instead: on an error that
+/// answers nothing it closes the session. If a query has crossed the error,
+/// the error is taken as its answer, which the state completes.
+async fn end_idle(cx: &Context, framed: &mut Framed, reason: ErrorKind) {
+    let until = now() + CLOSE_TIMEOUT;
+    let notice = Response::failed(reason, Transaction::Idle);
+    while send(cx, framed, &notice, true).await {
+        match timeout_at(until, framed.next(cx.dialect.read_inbound)).await {
+            Ok(Ok(Inbound::Query(query))) => {
+                info!(id = text(&query.id), outcome = ?reason, "statement refused, session ends");
+                if !send(cx, framed, &ready(), true).await {
+                    return;
+                }
+            }
+            _ => return,
+        }
+    }
+}
+
+/// Says what a session has to do next.
+enum Received {
+    Query(Query),
+    /// The message cannot be used.
+    Unusable(ErrorKind),
+    /// The host ends the session.
+    HostStops,
+    /// The client has ended the session.
+    Closed,
+}
+
+/// Waits for the next message.
 async fn receive(
     cx: &Rc<Context>,
     stop: &Stop,
     framed: &mut Framed,
     session: &mut Session,
-) -> Option<Result<Inbound, ErrorKind>> {
+) -> Received {
     loop {
         let seen = stop.epoch();
         let is_idle = session.transaction() == Transaction::Idle;
         match stop.level() {
-            Level::ClosingIdle | Level::ClosingAll if is_idle && framed.is_quiet() => return None,
+            Level::ClosingIdle | Level::ClosingAll if is_idle && framed.is_quiet() => {
+                return Received::HostStops;
+            }
             Level::ClosingAll if framed.is_quiet() => session.abort("host stops"),
             _ => {}
         }
@@ -180,10 +214,14 @@
         let message = Box::pin(framed.next(cx.dialect.read_inbound));
         let interrupt = Box::pin(interrupt(stop, seen, limit));
         match select(message, interrupt).await {
-            Either::Left((Ok(message), _)) => return Some(Ok(message)),
+            Either::Left((Ok(Inbound::Query(query)), _)) => return Received::Query(query),
+            Either::Left((Ok(Inbound::Release), _)) => return Received::Closed,
+            Either::Left((Ok(_), _)) => return Received::Unusable(ErrorKind::Protocol),
             Either::Left((Err(report), _)) => {
-                let kind = *report.current_context();
-                return (kind != ErrorKind::ConnectionLost).then_some(Err(kind));
+                return match *report.current_context() {
+                    ErrorKind::ConnectionLost => Received::Closed,
+                    kind => Received::Unusable(kind),
+                };
             }
             Either::Right((Interrupt::Idle, _)) => session.abort("idle for too long"),
             Either::Right((Interrupt::Stop, _)) => {}
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -417,6 +417,6 @@
     }
 }
 
-fn text(id: &Bytes) -> &str {
+pub(crate) fn text(id: &Bytes) -> &str {
     std::str::from_utf8(id).unwrap_or("?")
 }
