Answer requests that still run at the end of the grace period

Seen by callers: a request that was passed on to a member got no answer, as the process of the host ended first.

Cause: at 0.95 of the grace period the process ends with whatever runs. A statement may start until 0.55 of it in an open transaction, or later on a session with bytes waiting, and take as long as its route allows.

Ruled out: a deadline for statements at the start of the stop; those that run already have their timers. Waiting longer; the platform kills the process.

Change: at 0.9 of the grace period running statements are given up with what is true of them: OutcomeUnknown for writes and commits, TransactionAborted inside a transaction, whose connection is closed, Cancelled for reads.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -8,7 +8,7 @@
 use burdockslip_directory::{Directory, Schema};
 use burdockslip_failover::{Duty, Permission, Promote, Registration, Supervisor, keys};
 use burdockslip_peer::{PeerPool, PeerServer, Router};
-use burdockslip_runtime::{Task, now, sleep, sleep_until, spawn};
+use burdockslip_runtime::{Instant, Task, now, sleep, sleep_until, spawn};
 use burdockslip_session::{Context, Limits, Listener, Stop};
 use burdockslip_statement::Dialect;
 use burdockslip_store::Store;
@@ -39,6 +39,9 @@
 /// The part of the grace period after which waiting transactions are rolled back.
 const CLOSE_ALL_PART: f64 = 0.55;
 
+/// The part of the grace period after which running statements are given up.
+const GIVE_UP_PART: f64 = 0.9;
+
 /// The part of the grace period after which the process ends.
 const END_PART: f64 = 0.95;
 
@@ -169,7 +172,7 @@
         })
     }
 
-    /// Stops without cutting a statement; returns the sessions left at the deadline.
+    /// Stops without leaving a statement unanswered; returns the sessions left at the deadline.
     pub async fn drain(&self) -> usize {
         let started = now();
         let at = |part: f64| started + self.grace.mul_f64(part);
@@ -180,9 +183,9 @@
         self.stop.close_idle(ErrorKind::Draining);
         sleep_until(at(CLOSE_ALL_PART)).await;
         self.stop.close_all();
-        while self.cx.open.get() > 0 && !at(END_PART).is_past() {
-            sleep(TICK).await;
-        }
+        self.wait_for_sessions(at(GIVE_UP_PART)).await;
+        self.stop.end();
+        self.wait_for_sessions(at(END_PART)).await;
         let left = self.cx.open.get();
         if left > 0 {
             warn!(sessions = left, "planned stop ends at its deadline");
@@ -191,6 +194,13 @@
         }
         left
     }
+
+    /// Waits until all sessions have ended, or until a moment has come.
+    async fn wait_for_sessions(&self, until: Instant) {
+        while self.cx.open.get() > 0 && !until.is_past() {
+            sleep(TICK.min(until.remaining())).await;
+        }
+    }
 }
 
 impl fmt::Debug for Host {
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -15,7 +15,7 @@
 use tracing::{info, warn};
 
 use crate::Context;
-use crate::session::{Session, text};
+use crate::session::{Session, Verdict, text};
 use crate::stop::{Level, Stop};
 
 /// How long a new connection may take to say what it wants.
@@ -153,13 +153,25 @@
             Received::HostStops => return end_idle(cx, framed, stop.reason()).await,
             Received::Closed => return,
         };
-        let verdict = session.handle(query).await;
+        let verdict = run(stop, session, query).await;
         if !send(cx, framed, &verdict.response, false).await || verdict.is_final {
             return;
         }
     }
 }
 
+/// Runs a statement, or gives it up when the process is about to end.
+async fn run(stop: &Stop, session: &mut Session, query: Query) -> Verdict {
+    let kind = session.kind_if_given_up(&query);
+    let id = query.id.clone();
+    let running = Box::pin(session.handle(query));
+    let verdict = match select(running, Box::pin(stop.ending())).await {
+        Either::Left((verdict, _)) => Some(verdict),
+        Either::Right(_) => None,
+    };
+    verdict.unwrap_or_else(|| session.give_up(&id, kind))
+}
+
 /// Ends a session whose client waits for nothing.
 ///
 /// The client may send a query at this moment and would not learn what became
@@ -204,6 +216,10 @@
         let seen = stop.epoch();
         let is_idle = session.transaction() == Transaction::Idle;
         match stop.level() {
+            Level::Ending => {
+                session.abort("host ends");
+                return Received::HostStops;
+            }
             Level::ClosingIdle | Level::ClosingAll if is_idle && framed.is_quiet() => {
                 return Received::HostStops;
             }
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -144,6 +144,37 @@
         Verdict::goes_on(response)
     }
 
+    /// Returns what the client is told if a statement is given up while it runs.
+    pub(crate) fn kind_if_given_up(&self, query: &Query) -> ErrorKind {
+        let is_open = self.open.is_some();
+        let access = match &query.statement {
+            Some(Statement::Direct(access)) => *access,
+            Some(Statement::Execute { name, .. }) => match self.state.prepared.get(name) {
+                Some(shape) => shape.access,
+                None => Access::Read,
+            },
+            Some(Statement::Commit) => return ErrorKind::OutcomeUnknown,
+            _ => return ErrorKind::Draining,
+        };
+        match access {
+            // Its connection is closed, which rolls the transaction back.
+            _ if is_open => ErrorKind::TransactionAborted,
+            Access::Write => ErrorKind::OutcomeUnknown,
+            Access::Read => ErrorKind::Cancelled,
+        }
+    }
+
+    /// Ends a statement that was given up, and the session.
+    pub(crate) fn give_up(&mut self, id: &Bytes, kind: ErrorKind) -> Verdict {
+        let took = self.started.elapsed();
+        info!(id = text(id), organisation = %self.organisation, database = self.database,
+            outcome = ?kind, took_ms = took.as_millis(), "statement given up, host ends");
+        self.metrics.record(Err(kind), took);
+        self.abort("host ends");
+        self.has_failed = false;
+        Verdict::goes_on(Response::failed(kind, Transaction::Idle))
+    }
+
     /// Ends a session whose caller may not go on.
     fn expel(&mut self, query: &Query, kind: ErrorKind) -> Verdict {
         info!(id = text(&query.id), organisation = %self.organisation, database = self.database,
--- a/crates/burdockslip_session/src/stop.rs
+++ b/crates/burdockslip_session/src/stop.rs
@@ -11,6 +11,7 @@
     Open,
     ClosingIdle,
     ClosingAll,
+    Ending,
 }
 
 /// Tells sessions to end.
@@ -49,6 +50,12 @@
         self.set(Level::ClosingAll);
     }
 
+    /// Gives up the statements that still run, because the process is about to
+    /// end and their clients would be left without an answer.
+    pub fn end(&self) {
+        self.set(Level::Ending);
+    }
+
     pub(crate) const fn level(&self) -> Level {
         self.level.get()
     }
@@ -67,6 +74,17 @@
         self.changed.changed(seen)
     }
 
+    /// Waits until the process is about to end.
+    pub(crate) async fn ending(&self) {
+        loop {
+            let seen = self.epoch();
+            if self.level() == Level::Ending {
+                return;
+            }
+            self.changed(seen).await;
+        }
+    }
+
     fn set(&self, level: Level) {
         if self.level.replace(level) != level {
             self.changed.notify();
