Let the answer to an unusable message arrive before the connection ends

Seen by callers: a message of 8 MiB got no answer in place of TOOLARGE.

Cause: the host answered and closed while the rest of the message arrived. A socket that is closed with unread bytes is reset, and the peer loses what was sent last. The present test for large messages sends little more than the limit, so nothing was left unread.

Ruled out: the same for sessions that end for a withdrawn key or route; reading on would take whole requests and drop them.

Change: the host sends the end of the stream and drops what arrives, for 1 s at most.

--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -27,6 +27,9 @@
 /// How long a client may take to close a session whose end it was told.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a client may go on sending a message that cannot be used.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Waits this long after a failed accept, which happens when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -147,7 +150,10 @@
             Received::Query(query) => query,
             Received::Unusable(kind) => {
                 let response = Response::failed(kind, session.transaction());
-                send(cx, framed, &response, false).await;
+                if send(cx, framed, &response, false).await {
+                    // A client that goes on sending is cut off after a while.
+                    let _ = timeout(FINISH_TIMEOUT, framed.finish()).await;
+                }
                 return;
             }
             Received::HostStops => return end_idle(cx, framed, stop.reason()).await,
--- a/crates/burdockslip_upstream/src/framed.rs
+++ b/crates/burdockslip_upstream/src/framed.rs
@@ -7,7 +7,7 @@
 use bytes::BytesMut;
 use error_stack::{Report, bail};
 use futures::FutureExt;
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 
 /// Bounds the bytes read at once; most messages are some hundred bytes.
@@ -72,6 +72,19 @@
             .map_err(|error| Report::new(error).change_context(ErrorKind::ConnectionLost))
     }
 
+    /// Sends the end of the stream and drops what still arrives until the peer
+    /// ends it, too.
+    ///
+    /// A socket that is closed with unread bytes is reset, and the peer loses
+    /// what was sent last.
+    pub async fn finish(&mut self) {
+        let mut outcome = self.stream.shutdown().await.map_err(|_| ());
+        while outcome.is_ok() {
+            self.received.clear();
+            outcome = self.fill().await.map_err(|_| ());
+        }
+    }
+
     /// Returns whether nothing has arrived; an idle connection on which
     /// something has arrived was closed or answers something unasked.
     pub fn is_quiet(&self) -> bool {
