Leave the duty to another host when promotions cannot be ordered

Cause: the coordinator's kept connection to the store went on working, so that it renewed its duty, while each order to promote was refused; it tried again every 0.18 s, and other hosts, which could have ordered, had no part in it.

Change: after three orders in a row that fail at once, or one that is neither answered nor carried out, the holder gives the duty up and takes no part in the election for 3 s.

Ruled out: giving it up at the first refusal; a cloud interface that is down for all would move the duty with each attempt, and hosts have only their fractions of the rates while it moves.

Evidence: coordinator_that_cannot_order_hands_the_duty_over failed before (no write for 15 s; the order was not answered and repeated every 2.9 s) and passes. The tests of duty, failover, partition and roster pass.

--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -57,6 +57,9 @@
 /// are registered but cannot take it are gone after 5 s.
 const WEAK_TENURE: Duration = Duration::from_secs(6);
 
+/// How long a host leaves the duty to others after it could not carry it out.
+const ASIDE_SPAN: Duration = Duration::from_secs(3);
+
 /// Proves that this host holds the duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Tenure {
@@ -94,6 +97,8 @@
     /// The last tenure, unless the store said that it ended.
     lapsed: Cell<Option<Tenure>>,
     is_leaving: Cell<bool>,
+    /// The moment until which the duty is left to others.
+    aside: Cell<Option<Instant>>,
     leaving: Signal,
 }
 
@@ -115,6 +120,7 @@
             tenure: Cell::new(None),
             lapsed: Cell::new(None),
             is_leaving: Cell::new(false),
+            aside: Cell::new(None),
             leaving: Signal::default(),
         });
         Self {
@@ -165,6 +171,12 @@
         self.shared.holding().map(|holding| holding.host)
     }
 
+    /// Gives the duty up for some seconds, because this host cannot carry it out.
+    pub fn step_aside(&self) {
+        self.shared.aside.set(Some(now() + ASIDE_SPAN));
+        self.shared.leaving.notify();
+    }
+
     /// Gives the duty up and takes part no longer.
     pub fn leave(&self) {
         self.shared.is_leaving.set(true);
@@ -179,6 +191,10 @@
 }
 
 impl Shared {
+    fn is_aside(&self) -> bool {
+        self.aside.get().is_some_and(|until| !until.is_past())
+    }
+
     fn holding(&self) -> Option<Holding> {
         let entry = self.directory.record(keys::DUTY)?;
         records::decode(&entry.value).ok()
@@ -247,6 +263,10 @@
         if shared.is_leaving.get() {
             return;
         }
+        if let Some(until) = shared.aside.take() {
+            sleep_until(until).await;
+            continue;
+        }
         end_earlier_run(&shared).await;
         let (least, most) = CANDIDATE_MS;
         let delay = Duration::from_millis(random_range(least..most));
@@ -329,13 +349,14 @@
     loop {
         let seen = shared.leaving.epoch();
         let is_weak = begun.elapsed() > WEAK_TENURE && shared.is_weak();
-        if shared.is_leaving.get() || is_weak {
+        if shared.is_leaving.get() || is_weak || shared.is_aside() {
             shared.tenure.set(None);
             let outcome = within(CALL_TIMEOUT, store.revoke_lease(lease)).await;
             info!(
                 fence = tenure.token.0,
                 given_up = outcome.is_ok(),
                 is_weak,
+                is_aside = shared.is_aside(),
                 "duty left"
             );
             return;
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -1,5 +1,6 @@
 //! Replaces the primary of one group.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +34,10 @@
 /// Bounds the order to the platform, well below the margin of the duty.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Orders in a row that fail at once before the duty is left to another host,
+/// which may reach the platform.
+const MAX_FAILED_ORDERS: u32 = 3;
+
 /// Pauses between attempts and between looks at the new primary.
 const STEP_PAUSE: Duration = Duration::from_millis(40);
 
@@ -62,6 +67,8 @@
     pub(crate) pools: Pools,
     pub(crate) duty: Duty,
     pub(crate) promote: Promote,
+    /// The orders in a row that could not be placed.
+    pub(crate) failed_orders: Rc<Cell<u32>>,
 }
 
 impl Promotion {
@@ -393,14 +400,21 @@
     async fn lead(&self, group: &GroupName, chosen: &Rc<Member>, old: Term) -> Result<Term> {
         let tenure = self.tenure()?;
         let order = (self.promote)(group.clone(), chosen.name.clone(), tenure.token);
+        let mut is_answered = true;
         match timeout(ORDER_TIMEOUT, order).await {
             Ok(Ok(Promoted::Accepted)) => {}
             Ok(Ok(Promoted::Refused)) => {
                 bail!(Report::new(ErrorKind::NoPrimary).attach("promotion refused"));
             }
-            Ok(Err(error)) => return Err(error),
+            Ok(Err(error)) => {
+                self.note_failed_orders(self.failed_orders.get() + 1);
+                return Err(error);
+            }
             // The order may have been carried out; the member's term tells.
-            Err(_) => warn!(%group, member = %chosen.name, "promotion not answered in time"),
+            Err(_) => {
+                is_answered = false;
+                warn!(%group, member = %chosen.name, "promotion not answered in time");
+            }
         }
         let deadline = now() + LEAD_TIMEOUT;
         while !deadline.is_past() {
@@ -412,13 +426,30 @@
                 && status.is_primary
                 && status.term > old
             {
+                self.failed_orders.set(0);
                 return Ok(status.term);
             }
             sleep(STEP_PAUSE).await;
         }
+        if !is_answered {
+            self.note_failed_orders(MAX_FAILED_ORDERS);
+        }
         bail!(Report::new(ErrorKind::NoPrimary).attach("promoted member does not lead"))
     }
 
+    /// Leaves the duty to another host if orders cannot be placed from here.
+    fn note_failed_orders(&self, count: u32) {
+        self.failed_orders.set(count);
+        if count >= MAX_FAILED_ORDERS {
+            warn!(
+                count,
+                "promotions cannot be ordered from here, duty left to others"
+            );
+            self.failed_orders.set(0);
+            self.duty.step_aside();
+        }
+    }
+
     /// Lets members follow the primary of `term`.
     pub(crate) async fn resume(&self, members: &[Rc<Member>], term: Term) {
         for command in [Command::Resume, Command::Demote(term)] {
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -60,6 +60,7 @@
                 pools,
                 duty,
                 promote,
+                failed_orders: Rc::default(),
             },
             votes: RefCell::default(),
             changes: RefCell::default(),
