--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -78,7 +78,8 @@
         decode(bytes)
     }
 
-    /// Returns whether a member has the log of the primary.
+    /// Returns whether a member is the primary, or a later run of it at the same
+    /// address, which has its log.
     pub fn is_primary(&self, member: &Member) -> bool {
         member.name == self.primary || member.address == self.address
     }
--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform lists the members that it hears of. A member behind a partition
 //! is not listed and may still receive what a primary on its side acknowledges,
-//! so it stays on the roster until its log is known to be needless; see
+//! so it stays on the roster until its log is no longer needed; see
 //! `docs/platform.md`, "Promotion".
 
 use std::rc::Rc;
@@ -28,11 +28,11 @@
 /// Bounds a question to a member.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Adds the registered members to a roster.
+/// Adds the registered members to a roster; of two runs at one address the one
+/// that started last counts.
 ///
-/// A log stays at its address: a member that crashed comes back with it under
-/// another name and replaces its earlier entry, and the record of its earlier
-/// run may still turn up.
+/// A member that crashed comes back at its address with its log, under another
+/// name, and the record of its earlier run may still turn up.
 pub(crate) fn merge(roster: &[Member], registered: &[Rc<Member>]) -> Vec<Member> {
     let mut merged = roster.to_vec();
     for member in registered {
@@ -149,8 +149,8 @@
         Ok(stopped.is_empty() && statuses.len() == replicas.len())
     }
 
-    /// Returns the absent members whose logs are needless: they give no answer,
-    /// and a replica holds all that the primary held after that.
+    /// Returns the absent members whose logs are no longer needed: they give no
+    /// answer, and a replica holds all that the primary held after that.
     ///
     /// One that was about to leave is asked once. Another one may only be slow, so
     /// that it is asked several times.
