--- a/crates/burdockslip_failover/src/proof.rs
+++ b/crates/burdockslip_failover/src/proof.rs
@@ -12,9 +12,10 @@
     Store,
     /// The coordinator passed on that the store renewed the lease.
     Coordinator,
-    /// A replica told this host that it receives in the known term.
+    /// The primary told this host that it leads in the known term, and this
+    /// replica that it receives in it.
     Replica(MemberName),
-    /// A replica told the coordinator so, which passed it on without a name.
+    /// Both told the coordinator so, which passed it on without a name.
     CoordinatorReplica,
 }
 
