Fill the bucket of an organisation for the whole tenure

Cause: the coordinator creates an organisation's bucket nearly empty at its first operation, as if the previous coordinator had just granted everything. At the start of traffic, long after the duty was taken, each organisation's first operations were refused. Change: a new bucket is nearly empty at the start of the tenure and filled since then. Result: burst_after_an_idle_start_is_admitted refused 17 of 20 operations before and none after; the other tests of the limit pass.

--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -140,7 +140,7 @@
                 1.0 - self.reserved_fraction(organisation, true) - unreported_fraction
             };
             let rate = limits.rate * available.clamp(0.0, 1.0);
-            let tokens = self.take(demand, limits, rate);
+            let tokens = self.take(demand, limits, rate, started);
             let mut allotment = self.allotment(host, organisation);
             allotment.fraction = allotment.fraction.max(fraction);
             allotment.unused += f64::from(tokens);
@@ -156,7 +156,7 @@
 
     /// Takes tokens for waiting operations, and for expected ones unless hosts
     /// hold too many unused tokens already. Unused tokens count against the burst.
-    fn take(&mut self, demand: &Demand, limits: &Limits, rate: f64) -> u32 {
+    fn take(&mut self, demand: &Demand, limits: &Limits, rate: f64, started: Instant) -> u32 {
         let total = self.totals.get(&demand.organisation);
         let unused = total.copied().unwrap_or_default().unused;
         let budget = limits.burst + self.slack * SLACK_FRACTION;
@@ -164,7 +164,7 @@
         let bucket = self
             .buckets
             .entry(demand.organisation.clone())
-            .or_insert_with(|| Bucket::new(limits.rate));
+            .or_insert_with(|| Bucket::new(limits.rate, started));
         bucket.refill(rate, burst);
         let is_scarce = unused >= budget * PREFETCH_FRACTION;
         let wanted = if is_scarce {
--- a/crates/burdockslip_shares/src/bucket.rs
+++ b/crates/burdockslip_shares/src/bucket.rs
@@ -14,12 +14,15 @@
 }
 
 impl Bucket {
-    /// Creates a nearly empty bucket, because the previous coordinator may have
-    /// granted all tokens.
-    pub(crate) fn new(rate: f64) -> Self {
+    /// Creates a bucket that was nearly empty at `since`, when this coordinator took
+    /// over, because the previous one may have granted all tokens.
+    ///
+    /// Nothing was granted since to an organisation that is first seen later, so the next
+    /// refill adds the tokens of the whole time.
+    pub(crate) fn new(rate: f64, since: Instant) -> Self {
         Self {
             tokens: rate * INITIAL_SECONDS,
-            refilled: now(),
+            refilled: since,
         }
     }
 
--- a/crates/burdockslip_shares/tests/rates.rs
+++ b/crates/burdockslip_shares/tests/rates.rs
@@ -362,6 +362,46 @@
     assert!(refused <= 9, "{refused} of 402 refused");
 }
 
+/// Guards against refusals at the start of a fleet's traffic. All clients send their
+/// first operations at once, long after the coordinator took the duty, and the
+/// organisation's whole burst is available.
+#[test]
+fn burst_after_an_idle_start_is_admitted() {
+    let (refused, busiest) = paused::run(11, async {
+        let limits = SMALL_LIMITS;
+        let mut fleet = Fleet::with_limits(40, limits);
+        for _ in 0..1_000 {
+            fleet.step(0).await;
+        }
+        for index in 0..40 {
+            fleet.report(index, 0);
+        }
+        fleet.admitted.clear();
+        let mut refused = 0;
+        for index in 0..20 {
+            let limiter = &mut fleet.hosts[index].1;
+            limiter.record_demand(&organisation());
+            if limiter.admit(&config(limits)) == Admission::Wait {
+                fleet.report(index, 1);
+            }
+            let admission = fleet.hosts[index].1.admit(&config(limits));
+            refused += usize::from(admission != Admission::Granted);
+        }
+        fleet.admitted.push(20 - refused);
+        for _ in 0..WINDOW_STEPS {
+            fleet.step(1).await;
+        }
+        (refused, fleet.busiest_window())
+    });
+    assert_eq!(refused, 0, "of 20");
+    let max_operations = (SMALL_RATE * 5.0 + SMALL_RATE) * 1.1 + 20.0;
+    let busiest = u32::try_from(busiest).expect("tests admit few operations");
+    assert!(
+        f64::from(busiest) <= max_operations,
+        "{busiest} of {max_operations}"
+    );
+}
+
 /// Guards against exceeding a small organisation's limit when all hosts restart
 /// while its clients send far more than usual.
 #[test]
