Tell hosts which records were deleted before the peer started

Cause: a host that restarts and takes the duty does not know the records that were deleted before it loaded the store. Hosts that had seen less than that never learned of the deletion and went on using a member that had left. A lagging peer could also restore a record that was deleted meanwhile. Change: only deletions are kept for other hosts, and where they are not all known the reply lists the existing keys. Writes are found by their revision, so the number of kept changes no longer limits what a peer can forward. Older records than a known deletion are ignored. Result: member_deleted_before_the_peer_started_is_removed and deleted_record_is_not_restored_by_a_lagging_peer fail without it.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -40,16 +40,20 @@
     pub read_member: fn(&str, &[u8]) -> Result<Member>,
 }
 
-/// The maximum number of changes kept for other hosts; each takes about 60 bytes.
-const MAX_CHANGES: usize = 256;
+/// The maximum number of deletions kept for other hosts; each takes about 60 bytes.
+const MAX_DELETIONS: usize = 256;
 
 domain! {
     /// Changes of the store that a peer forwards.
     pub struct Changes {
-        /// The changes, oldest first; only the last change of each key.
+        /// The last change of each key, by revision.
         pub events: Vec<Event>,
+        /// All existing keys, if the peer does not know which ones were deleted.
+        pub keys: Option<Vec<String>>,
         /// The revision up to which all changes are included.
         pub revision: Revision,
+        /// How long ago, at most, this was the newest state of the store.
+        pub age: Duration,
     }
 }
 
@@ -73,12 +77,14 @@
     confirmed_at: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, KnownMember>>,
     entries: RefCell<BTreeMap<String, Entry>>,
-    /// The revisions and keys of the latest changes, for other hosts.
-    changes: RefCell<VecDeque<(Revision, String)>>,
-    /// The highest revision of a change that was dropped from `changes`.
-    dropped: Cell<Revision>,
+    /// The revisions and keys of the latest deletions, for other hosts.
+    deletions: RefCell<VecDeque<(Revision, String)>>,
+    /// The revision after which `deletions` is complete.
+    deletions_from: Cell<Revision>,
     /// The revision up to which all changes have been applied.
     pub(crate) applied: Cell<Revision>,
+    /// The latest moment at which the local copy had the newest state of the store.
+    synced_at: Cell<Option<Instant>>,
     pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
     is_loaded: Cell<bool>,
     pub(crate) is_coordinator: Cell<bool>,
@@ -103,9 +109,10 @@
             confirmed_at: Cell::default(),
             members: RefCell::default(),
             entries: RefCell::default(),
-            changes: RefCell::default(),
-            dropped: Cell::default(),
+            deletions: RefCell::default(),
+            deletions_from: Cell::default(),
             applied: Cell::default(),
+            synced_at: Cell::default(),
             relay: RefCell::default(),
             is_loaded: Cell::new(false),
             is_coordinator: Cell::new(false),
@@ -233,10 +240,10 @@
         self.shared.put(entry);
     }
 
-    /// Returns the changes after `revision`, or `None` if some of them are no longer
-    /// kept.
+    /// Returns the changes after `revision`, or `None` if the store has never been read.
     pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
-        self.shared.changes_since(revision)
+        let age = self.shared.synced_at.get()?.elapsed();
+        Some(self.shared.changes_since(revision, age))
     }
 
     /// Sets the relay from which changes are received instead of the store, as long as
@@ -276,7 +283,7 @@
     /// Applies an entry unless a newer one is known.
     pub(crate) fn put(&self, entry: Entry) {
         let is_known = |known: &Entry| known.revision >= entry.revision;
-        if self.entries.borrow().get(&entry.key).is_some_and(is_known) {
+        if self.entries.borrow().get(&entry.key).is_some_and(is_known) || self.is_deleted(&entry) {
             return;
         }
         if entry.key == self.schema.configuration {
@@ -284,7 +291,6 @@
         } else if let Some(name) = entry.key.strip_prefix(self.schema.members) {
             self.apply_member(name, &entry.value);
         }
-        self.record_change(entry.revision, &entry.key);
         self.entries.borrow_mut().insert(entry.key.clone(), entry);
         self.changed.notify();
     }
@@ -299,64 +305,113 @@
         if let Some(name) = key.strip_prefix(self.schema.members) {
             self.mark_missing(name);
         }
-        self.record_change(revision, key);
+        self.record_deletion(revision, key);
         self.changed.notify();
     }
 
     /// Replaces the local copy with the whole content of the store at `revision`.
     pub(crate) fn replace(&self, entries: Vec<Entry>, revision: Revision) {
-        let listed: HashSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
-        let known: Vec<String> = self.entries.borrow().keys().cloned().collect();
-        for key in known.iter().filter(|key| !listed.contains(key.as_str())) {
-            self.delete(key, revision);
-        }
+        let keys: Vec<_> = entries.iter().map(|entry| entry.key.clone()).collect();
+        self.retain(&keys, revision);
         for entry in entries {
             self.put(entry);
         }
-        self.is_loaded.set(true);
+        if !self.is_loaded.replace(true) {
+            // What was deleted before is unknown, and other hosts may still have it.
+            self.deletions_from.set(revision);
+        }
         self.advance(revision);
     }
 
+    /// Applies the changes that a peer has forwarded.
+    pub(crate) fn apply_changes(&self, changes: Changes) {
+        if let Some(keys) = &changes.keys {
+            self.retain(keys, changes.revision);
+        }
+        for event in changes.events {
+            self.apply_event(event);
+        }
+        self.applied.set(self.applied.get().max(changes.revision));
+        self.mark_synced(now() - changes.age);
+    }
+
+    /// Applies one change.
+    pub(crate) fn apply_event(&self, event: Event) {
+        match event {
+            Event::Put(entry) => self.put(entry),
+            Event::Delete(key, revision) => self.delete(&key, revision),
+            Event::Progress(revision) => self.advance(revision),
+        }
+    }
+
+    /// Removes the keys that are not among `keys`, all that existed at `revision`.
+    fn retain(&self, keys: &[String], revision: Revision) {
+        let existing: HashSet<&str> = keys.iter().map(String::as_str).collect();
+        let known: Vec<String> = self.entries.borrow().keys().cloned().collect();
+        for key in known.iter().filter(|key| !existing.contains(key.as_str())) {
+            self.delete(key, revision);
+        }
+    }
+
+    /// Records that the local copy had the newest state of the store at `moment`.
+    pub(crate) fn mark_synced(&self, moment: Instant) {
+        let latest = self
+            .synced_at
+            .get()
+            .map_or(moment, |known| known.max(moment));
+        self.synced_at.set(Some(latest));
+    }
+
     /// Records that all changes up to `revision` have been applied.
     pub(crate) fn advance(&self, revision: Revision) {
         self.applied.set(self.applied.get().max(revision));
         self.changed.notify();
     }
 
-    fn record_change(&self, revision: Revision, key: &str) {
-        let mut changes = self.changes.borrow_mut();
-        changes.push_back((revision, key.to_owned()));
-        while changes.len() > MAX_CHANGES {
-            if let Some((revision, _)) = changes.pop_front() {
-                self.dropped.set(self.dropped.get().max(revision));
+    /// Returns whether the key was deleted after `entry` was written. A peer that lags
+    /// behind may still send it.
+    fn is_deleted(&self, entry: &Entry) -> bool {
+        let deletions = self.deletions.borrow();
+        deletions
+            .iter()
+            .any(|(revision, key)| *revision > entry.revision && *key == entry.key)
+    }
+
+    fn record_deletion(&self, revision: Revision, key: &str) {
+        let mut deletions = self.deletions.borrow_mut();
+        deletions.push_back((revision, key.to_owned()));
+        while deletions.len() > MAX_DELETIONS {
+            if let Some((revision, _)) = deletions.pop_front() {
+                let from = self.deletions_from.get().max(revision);
+                self.deletions_from.set(from);
             }
         }
     }
 
-    fn changes_since(&self, revision: Revision) -> Option<Changes> {
-        if revision < self.dropped.get() {
-            return None;
-        }
-        let changes = self.changes.borrow();
+    fn changes_since(&self, revision: Revision, age: Duration) -> Changes {
         let entries = self.entries.borrow();
         let applied = self.applied.get();
         // A record applied ahead of the watch is forwarded only once the watch has
         // reached its revision. Otherwise the peer, which continues from `applied`,
         // would receive it again with each request.
         let is_due = |changed: Revision| changed > revision && changed <= applied;
-        let mut keys = HashSet::new();
-        let mut events = Vec::new();
-        for (changed, key) in changes.iter().rev().filter(|(changed, _)| is_due(*changed)) {
-            if keys.insert(key) {
-                let event = entries.get(key).cloned().map(Event::Put);
-                events.push(event.unwrap_or_else(|| Event::Delete(key.clone(), *changed)));
-            }
+        let puts = entries.values().filter(|entry| is_due(entry.revision));
+        let mut events: Vec<_> = puts.cloned().map(Event::Put).collect();
+        let is_complete = revision >= self.deletions_from.get();
+        if is_complete {
+            let deletions = self.deletions.borrow();
+            let deleted = deletions
+                .iter()
+                .filter(|(changed, key)| is_due(*changed) && !entries.contains_key(key));
+            events.extend(deleted.map(|(changed, key)| Event::Delete(key.clone(), *changed)));
         }
-        events.reverse();
-        Some(Changes {
+        events.sort_by_key(Event::revision);
+        Changes {
             events,
+            keys: (!is_complete).then(|| entries.keys().cloned().collect()),
             revision: applied,
-        })
+            age,
+        }
     }
 
     /// Records that the configuration was the newest one at `moment`.
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -37,8 +37,9 @@
 /// The maximum of this pause, so that a recovered store is noticed soon.
 const MAX_RETRY: Duration = Duration::from_millis(900);
 
-/// The timeout of a request to a peer, which answers within 1 s even without changes.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// The timeout of a request to peers, which may ask two of them in turn. A peer
+/// answers within 1 s even without changes.
+const RELAY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How long the store is watched before a peer is tried again.
 const RELAY_PAUSE: Duration = Duration::from_secs(1);
@@ -82,6 +83,7 @@
     let sent = now();
     let page = with_timeout(CALL_TIMEOUT, shared.store.range("")).await?;
     shared.replace(page.entries, page.revision);
+    shared.mark_synced(sent);
     shared.confirm(sent);
     Ok(())
 }
@@ -114,14 +116,7 @@
     };
     loop {
         match with_timeout(RELAY_TIMEOUT, relay(shared.applied.get())).await {
-            Ok(changes) => {
-                for event in changes.events {
-                    apply_event(shared, event);
-                }
-                shared
-                    .applied
-                    .set(shared.applied.get().max(changes.revision));
-            }
+            Ok(changes) => shared.apply_changes(changes),
             Err(report) => {
                 debug!(error = ?report, "peer forwards no changes");
                 let has_no_leader = *report.current_context() == ErrorKind::NoPrimary;
@@ -146,10 +141,11 @@
         match timeout(wait, watch.next()).await {
             Ok(Some(Ok(Event::Progress(_)))) if !prefix.is_empty() => {}
             Ok(Some(Ok(event))) => {
-                apply_event(shared, event);
+                shared.apply_event(event);
                 if !prefix.is_empty() {
                     return Ok(());
                 }
+                shared.mark_synced(now());
             }
             Ok(Some(Err(error))) => return Err(error),
             Ok(None) => return Err(Report::new(ErrorKind::StoreUnavailable).attach("watch ended")),
@@ -161,14 +157,6 @@
     }
 }
 
-fn apply_event(shared: &Shared, event: Event) {
-    match event {
-        Event::Put(entry) => shared.put(entry),
-        Event::Delete(key, revision) => shared.delete(&key, revision),
-        Event::Progress(revision) => shared.advance(revision),
-    }
-}
-
 /// Confirms the configuration in a loop, with reads that see every acknowledged
 /// change.
 pub(crate) async fn confirm(shared: Rc<Shared>) {
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -1,5 +1,6 @@
 //! Tests the local copy of the store and the tracking of its age.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_store::{Event, Faults, MemoryStore};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Result, Revision, Zone};
-use error_stack::{bail, ensure};
+use error_stack::{Report, bail, ensure};
 use futures::FutureExt;
 
 const SCHEMA: Schema = Schema {
@@ -206,6 +207,68 @@
     });
 }
 
+/// Guards against members that have left but stay in use on other hosts after the
+/// coordinator's process has restarted: the coordinator has never seen the records
+/// that were deleted before it started.
+#[test]
+fn member_deleted_before_the_peer_started_is_removed() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        store.put("members/a", b"ok");
+        store.put("members/b", b"ok");
+        let host = open(&store);
+        let peer: Rc<RefCell<Option<Directory>>> = Rc::default();
+        let known_peer = Rc::clone(&peer);
+        let relay: Relay = Rc::new(move |revision| {
+            let peer = Rc::clone(&known_peer);
+            async move {
+                while peer.borrow().is_none() {
+                    sleep(Duration::from_millis(50)).await;
+                }
+                sleep(Duration::from_millis(50)).await;
+                let changes = peer
+                    .borrow()
+                    .as_ref()
+                    .and_then(|it| it.changes_since(revision));
+                changes.ok_or_else(|| Report::new(ErrorKind::NoFreshData))
+            }
+            .boxed_local()
+        });
+        host.set_relay(relay, "leader");
+        wait().await;
+        assert_eq!(host.members(&group()).len(), 2);
+        store.delete("members/a");
+        let restarted = open(&store);
+        wait().await;
+        *peer.borrow_mut() = Some(restarted);
+        sleep(Duration::from_secs(4)).await;
+        let members = host.members(&group());
+        let names: Vec<_> = members.iter().map(|it| it.name.as_str()).collect();
+        assert_eq!(names, ["b"]);
+    });
+}
+
+/// Guards against records that come back: a peer that lags behind sends one that has
+/// been deleted meanwhile.
+#[test]
+fn deleted_record_is_not_restored_by_a_lagging_peer() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        store.put("members/a", b"ok");
+        let directory = open(&store);
+        wait().await;
+        let outdated = directory.record("members/a").expect("it is registered");
+        store.delete("members/a");
+        wait().await;
+        directory.apply(outdated);
+        assert!(directory.record("members/a").is_none());
+        sleep(Duration::from_secs(3)).await;
+        assert!(directory.members(&group()).is_empty());
+    });
+}
+
 /// Guards against a starting fleet in which each registration costs a call of every
 /// other host.
 #[test]
@@ -222,7 +285,9 @@
                 std::future::pending::<()>().await;
                 Ok(Changes {
                     events: Vec::new(),
+                    keys: None,
                     revision,
+                    age: Duration::ZERO,
                 })
             }
             .boxed_local()
--- a/crates/burdockslip_store/src/store.rs
+++ b/crates/burdockslip_store/src/store.rs
@@ -75,6 +75,16 @@
     }
 }
 
+impl Event {
+    /// Returns the revision of the change.
+    pub const fn revision(&self) -> Revision {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Delete(_, revision) | Self::Progress(revision) => *revision,
+        }
+    }
+}
+
 domain! {
     /// A call to the store that has one reply.
     pub enum Request {
