Spread changes of the store through one host of each zone

Cause: the coordinator sent every change to every host itself. Change: in fleets of more than 40 hosts the largest host of each zone follows the coordinator and relays to its zone; replies carry the age of their state, and a relay that is behind or silent is left for the coordinator. Large replies are paced to half of the link.

--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -39,7 +39,7 @@
 
 /// The timeout of a request to peers, which may ask two of them in turn. A peer
 /// answers within 1 s even without changes.
-const RELAY_TIMEOUT: Duration = Duration::from_secs(3);
+const RELAY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// How long the store is watched before a peer is tried again.
 const RELAY_PAUSE: Duration = Duration::from_secs(1);
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -7,9 +7,10 @@
 
 use burdockslip_directory::{Changes, Directory, OrganisationConfig};
 use burdockslip_failover::{Duty, Permission, Supervisor};
-use burdockslip_runtime::{now, sleep, timeout_at};
+use burdockslip_runtime::{now, sleep, sleep_until, timeout_at};
 use burdockslip_session::PositionHistory;
 use burdockslip_shares::{Allocator, Limits};
+use burdockslip_store::Event;
 use burdockslip_types::{
     ErrorKind, GroupName, HostId, LogPosition, Organisation, Result, Revision,
 };
@@ -18,6 +19,7 @@
 
 use crate::messages::{HostReport, ReportReply};
 use crate::registration::registered;
+use crate::relay::{MAX_RELAYED_AGE, SendBudget};
 
 /// How long a request for changes waits for a change.
 const FOLLOW_WAIT: Duration = Duration::from_secs(1);
@@ -51,6 +53,7 @@
     allocator: Rc<RefCell<Option<(Revision, Allocator)>>>,
     rate_slack: u32,
     positions: Rc<PositionHistory>,
+    link: Rc<SendBudget>,
     /// Whether the last report was answered as an interim coordinator, to log changes.
     is_interim: Rc<Cell<bool>>,
 }
@@ -63,6 +66,7 @@
         permission: Permission,
         rate_slack: u32,
         positions: Rc<PositionHistory>,
+        link: SendBudget,
     ) -> Self {
         Self {
             duty,
@@ -73,21 +77,24 @@
             allocator: Rc::default(),
             rate_slack,
             positions,
+            link: Rc::new(link),
             is_interim: Rc::default(),
         }
     }
 
     /// Returns the changes after `revision`, as soon as there are any, or none after
-    /// `FOLLOW_WAIT`.
+    /// `FOLLOW_WAIT`. A host that is not the coordinator relays what it knows.
+    ///
+    /// Fails with `NoFreshData` if this host is too far behind itself.
     pub(crate) async fn follow(self, revision: Revision) -> Result<Changes> {
         let until = now() + FOLLOW_WAIT;
         loop {
-            ensure!(self.duty.confirmed_token().is_some(), ErrorKind::Conflict);
             let seen = self.directory.changed().epoch();
-            let Some(changes) = self.directory.changes_since(revision) else {
-                bail!(ErrorKind::NoFreshData);
-            };
-            if !changes.events.is_empty() || until.is_past() {
+            let changes = self.current_changes(revision)?;
+            if !changes.events.is_empty() || changes.keys.is_some() {
+                return self.pace(revision, changes).await;
+            }
+            if until.is_past() {
                 return Ok(changes);
             }
             let change = self.directory.changed().changed(seen);
@@ -97,6 +104,27 @@
         }
     }
 
+    fn current_changes(&self, revision: Revision) -> Result<Changes> {
+        let Some(mut changes) = self.directory.changes_since(revision) else {
+            bail!(ErrorKind::NoFreshData);
+        };
+        if self.duty.confirmed_token().is_some() {
+            changes.age = Duration::ZERO;
+        }
+        ensure!(changes.age < MAX_RELAYED_AGE, ErrorKind::NoFreshData);
+        Ok(changes)
+    }
+
+    /// Waits for the turn of a reply on the link, and includes what changed meanwhile.
+    async fn pace(&self, revision: Revision, changes: Changes) -> Result<Changes> {
+        let turn = self.link.reserve(size(&changes));
+        if turn.is_past() {
+            return Ok(changes);
+        }
+        sleep_until(turn).await;
+        self.current_changes(revision)
+    }
+
     /// Returns the limits and the hosts, computed anew only after a change of the
     /// directory.
     fn fleet_view(&self) -> Rc<FleetView> {
@@ -171,3 +199,14 @@
         })
     }
 }
+
+/// Returns roughly how many bytes changes take on the link.
+fn size(changes: &Changes) -> usize {
+    let event = |event: &Event| match event {
+        Event::Put(entry) => entry.key.len() + entry.value.len(),
+        Event::Delete(key, _) => key.len(),
+        Event::Progress(_) => 0,
+    };
+    let keys = changes.keys.iter().flatten().map(String::len);
+    changes.events.iter().map(event).chain(keys).sum()
+}
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -22,6 +22,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
+use crate::relay::SendBudget;
 use crate::{EntrySettings, positions, registration, report};
 
 /// How often the age of the configuration is checked.
@@ -115,6 +116,7 @@
             cx.permission.clone(),
             settings.rate_slack,
             Rc::clone(&cx.positions),
+            SendBudget::new(f64::from(settings.link)),
         );
         let peer_directory = directory.clone();
         let peers = PeerPool::new(settings.host.clone(), move |host| {
@@ -133,7 +135,13 @@
         let router = router.on(DutyExchange, move |_, ()| {
             ready(Ok(duty_directory.record(keys::DUTY)))
         });
-        let relay = report::relay(coordinator.clone(), settings.host.clone(), &peers);
+        let relay = report::relay(
+            coordinator.clone(),
+            settings.host.clone(),
+            settings.zone.clone(),
+            directory.clone(),
+            &peers,
+        );
         directory.set_relay(relay, keys::DUTY);
         let peer_server = PeerServer::bind(settings.peer_address, router)?;
         let stop = Rc::new(StopSignal::default());
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -8,9 +8,11 @@
 mod messages;
 mod positions;
 mod registration;
+mod relay;
 mod report;
 mod settings;
 
 pub use host::{Adapter, Host};
 pub use messages::{HostReport, ReportExchange, ReportReply};
+pub use relay::{MAX_RELAYED_AGE, Relays, SendBudget};
 pub use settings::EntrySettings;
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -90,6 +90,16 @@
         .collect()
 }
 
+/// Returns the registered hosts with their records.
+pub(crate) fn registrations(directory: &Directory) -> Vec<(HostId, Registration)> {
+    let entries = directory.records(keys::HOSTS);
+    let read = |entry: &Entry| {
+        let name = entry.key.strip_prefix(keys::HOSTS)?;
+        Some((HostId::from(name), Registration::read(&entry.value).ok()?))
+    };
+    entries.iter().filter_map(read).collect()
+}
+
 /// Returns the address at which peers connect to a host.
 pub(crate) fn address(directory: &Directory, host: &HostId) -> Option<SocketAddr> {
     let entry = directory.record(&format!("{}{host}", keys::HOSTS))?;
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Directory, Relay};
+use burdockslip_directory::{Changes, Directory, Relay};
 use burdockslip_failover::keys;
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
 use burdockslip_shares::DemandScope;
-use burdockslip_types::{ErrorKind, HostId, MemberName, PeerClient, Revision};
+use burdockslip_types::{ErrorKind, HostId, MemberName, PeerClient, Result, Revision, Zone};
 use error_stack::{bail, ensure};
 use futures::FutureExt;
 use futures::future::select;
@@ -17,7 +17,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{DutyExchange, FollowExchange, HostReport, ReportExchange, ReportReply};
-use crate::registration::registered;
+use crate::registration::{registered, registrations};
+use crate::relay::{MAX_RELAYED_AGE, Relays};
 
 /// How often a host reports. The reply renews its permissions, which last 900 ms.
 const REPORT_PERIOD: Duration = Duration::from_millis(300);
@@ -39,6 +40,14 @@
 /// The timeout of a request to a peer for the record of the coordinator.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The timeout of a request for changes to the coordinator, which answers within 1 s
+/// even without changes.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_400);
+
+/// The timeout of a request for changes to a relay, which may also wait for its turn
+/// on the link.
+const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The timeout of a report, so that a lost one does not delay the next.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -56,24 +65,55 @@
     is_answered: bool,
 }
 
-/// Returns the relay that requests changes from the coordinator.
-pub(crate) fn relay(coordinator: Coordinator, host: HostId, peers: &PeerPool) -> Relay {
+/// Returns the relay that requests changes from a host of the own availability zone or
+/// from the coordinator.
+pub(crate) fn relay(
+    coordinator: Coordinator,
+    host: HostId,
+    zone: Zone,
+    directory: Directory,
+    peers: &PeerPool,
+) -> Relay {
     let client: PeerClient<FollowExchange> = peers.client();
+    let relays = Rc::new(Relays::new(host.clone(), zone));
     Rc::new(move |revision| {
         let holder = coordinator.duty.holder();
         let is_own = holder.as_ref() == Some(&host);
-        let client = client.clone();
+        let (client, relays) = (client.clone(), Rc::clone(&relays));
+        let hosts = registrations(&directory);
         async move {
             let Some(holder) = holder else {
                 bail!(ErrorKind::NoPrimary);
             };
             ensure!(!is_own, ErrorKind::Conflict);
-            client.call(&holder, revision).await
+            if let Some(relay) = relays.choose(&hosts, &holder) {
+                match follow(&client, &relay, revision, RELAY_TIMEOUT).await {
+                    Ok(changes) if changes.age < MAX_RELAYED_AGE => return Ok(changes),
+                    Ok(changes) => info!(%relay, age_ms = changes.age.as_millis(),
+                        "relay is behind, following the coordinator"),
+                    Err(error) => info!(%relay, error = ?error.current_context(),
+                        "relay failed, following the coordinator"),
+                }
+                relays.avoid(relay);
+            }
+            follow(&client, &holder, revision, FOLLOW_TIMEOUT).await
         }
         .boxed_local()
     })
 }
 
+async fn follow(
+    client: &PeerClient<FollowExchange>,
+    host: &HostId,
+    revision: Revision,
+    limit: Duration,
+) -> Result<Changes> {
+    match timeout(limit, client.call(host, revision)).await {
+        Ok(changes) => changes,
+        Err(_) => bail!(ErrorKind::ConnectionLost),
+    }
+}
+
 /// Reports to the coordinator in a loop, and applies the replies.
 pub(crate) async fn run(cx: Rc<Context>, host: HostId, coordinator: Coordinator, peers: PeerPool) {
     let client: PeerClient<ReportExchange> = peers.client();
--- a/crates/burdockslip_entry/src/settings.rs
+++ b/crates/burdockslip_entry/src/settings.rs
@@ -24,6 +24,8 @@
     pub sessions: usize,
     /// The processor time available to the host, in thousandths of a core.
     pub capacity: u32,
+    /// The bandwidth of the host's link, in megabits per second.
+    pub link: u32,
     /// The number of operations beyond rate and burst that the operators tolerate
     /// for an organisation in a window.
     pub rate_slack: u32,
