Refuse records with lengths beyond their size

Cause: records of hosts and groups were decoded without a limit, so that the length of a name in a record of another writer was allocated before it was compared with the bytes that follow. One such entry among the hosts ended every process that read the store, again after each restart. Change: decoding is limited to the size of the store's values.

--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -8,6 +8,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// The maximum size of a decoded record, in bytes, the limit of the store's values.
+const RECORD_LIMIT: usize = 1 << 20;
+
 /// The keys of the records in the store.
 pub mod keys {
     use burdockslip_types::GroupName;
@@ -64,9 +67,13 @@
 }
 
 /// Decodes a record from the store.
+///
+/// Other programs may write to the store. Without the limit, a length that they
+/// contain is allocated before it is compared with the bytes that follow.
 pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
-    let (record, _) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-        .change_context(ErrorKind::Protocol)?;
+    let config = bincode::config::standard().with_limit::<RECORD_LIMIT>();
+    let (record, _) =
+        bincode::serde::decode_from_slice(bytes, config).change_context(ErrorKind::Protocol)?;
     Ok(record)
 }
 
