Admit operations at the relay of the zone

Change: in fleets of more than 40 hosts a host asks the relay of its zone, where the operations of the zone meet.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -22,8 +22,9 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
+use crate::registration::Fleet;
 use crate::relay::SendBudget;
-use crate::{EntrySettings, positions, registration, report};
+use crate::{EntrySettings, admission, positions, registration, report};
 
 /// How often the age of the configuration is checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -131,21 +132,30 @@
             .on(FollowExchange, move |_, revision| {
                 following.clone().follow(revision)
             });
+        let is_draining = Rc::new(Cell::new(false));
+        let router = admission::serve(router, &cx, &is_draining);
         let duty_directory = directory.clone();
         let router = router.on(DutyExchange, move |_, ()| {
             ready(Ok(duty_directory.record(keys::DUTY)))
         });
+        let fleet = Fleet::new(directory.clone());
         let relay = report::relay(
             coordinator.clone(),
             settings.host.clone(),
             settings.zone.clone(),
-            directory.clone(),
+            fleet.clone(),
             &peers,
         );
         directory.set_relay(relay, keys::DUTY);
+        cx.set_authority(admission::authority(
+            duty.clone(),
+            settings.host.clone(),
+            settings.zone.clone(),
+            fleet,
+            &peers,
+        ));
         let peer_server = PeerServer::bind(settings.peer_address, router)?;
         let stop = Rc::new(StopSignal::default());
-        let is_draining = Rc::new(Cell::new(false));
         let status = status(settings, &cx, &is_draining);
         let admin = Admin {
             metrics,
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! See `docs/platform.md`, "Programs".
 
+mod admission;
 mod coordinator;
 mod host;
 mod messages;
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -5,7 +5,9 @@
 use burdockslip_directory::Changes;
 use burdockslip_shares::{Demand, Grant};
 use burdockslip_store::{Entry, LeaseId};
-use burdockslip_types::{Exchange, GroupName, LogPosition, MemberName, Revision, Term};
+use burdockslip_types::{
+    Exchange, GroupName, LogPosition, MemberName, Organisation, Revision, Term,
+};
 use serde::{Deserialize, Serialize};
 
 /// A report of a host to the coordinator.
@@ -58,6 +60,17 @@
     const NAME: &'static str = "follow";
 }
 
+/// The exchange in which a host asks the relay of its availability zone to admit an
+/// operation of an organisation.
+#[derive(Debug)]
+pub(crate) struct AdmitExchange;
+
+impl Exchange for AdmitExchange {
+    type Request = Organisation;
+    type Reply = bool;
+    const NAME: &'static str = "admit";
+}
+
 /// The exchange in which a host requests the record of the duty, which names the
 /// coordinator, from a peer.
 #[derive(Debug)]
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -1,7 +1,9 @@
 //! Keeps the host registered in the store, and looks up other hosts.
 
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use burdockslip_directory::Directory;
@@ -90,8 +92,33 @@
         .collect()
 }
 
-/// Returns the registered hosts with their records.
-pub(crate) fn registrations(directory: &Directory) -> Vec<(HostId, Registration)> {
+/// The registered hosts, decoded once for each state of the directory.
+#[derive(Debug, Clone)]
+pub(crate) struct Fleet {
+    directory: Directory,
+    cached: Rc<RefCell<(Option<u64>, Rc<Vec<(HostId, Registration)>>)>>,
+}
+
+impl Fleet {
+    pub(crate) fn new(directory: Directory) -> Self {
+        Self {
+            directory,
+            cached: Rc::default(),
+        }
+    }
+
+    /// Returns the registered hosts with their records.
+    pub(crate) fn hosts(&self) -> Rc<Vec<(HostId, Registration)>> {
+        let epoch = self.directory.changed().epoch();
+        let mut cached = self.cached.borrow_mut();
+        if cached.0 != Some(epoch) {
+            *cached = (Some(epoch), Rc::new(registrations(&self.directory)));
+        }
+        Rc::clone(&cached.1)
+    }
+}
+
+fn registrations(directory: &Directory) -> Vec<(HostId, Registration)> {
     let entries = directory.records(keys::HOSTS);
     let read = |entry: &Entry| {
         let name = entry.key.strip_prefix(keys::HOSTS)?;
--- a/crates/burdockslip_entry/src/relay.rs
+++ b/crates/burdockslip_entry/src/relay.rs
@@ -1,8 +1,9 @@
-//! Spreads the changes of the store over the hosts of a large fleet.
+//! Chooses the relay of an availability zone in a large fleet.
 //!
-//! In each availability zone one host receives the changes from the coordinator and
-//! relays them to the others, so that a change does not occupy the coordinator's link
-//! for all hosts. See `docs/platform.md`, "Changes of the store".
+//! The relay receives the changes of the store from the coordinator and forwards them
+//! to the other hosts of its zone, so that a change does not occupy the coordinator's
+//! link for all hosts. It also holds the zone's tokens of the organisations' rates.
+//! See `docs/platform.md`, "Relays".
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,9 +16,6 @@
 /// The size of a fleet up to which all hosts follow the coordinator directly.
 const MAX_DIRECT_HOSTS: usize = 40;
 
-/// How long a relay that failed is not asked again.
-const AVOID_SPAN: Duration = Duration::from_secs(5);
-
 /// The age from which changes of a relay are rejected. A relay that is itself cut off
 /// would otherwise keep its zone on an old state. A relay that follows another one
 /// adds the second that a request may wait.
@@ -27,31 +25,38 @@
 /// proofs are not queued behind them.
 const LINK_FRACTION: f64 = 0.5;
 
-/// Chooses the host from which a host receives the changes of the store.
+/// Chooses the relay of a host.
 #[derive(Debug)]
 pub struct Relays {
     host: HostId,
     zone: Zone,
+    avoid_span: Duration,
     avoided: RefCell<HashMap<HostId, Instant>>,
 }
 
 impl Relays {
-    /// Creates the choice of `host`, which is in `zone`.
-    pub fn new(host: HostId, zone: Zone) -> Self {
+    /// Creates the choice of `host`, which is in `zone`. A relay that failed is not
+    /// asked again for `avoid_span`.
+    pub fn new(host: HostId, zone: Zone, avoid_span: Duration) -> Self {
         Self {
             host,
             zone,
+            avoid_span,
             avoided: RefCell::default(),
         }
     }
 
-    /// Returns the relay among the registered hosts, or `None` if this host follows
-    /// the coordinator directly.
+    /// Returns the relay among the registered hosts, or `None` if this host needs
+    /// none.
     ///
     /// The relay is the host of the availability zone with the most processor time
     /// that has not failed lately. The coordinator, which has enough to do, relays
     /// nothing.
-    pub fn choose(&self, hosts: &[(HostId, Registration)], coordinator: &HostId) -> Option<HostId> {
+    pub fn choose(
+        &self,
+        hosts: &[(HostId, Registration)],
+        coordinator: Option<&HostId>,
+    ) -> Option<HostId> {
         if hosts.len() <= MAX_DIRECT_HOSTS {
             return None;
         }
@@ -60,15 +65,17 @@
         let (relay, _) = hosts
             .iter()
             .filter(|(host, registration)| {
-                registration.zone == self.zone && host != coordinator && !avoided.contains_key(host)
+                registration.zone == self.zone
+                    && Some(host) != coordinator
+                    && !avoided.contains_key(host)
             })
             .max_by_key(|(host, registration)| (registration.capacity, host))?;
         (*relay != self.host).then(|| relay.clone())
     }
 
-    /// Excludes a relay for some seconds, because it did not answer or is behind.
+    /// Excludes a relay for some time, because it did not answer or is behind.
     pub fn avoid(&self, relay: HostId) {
-        let until = now() + AVOID_SPAN;
+        let until = now() + self.avoid_span;
         self.avoided.borrow_mut().insert(relay, until);
     }
 }
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -17,7 +17,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{DutyExchange, FollowExchange, HostReport, ReportExchange, ReportReply};
-use crate::registration::{registered, registrations};
+use crate::registration::{Fleet, registered};
 use crate::relay::{MAX_RELAYED_AGE, Relays};
 
 /// How often a host reports. The reply renews its permissions, which last 900 ms.
@@ -44,6 +44,9 @@
 /// even without changes.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_400);
 
+/// How long a relay that did not answer, or was behind, is not asked for changes.
+const AVOID_SPAN: Duration = Duration::from_secs(5);
+
 /// The timeout of a request for changes to a relay, which may also wait for its turn
 /// on the link.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -71,22 +74,22 @@
     coordinator: Coordinator,
     host: HostId,
     zone: Zone,
-    directory: Directory,
+    fleet: Fleet,
     peers: &PeerPool,
 ) -> Relay {
     let client: PeerClient<FollowExchange> = peers.client();
-    let relays = Rc::new(Relays::new(host.clone(), zone));
+    let relays = Rc::new(Relays::new(host.clone(), zone, AVOID_SPAN));
     Rc::new(move |revision| {
         let holder = coordinator.duty.holder();
         let is_own = holder.as_ref() == Some(&host);
         let (client, relays) = (client.clone(), Rc::clone(&relays));
-        let hosts = registrations(&directory);
+        let hosts = fleet.hosts();
         async move {
             let Some(holder) = holder else {
                 bail!(ErrorKind::NoPrimary);
             };
             ensure!(!is_own, ErrorKind::Conflict);
-            if let Some(relay) = relays.choose(&hosts, &holder) {
+            if let Some(relay) = relays.choose(&hosts, Some(&holder)) {
                 match follow(&client, &relay, revision, RELAY_TIMEOUT).await {
                     Ok(changes) if changes.age < MAX_RELAYED_AGE => return Ok(changes),
                     Ok(changes) => info!(%relay, age_ms = changes.age.as_millis(),
--- a/crates/burdockslip_entry/tests/relay.rs
+++ b/crates/burdockslip_entry/tests/relay.rs
@@ -10,6 +10,7 @@
 
 const HOSTS: usize = 195;
 const ZONES: usize = 6;
+const AVOID_SPAN: Duration = Duration::from_secs(5);
 /// The processor time of the larger hosts, three in each zone, and of the others.
 const CAPACITIES: (u32, u32) = (500, 120);
 
@@ -45,8 +46,8 @@
     let coordinator = host(0);
     let mut followers = HashMap::new();
     for (name, registration) in hosts.iter().skip(1) {
-        let relays = Relays::new(name.clone(), registration.zone.clone());
-        let followed = relays.choose(hosts, &coordinator);
+        let relays = Relays::new(name.clone(), registration.zone.clone(), AVOID_SPAN);
+        let followed = relays.choose(hosts, Some(&coordinator));
         *followers
             .entry(followed.unwrap_or_else(|| coordinator.clone()))
             .or_default() += 1;
@@ -84,13 +85,17 @@
 fn failed_relay_is_replaced_for_a_while() {
     paused::run(1, async {
         let hosts = fleet(HOSTS);
-        let relays = Relays::new(host(100), zone(100));
-        let first = relays.choose(&hosts, &host(0)).expect("there is a relay");
+        let relays = Relays::new(host(100), zone(100), AVOID_SPAN);
+        let first = relays
+            .choose(&hosts, Some(&host(0)))
+            .expect("there is a relay");
         relays.avoid(first.clone());
-        let second = relays.choose(&hosts, &host(0)).expect("there are others");
+        let second = relays
+            .choose(&hosts, Some(&host(0)))
+            .expect("there are others");
         assert_ne!(first, second);
         sleep(Duration::from_secs(6)).await;
-        assert_eq!(relays.choose(&hosts, &host(0)), Some(first));
+        assert_eq!(relays.choose(&hosts, Some(&host(0))), Some(first));
     });
 }
 
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -6,14 +6,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Configuration, Directory, Route};
+use burdockslip_directory::{Configuration, Directory, OrganisationConfig, Route};
 use burdockslip_failover::Permission;
 use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
-use burdockslip_shares::{Admission, LocalLimiter};
+use burdockslip_shares::{Admission, LocalLimiter, Refusal};
 use burdockslip_statement::Codec;
 use burdockslip_telemetry::Metrics;
 use burdockslip_types::{ErrorKind, GroupName, Organisation, Zone};
 use burdockslip_upstream::Pools;
+use futures::future::LocalBoxFuture;
 use tracing::info;
 
 use crate::freshness::PositionHistory;
@@ -22,6 +23,11 @@
 /// milliseconds.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Admits an operation of an organisation at another host, which holds the tokens of
+/// the availability zone. Resolves to `None` if there is no such host, or if it does
+/// not answer.
+pub type Authority = Rc<dyn Fn(Organisation) -> LocalBoxFuture<'static, Option<bool>>>;
+
 /// The limits of a host.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -58,6 +64,8 @@
     pub zone: Zone,
     /// The number of open client connections.
     pub open_sessions: Cell<usize>,
+    /// The host that admits operations for this one.
+    authority: RefCell<Option<Authority>>,
     /// The running position queries, at most one for each group.
     pub(crate) refresh_tasks: RefCell<HashMap<GroupName, Task<()>>>,
 }
@@ -86,6 +94,7 @@
             limits,
             zone,
             open_sessions: Cell::new(0),
+            authority: RefCell::default(),
             refresh_tasks: RefCell::default(),
         }
     }
@@ -103,6 +112,11 @@
             .ok_or(ErrorKind::ConfigMissing)
     }
 
+    /// Sets the host that admits operations for this one.
+    pub fn set_authority(&self, authority: Authority) {
+        *self.authority.borrow_mut() = Some(authority);
+    }
+
     /// Takes a token of the organisation for an operation, waiting a short time if
     /// necessary.
     ///
@@ -121,7 +135,48 @@
         let Some(config) = configuration.organisations.get(organisation) else {
             return Ok(());
         };
-        self.limiter.borrow_mut().record_demand(organisation);
+        if let Some(is_admitted) = self.admit_remotely(organisation).await {
+            if is_admitted {
+                return Ok(());
+            }
+            info!(id, %organisation, version = configuration.version,
+                "operation refused by the host that holds the zone's tokens");
+            return Err(ErrorKind::RateExceeded);
+        }
+        self.admit_locally(config).await.map_err(|refusal| {
+            info!(id, %organisation, ?refusal, version = configuration.version,
+                "operation refused, rate exceeded");
+            ErrorKind::RateExceeded
+        })
+    }
+
+    async fn admit_remotely(&self, organisation: &Organisation) -> Option<bool> {
+        // A restarted host has an initial share of each rate until the coordinator
+        // answers it.
+        if !self.limiter.borrow().has_answer() {
+            return None;
+        }
+        let authority = self.authority.borrow().clone()?;
+        authority(organisation.clone()).await
+    }
+
+    /// Admits an operation of another host with the tokens of this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns `ConfigMissing` if there is no current configuration.
+    pub async fn admit_for_peer(&self, organisation: &Organisation) -> Result<bool, ErrorKind> {
+        let configuration = self.current_configuration()?;
+        let Some(config) = configuration.organisations.get(organisation) else {
+            return Ok(false);
+        };
+        Ok(self.admit_locally(config).await.is_ok())
+    }
+
+    /// Takes a token of this host, waiting a short time if necessary. Fails with the
+    /// host's state, which is `None` if the coordinator granted none in time.
+    async fn admit_locally(&self, config: &OrganisationConfig) -> Result<(), Option<Refusal>> {
+        self.limiter.borrow_mut().record_demand(&config.name);
         let deadline = now() + TOKEN_TIMEOUT;
         loop {
             let seen = self.tokens_granted.epoch();
@@ -137,11 +192,9 @@
                 Admission::Refused(refusal) => Some(refusal),
             };
             if refusal.is_some() || deadline.is_past() {
-                info!(id, %organisation, ?refusal, version = configuration.version,
-                    "operation refused, rate exceeded");
-                return Err(ErrorKind::RateExceeded);
+                return Err(refusal);
             }
-            self.wait_for_tokens(organisation, seen, deadline).await;
+            self.wait_for_tokens(&config.name, seen, deadline).await;
         }
     }
 
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -15,7 +15,7 @@
 mod transaction;
 mod write;
 
-pub use context::{Context, Limits};
+pub use context::{Authority, Context, Limits};
 pub use freshness::PositionHistory;
 pub use serve::Listener;
 pub use stop::StopSignal;
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -143,6 +143,11 @@
         self.initial_fraction = INITIAL_FRACTION / hosts;
     }
 
+    /// Returns whether the coordinator has answered since this host started.
+    pub const fn has_answer(&self) -> bool {
+        self.last_answer.is_some()
+    }
+
     /// Adds an operation to the demand of its organisation.
     pub fn record_demand(&mut self, organisation: &Organisation) {
         let bucket = self.bucket(organisation);
