Test thin demand and a cut-off zone at relays

Change: six relays with one allocator, 4.4 operations a second of an organisation with a rate of 7; ten cuts of one zone for 6 s.

--- /dev/null
+++ b/crates/burdockslip_shares/tests/relays.rs
@@ -0,0 +1,165 @@
+//! Tests the loads of a large fleet at the relays of six availability zones: many
+//! organisations with few operations each, and a zone that is cut off.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use burdockslip_directory::OrganisationConfig;
+use burdockslip_runtime::{paused, random_range, sleep};
+use burdockslip_shares::{Admission, Allocator, DemandScope, Limits, LocalLimiter};
+use burdockslip_types::{HostId, Organisation};
+
+const ZONES: usize = 6;
+const SLACK: u32 = 20;
+const STEP: Duration = Duration::from_millis(10);
+/// The steps between two regular reports.
+const REPORT_STEPS: usize = 30;
+/// The steps in the window over which the limit applies.
+const WINDOW_STEPS: usize = 500;
+
+const LIMITS: Limits = Limits {
+    rate: 7.0,
+    burst: 7.0,
+};
+
+/// The chance of an operation in a step, in thousandths: 4.4 operations a second, five
+/// eighths of the rate.
+const CHANCE: u64 = 44;
+
+fn organisation() -> Organisation {
+    Organisation::from("airline")
+}
+
+/// The relays of all zones and the coordinator.
+struct Relays {
+    hosts: Vec<(HostId, LocalLimiter)>,
+    allocator: Allocator,
+    config: OrganisationConfig,
+    /// The zones that cannot reach the coordinator.
+    cut: HashSet<usize>,
+    admitted: Vec<usize>,
+    refused: usize,
+    asked: usize,
+}
+
+impl Relays {
+    fn new() -> Self {
+        let host = |zone| {
+            (
+                HostId::from(format!("relay-{zone}")),
+                LocalLimiter::new(SLACK),
+            )
+        };
+        Self {
+            hosts: (0..ZONES).map(host).collect(),
+            allocator: Allocator::new(SLACK),
+            config: OrganisationConfig {
+                name: organisation(),
+                rate: LIMITS.rate,
+                burst: LIMITS.burst,
+            },
+            cut: HashSet::new(),
+            admitted: Vec::new(),
+            refused: 0,
+            asked: 0,
+        }
+    }
+
+    fn report(&mut self, zone: usize, scope: DemandScope) {
+        let registered = self.hosts.iter().map(|(host, _)| host.clone()).collect();
+        let limits = HashMap::from([(organisation(), LIMITS)]);
+        let (host, limiter) = &mut self.hosts[zone];
+        limiter.set_host_count(ZONES);
+        if self.cut.contains(&zone) {
+            limiter.mark_disconnected();
+            return;
+        }
+        let demands = limiter.demands(scope);
+        let grants = self
+            .allocator
+            .grant(host, &demands, &limits, &registered, false);
+        limiter.apply(grants);
+    }
+
+    /// Runs one operation in a zone and returns whether it is admitted.
+    fn operate(&mut self, zone: usize) -> bool {
+        let config = self.config.clone();
+        let limiter = &mut self.hosts[zone].1;
+        limiter.record_demand(&organisation());
+        let mut admission = limiter.admit(&config);
+        if admission == Admission::Wait {
+            limiter.begin_wait(&organisation());
+            self.report(zone, DemandScope::Urgent);
+            let limiter = &mut self.hosts[zone].1;
+            limiter.end_wait(&organisation());
+            admission = limiter.admit(&config);
+        }
+        admission == Admission::Granted
+    }
+
+    /// Plays `steps` steps in which clients in all zones send operations.
+    async fn play(&mut self, steps: usize) {
+        for step in 0..steps {
+            let mut admitted = 0;
+            if random_range(0..1_000) < CHANCE {
+                let zone = usize::try_from(random_range(0..6)).expect("a small number");
+                self.asked += 1;
+                if self.operate(zone) {
+                    admitted += 1;
+                } else {
+                    self.refused += 1;
+                }
+            }
+            for zone in 0..ZONES {
+                if step % REPORT_STEPS == zone * 5 {
+                    self.report(zone, DemandScope::All);
+                }
+            }
+            self.admitted.push(admitted);
+            sleep(STEP).await;
+        }
+    }
+
+    fn busiest_window(&self) -> u32 {
+        let windows = self.admitted.windows(WINDOW_STEPS);
+        let busiest = windows.map(|window| window.iter().sum::<usize>()).max();
+        u32::try_from(busiest.unwrap_or_default()).expect("tests admit few operations")
+    }
+}
+
+fn max_operations() -> f64 {
+    (LIMITS.rate * 5.0 + LIMITS.burst) * 1.1 + f64::from(SLACK)
+}
+
+/// Guards against refusals of an organisation whose clients keep to its rate and are
+/// spread over the whole fleet: each of 195 hosts saw one operation in 44 s.
+#[test]
+fn thin_demand_is_admitted_at_relays() {
+    let (refused, asked, busiest) = paused::run(21, async {
+        let mut relays = Relays::new();
+        relays.play(12_000).await;
+        (relays.refused, relays.asked, relays.busiest_window())
+    });
+    assert!(refused * 100 <= asked, "{refused} of {asked}");
+    assert!(f64::from(busiest) <= max_operations());
+}
+
+/// Guards against refusals in a zone that is cut off from the coordinator and keeps to
+/// its share of the rate, and against more operations than the limit allows.
+#[test]
+fn zone_that_is_cut_off_uses_its_share() {
+    let (refused, asked, busiest) = paused::run(22, async {
+        let mut relays = Relays::new();
+        relays.play(3_000).await;
+        (relays.refused, relays.asked) = (0, 0);
+        for _ in 0..10 {
+            relays.cut.insert(0);
+            relays.play(600).await;
+            relays.cut.clear();
+            relays.play(600).await;
+        }
+        (relays.refused, relays.asked, relays.busiest_window())
+    });
+    assert!(refused * 20 <= asked, "{refused} of {asked}");
+    assert!(f64::from(busiest) <= max_operations());
+}
