Let the coordinator remove the registrations of ended hosts

Change: the lease lasts 30 s and is renewed every 12 s. The coordinator, to which every host reports, removes registrations after 6 s of silence, unless half of the hosts are silent. A host whose record is gone writes it again under its lease.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -17,6 +17,7 @@
 use error_stack::{bail, ensure};
 use tracing::info;
 
+use crate::eviction::LastReports;
 use crate::messages::{HostReport, ReportReply};
 use crate::registration::registered;
 use crate::relay::{MAX_RELAYED_AGE, SendBudget};
@@ -54,6 +55,7 @@
     rate_slack: u32,
     positions: Rc<PositionHistory>,
     link: Rc<SendBudget>,
+    pub(crate) last_reports: Rc<LastReports>,
     /// Whether the last report was answered as an interim coordinator, to log changes.
     is_interim: Rc<Cell<bool>>,
 }
@@ -78,6 +80,7 @@
             rate_slack,
             positions,
             link: Rc::new(link),
+            last_reports: Rc::default(),
             is_interim: Rc::default(),
         }
     }
@@ -170,6 +173,7 @@
             );
         }
         self.supervisor.report(host.clone(), report.suspects);
+        self.last_reports.record(host);
         let view = self.fleet_view();
         let mut allocator_slot = self.allocator.borrow_mut();
         // The grants of an earlier tenure are obsolete: other coordinators have
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -24,7 +24,7 @@
 use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
 use crate::registration::Fleet;
 use crate::relay::SendBudget;
-use crate::{EntrySettings, admission, positions, registration, report};
+use crate::{EntrySettings, admission, eviction, positions, registration, report};
 
 /// How often the age of the configuration is checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -80,7 +80,7 @@
     grace: Duration,
     _listener: Listener,
     _servers: (AdminServer, AdminServer, PeerServer),
-    _tasks: [Task<()>; 4],
+    _tasks: [Task<()>; 5],
 }
 
 impl Host {
@@ -171,7 +171,10 @@
             capacity: settings.capacity,
         };
         let host = settings.host.clone();
+        let reports = Rc::clone(&coordinator.last_reports);
+        let evicting = eviction::run(directory.clone(), duty.clone(), host.clone(), reports);
         let tasks = [
+            spawn(evicting),
             spawn(registration::run(directory, host.clone(), own)),
             spawn(positions::run(Rc::clone(&cx), duty.clone())),
             spawn(report::run(Rc::clone(&cx), host, coordinator, peers)),
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod coordinator;
+mod eviction;
 mod host;
 mod messages;
 mod positions;
@@ -13,6 +14,7 @@
 mod report;
 mod settings;
 
+pub use eviction::{LastReports, SILENCE_LIMIT};
 pub use host::{Adapter, Host};
 pub use messages::{HostReport, ReportExchange, ReportReply};
 pub use relay::{MAX_RELAYED_AGE, Relays, SendBudget};
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -8,18 +8,19 @@
 
 use burdockslip_directory::Directory;
 use burdockslip_failover::{Registration, keys};
-use burdockslip_runtime::sleep;
+use burdockslip_runtime::{now, sleep, timeout_at};
 use burdockslip_store::{Entry, LeaseId, Operation, Txn, with_timeout};
-use burdockslip_types::{HostId, Result};
+use burdockslip_types::{ErrorKind, HostId, Result};
+use error_stack::ensure;
 use tracing::{info, warn};
 
-/// The TTL of the registration's lease: how long a host that was killed stays
-/// registered.
-const LEASE_TTL: Duration = Duration::from_secs(5);
+/// The TTL of the registration's lease. The coordinator removes the registration of a
+/// host that has ended sooner; the lease ends that of one that ends while there is no
+/// coordinator.
+const LEASE_TTL: Duration = Duration::from_secs(30);
 
-/// How often the lease is renewed, twice within its TTL. These renewals make up most
-/// of the fleet's calls to the store.
-const RENEW_PERIOD: Duration = Duration::from_secs(2);
+/// How often the lease is renewed, twice within its TTL.
+const RENEW_PERIOD: Duration = Duration::from_secs(12);
 
 /// The timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -29,25 +30,38 @@
 
 /// Keeps the host registered until the task is dropped.
 pub(crate) async fn run(directory: Directory, host: HostId, own: Registration) {
+    let mut lease = None;
     loop {
-        let lease = match register(&directory, &host, &own).await {
-            Ok(lease) => lease,
+        match register(&directory, &host, &own, lease).await {
+            Ok(used) => {
+                info!(lease = used.0, "host registered");
+                lease = renew_until_lost(&directory, &host, used)
+                    .await
+                    .then_some(used);
+                info!(lease = used.0, "host registration lost");
+            }
             Err(error) => {
                 warn!(?error, "host registration failed");
+                lease = None;
                 sleep(RETRY_PAUSE).await;
-                continue;
             }
-        };
-        info!(lease = lease.0, "host registered");
-        renew_until_expired(&directory, lease).await;
-        info!(lease = lease.0, "host registration expired");
+        }
     }
 }
 
-async fn register(directory: &Directory, host: &HostId, own: &Registration) -> Result<LeaseId> {
+/// Writes the record of the host under `lease`, or under a new lease.
+async fn register(
+    directory: &Directory,
+    host: &HostId,
+    own: &Registration,
+    lease: Option<LeaseId>,
+) -> Result<LeaseId> {
     let store = directory.store();
-    let lease = with_timeout(CALL_TIMEOUT, store.grant_lease(LEASE_TTL)).await?;
-    let key = format!("{}{host}", keys::HOSTS);
+    let lease = match lease {
+        Some(lease) => lease,
+        None => with_timeout(CALL_TIMEOUT, store.grant_lease(LEASE_TTL)).await?,
+    };
+    let key = key(host);
     let value = own.write()?;
     let reply = with_timeout(
         CALL_TIMEOUT,
@@ -57,6 +71,7 @@
         }),
     )
     .await?;
+    ensure!(reply.is_applied, ErrorKind::Conflict);
     directory.apply(Entry {
         key,
         value,
@@ -65,11 +80,22 @@
     Ok(lease)
 }
 
-async fn renew_until_expired(directory: &Directory, lease: LeaseId) {
+/// Renews the lease until the record is gone. Returns whether the lease may still be
+/// used: the coordinator removes the record of a host that it does not hear.
+async fn renew_until_lost(directory: &Directory, host: &HostId, lease: LeaseId) -> bool {
+    let mut next = now() + RENEW_PERIOD;
     loop {
-        sleep(RENEW_PERIOD).await;
+        let seen = directory.changed().epoch();
+        if directory.record(&key(host)).is_none() {
+            return true;
+        }
+        let _ = timeout_at(next, directory.changed().changed(seen)).await;
+        if !next.is_past() {
+            continue;
+        }
+        next = now() + RENEW_PERIOD;
         match with_timeout(CALL_TIMEOUT, directory.store().keep_lease(lease)).await {
-            Ok(left) if left.is_zero() => return,
+            Ok(left) if left.is_zero() => return false,
             Ok(_) => {}
             // The lease may still be alive: only an answer of the store proves that
             // it has ended.
@@ -82,14 +108,9 @@
     }
 }
 
-/// Returns the names of the registered hosts.
-pub(crate) fn registered(directory: &Directory) -> HashSet<HostId> {
-    let entries = directory.records(keys::HOSTS);
-    let name = |key: &str| key.strip_prefix(keys::HOSTS).map(HostId::from);
-    entries
-        .iter()
-        .filter_map(|entry| name(&entry.key))
-        .collect()
+/// Returns the key of a host's registration.
+fn key(host: &HostId) -> String {
+    format!("{}{host}", keys::HOSTS)
 }
 
 /// The registered hosts, decoded once for each state of the directory.
@@ -127,9 +148,19 @@
     entries.iter().filter_map(read).collect()
 }
 
+/// Returns the names of the registered hosts.
+pub(crate) fn registered(directory: &Directory) -> HashSet<HostId> {
+    let entries = directory.records(keys::HOSTS);
+    let name = |key: &str| key.strip_prefix(keys::HOSTS).map(HostId::from);
+    entries
+        .iter()
+        .filter_map(|entry| name(&entry.key))
+        .collect()
+}
+
 /// Returns the address at which peers connect to a host.
 pub(crate) fn address(directory: &Directory, host: &HostId) -> Option<SocketAddr> {
-    let entry = directory.record(&format!("{}{host}", keys::HOSTS))?;
+    let entry = directory.record(&key(host))?;
     Registration::read(&entry.value)
         .ok()
         .map(|record| record.address)
