Do not claim the duty while leaving

Cause: a host that was told to stop, or had stepped aside, during its delay as a candidate still claimed the duty and released it at once, so that two changes of the coordinator took the place of one. Change: the delay is followed by another look. Result: leaving_candidate_does_not_take_the_duty saw one claim before and none after.

--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -283,7 +283,7 @@
         let (least, most) = CANDIDATE_DELAY_MS;
         let delay = Duration::from_millis(random_range(least..most));
         sleep(delay + shared.candidate_delay()).await;
-        if !shared.is_vacant() {
+        if !shared.is_vacant() || shared.is_leaving.get() || shared.is_aside() {
             continue;
         }
         match claim(&shared).await {
--- a/crates/burdockslip_failover/tests/duty.rs
+++ b/crates/burdockslip_failover/tests/duty.rs
@@ -55,6 +55,24 @@
     });
 }
 
+/// Guards against a stopping host that takes the duty, because it was told to leave
+/// while it waited to see whether another host takes it.
+#[test]
+fn leaving_candidate_does_not_take_the_duty() {
+    paused::run(3, async {
+        let store = store();
+        let (directory, duty) = open(&store, "a");
+        while !directory.is_loaded() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        sleep(Duration::from_millis(10)).await;
+        duty.leave();
+        sleep(ELECTION_TIME).await;
+        assert_eq!(store.calls().txns, 0, "the duty is not claimed");
+        assert!(duty.tenure().is_none());
+    });
+}
+
 /// Guards against a partitioned holder whose tenure overlaps that of its
 /// successor, and against fencing tokens that do not increase.
 #[test]
