--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -234,6 +234,15 @@
             .collect()
     }
 
+    /// Returns the number of records whose keys start with `prefix`.
+    pub fn count(&self, prefix: &str) -> usize {
+        let entries = self.shared.entries.borrow();
+        entries
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .count()
+    }
+
     /// Applies a record that was obtained outside of the watch, such as one just
     /// written by this host, unless a newer one is known.
     pub fn apply(&self, entry: Entry) {
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -100,6 +100,10 @@
             shared.changes.borrow_mut().clear();
             shared.updates.borrow_mut().clear();
             shared.receiving.borrow_mut().clear();
+            shared.votes.borrow_mut().reset();
+            continue;
+        }
+        if shared.leave_minority() {
             continue;
         }
         if ticks.is_multiple_of(FENCE_TICKS)
@@ -128,6 +132,20 @@
             .any(|(started, _)| started.elapsed() < FENCE_SPAN)
     }
 
+    /// Leaves the duty to a host that reaches the others, if most hosts do not report.
+    /// Cut off from the coordinator, they have only their shares of the rates, and no
+    /// lost primary can be replaced.
+    fn leave_minority(&self) -> bool {
+        let hosts = self.promotion.directory.count(keys::HOSTS);
+        let is_minority = self.votes.borrow_mut().is_minority(hosts);
+        if is_minority {
+            warn!(hosts, "most hosts do not report, leaving the duty");
+            self.votes.borrow_mut().reset();
+            self.promotion.duty.step_aside();
+        }
+        is_minority
+    }
+
     fn check_group(self: &Rc<Self>, group: &GroupName) {
         if self.changes.borrow().contains_key(group) {
             return;
@@ -200,7 +218,7 @@
             return Some("primary leaves");
         }
         let (against, total) = self.votes.borrow().count(&record.primary);
-        let hosts = self.promotion.directory.records(keys::HOSTS).len();
+        let hosts = self.promotion.directory.count(keys::HOSTS);
         if total > 0 && self.votes.borrow().is_lost(&record.primary, hosts) {
             info!(primary = %record.primary, against, total, hosts,
                 "primary unreachable for most hosts");
--- a/crates/burdockslip_failover/src/votes.rs
+++ b/crates/burdockslip_failover/src/votes.rs
@@ -10,10 +10,19 @@
 /// How long a report is valid; hosts report at least twice in this time.
 const REPORT_VALIDITY: Duration = Duration::from_millis(1_300);
 
+/// How long most hosts may be unheard before the coordinator is considered cut off.
+/// Hosts that restart report again within about this time.
+const UNHEARD_SPAN: Duration = Duration::from_millis(1_500);
+
+/// The smallest fleet in which the coordinator can be in a minority.
+const MIN_QUORUM_HOSTS: usize = 3;
+
 /// The latest report of each host.
 #[derive(Debug, Default)]
 pub struct Votes {
     reports: HashMap<HostId, (Instant, Vec<MemberName>)>,
+    /// Since when fewer than half of the hosts report.
+    unheard_since: Option<Instant>,
 }
 
 impl Votes {
@@ -50,6 +59,25 @@
         (against, fresh().count())
     }
 
+    /// Returns whether fewer than half of the `registered` hosts have reported for some
+    /// time, so that a host among the others should be the coordinator. Has to be called
+    /// regularly during a tenure.
+    pub fn is_minority(&mut self, registered: usize) -> bool {
+        let validity = |(at, _): &&(Instant, Vec<MemberName>)| at.elapsed() < REPORT_VALIDITY;
+        let reporting = self.reports.values().filter(validity).count();
+        if registered < MIN_QUORUM_HOSTS || reporting * 2 >= registered {
+            self.unheard_since = None;
+            return false;
+        }
+        let since = *self.unheard_since.get_or_insert_with(now);
+        since.elapsed() >= UNHEARD_SPAN
+    }
+
+    /// Starts to count from the beginning, as at the start of a tenure.
+    pub fn reset(&mut self) {
+        self.unheard_since = None;
+    }
+
     /// Returns whether more than half of the hosts that report suspect a member,
     /// and at least half of the `registered` hosts report.
     ///
--- a/crates/burdockslip_failover/tests/votes.rs
+++ b/crates/burdockslip_failover/tests/votes.rs
@@ -60,3 +60,45 @@
         assert!(votes.is_lost(&member, 2));
     });
 }
+
+/// Guards against a coordinator that keeps the duty although most hosts cannot reach it,
+/// and against one that leaves it because of a short silence.
+#[test]
+fn coordinator_of_a_minority_is_noticed() {
+    paused::run(1, async {
+        let mut votes = Votes::default();
+        for host in ["a", "b", "c", "d"] {
+            vote(&mut votes, host, &[]);
+        }
+        assert!(!votes.is_minority(HOSTS));
+        let mut noticed = None;
+        for tick in 0..100 {
+            sleep(Duration::from_millis(50)).await;
+            vote(&mut votes, "a", &[]);
+            if votes.is_minority(HOSTS) {
+                noticed.get_or_insert(tick * 50);
+            }
+        }
+        assert!((2_000..4_000).contains(&noticed.unwrap_or_default()));
+        vote(&mut votes, "b", &[]);
+        assert!(!votes.is_minority(HOSTS));
+    });
+}
+
+/// Guards against a new coordinator that leaves before the hosts have found it, and
+/// against a fleet of two that passes the duty to and fro.
+#[test]
+fn new_coordinator_is_given_time() {
+    paused::run(2, async {
+        let mut votes = Votes::default();
+        vote(&mut votes, "a", &[]);
+        assert!(!votes.is_minority(HOSTS));
+        sleep(Duration::from_secs(1)).await;
+        assert!(!votes.is_minority(HOSTS));
+        votes.reset();
+        sleep(Duration::from_secs(1)).await;
+        assert!(!votes.is_minority(HOSTS));
+        sleep(Duration::from_secs(9)).await;
+        assert!(!votes.is_minority(2));
+    });
+}
