Do not deny operations that the last report did not ask for

Change: a denial needs a request for waiting operations. Hosts give up tokens that no operation is expected to use, unless they live on their fraction. Result: later_operations_are_not_denied_by_an_earlier_report and idle_tokens_are_given_up failed before; restarted_hosts_hold_nothing_back passes on the earlier code, too.

--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -104,6 +104,8 @@
     demand: f64,
     measured_at: Instant,
     waiting: usize,
+    /// The tokens for waiting operations that the last report requested.
+    requested: u32,
     denied_until: Option<Instant>,
     /// The demand in the last report.
     reported: Option<f64>,
@@ -162,7 +164,7 @@
     /// the coordinator had no token to grant.
     pub fn admit(&mut self, config: &OrganisationConfig) -> Admission {
         let age = self.last_answer.map(Instant::elapsed);
-        let is_fallback = self.is_disconnected || age.is_none_or(|age| age > FALLBACK_AFTER);
+        let is_fallback = self.is_fallback();
         let slack = self.slack;
         let bucket = self.bucket(&config.name);
         if std::mem::take(&mut bucket.is_new) {
@@ -183,6 +185,13 @@
         Admission::Wait
     }
 
+    /// Returns whether the host uses its fractions, because the coordinator does not
+    /// answer.
+    fn is_fallback(&self) -> bool {
+        let age = self.last_answer.map(Instant::elapsed);
+        self.is_disconnected || age.is_none_or(|age| age > FALLBACK_AFTER)
+    }
+
     /// Adds an operation to those that wait for tokens.
     pub fn begin_wait(&mut self, organisation: &Organisation) {
         self.bucket(organisation).waiting += 1;
@@ -205,7 +214,11 @@
     /// Evicts unused organisations; an empty demand tells the coordinator.
     pub fn demands(&mut self, scope: DemandScope) -> Vec<Demand> {
         let mut demands = Vec::new();
+        let is_fallback = self.is_fallback();
         self.buckets.retain(|name, bucket| {
+            if !is_fallback {
+                bucket.discard_idle_tokens();
+            }
             let is_unused = bucket.measured_at.elapsed() >= EVICT_AFTER;
             let is_due = match scope {
                 DemandScope::All => true,
@@ -241,10 +254,12 @@
         self.is_disconnected = false;
         for grant in grants {
             let bucket = self.bucket(&grant.organisation);
-            let was_missing = bucket.missing_tokens() > 0;
+            // Operations that began to wait after the report was sent have not been
+            // denied anything.
+            let was_requested = std::mem::take(&mut bucket.requested) > 0;
             bucket.tokens += f64::from(grant.tokens);
             bucket.fraction = f64::from(grant.fraction).clamp(0.0, 1.0);
-            let is_denied = was_missing && grant.tokens == 0 && bucket.tokens < 1.0;
+            let is_denied = was_requested && grant.tokens == 0 && bucket.tokens < 1.0;
             bucket.denied_until = is_denied.then(|| now() + DENIAL_PERIOD);
         }
     }
@@ -265,6 +280,7 @@
                 demand: 0.0,
                 measured_at: now(),
                 waiting: 0,
+                requested: 0,
                 denied_until: None,
                 reported: None,
                 is_active: false,
@@ -324,6 +340,15 @@
         self.waiting > 0 || self.is_low()
     }
 
+    /// Gives up tokens that no operation is expected to use soon. They count against
+    /// the burst of all hosts, and the coordinator learns of it with the next report.
+    fn discard_idle_tokens(&mut self) {
+        if self.tokens > 0.0 && self.waiting == 0 && self.target_level() <= 0.0 {
+            self.tokens = 0.0;
+            self.is_active = true;
+        }
+    }
+
     /// Returns whether the demand differs from the last report.
     fn has_changed(&self) -> bool {
         let has_decayed = |rate: f64| rate > 0.0 && self.current_demand() < rate * DECAY_RATIO;
@@ -336,10 +361,11 @@
         let rate = if rate < MIN_REPORTED { 0.0 } else { rate };
         self.reported = Some(rate);
         self.is_active = false;
+        self.requested = self.missing_tokens();
         Demand {
             organisation: organisation.clone(),
             rate: to_single(rate),
-            waiting: self.missing_tokens(),
+            waiting: self.requested,
             prefetch: self.tokens_to_prefetch(),
             unused: to_single(self.tokens),
             fraction: to_single(self.fraction),
--- a/crates/burdockslip_shares/tests/rates.rs
+++ b/crates/burdockslip_shares/tests/rates.rs
@@ -5,7 +5,7 @@
 
 use burdockslip_directory::OrganisationConfig;
 use burdockslip_runtime::{now, paused, random_range, sleep};
-use burdockslip_shares::{Admission, Allocator, Demand, DemandScope, Limits, LocalLimiter};
+use burdockslip_shares::{Admission, Allocator, Demand, DemandScope, Grant, Limits, LocalLimiter};
 use burdockslip_types::{HostId, Organisation};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -433,6 +433,75 @@
     );
 }
 
+/// Guards against operations that are refused because a report, sent before they arrived
+/// and asking for tokens in advance only, was granted none.
+#[test]
+fn later_operations_are_not_denied_by_an_earlier_report() {
+    paused::run(12, async {
+        let mut limiter = LocalLimiter::new(SLACK);
+        limiter.set_host_count(2);
+        limiter.apply(Vec::new());
+        for _ in 0..10 {
+            limiter.record_demand(&organisation());
+        }
+        let demands = limiter.demands(DemandScope::All);
+        assert_eq!(demands[0].waiting, 0);
+        limiter.begin_wait(&organisation());
+        let grant = Grant {
+            organisation: organisation(),
+            tokens: 0,
+            fraction: 0.1,
+        };
+        limiter.apply(vec![grant.clone()]);
+        assert_eq!(limiter.admit(&config(LARGE_LIMITS)), Admission::Wait);
+        assert_eq!(limiter.demands(DemandScope::Urgent)[0].waiting, 1);
+        limiter.apply(vec![grant]);
+        let admission = limiter.admit(&config(LARGE_LIMITS));
+        assert!(matches!(admission, Admission::Refused(_)));
+    });
+}
+
+/// Guards against tokens that hosts without operations hold for half a minute, so that
+/// the others get none in advance.
+#[test]
+fn idle_tokens_are_given_up() {
+    paused::run(13, async {
+        let mut limiter = LocalLimiter::new(SLACK);
+        limiter.apply(vec![Grant {
+            organisation: organisation(),
+            tokens: 3,
+            fraction: 0.1,
+        }]);
+        limiter.record_demand(&organisation());
+        assert!(limiter.demands(DemandScope::All)[0].unused > 2.0);
+        sleep(Duration::from_secs(8)).await;
+        limiter.apply(Vec::new());
+        let demands = limiter.demands(DemandScope::Changed);
+        assert!(demands[0].unused <= 0.0);
+        assert!(limiter.demands(DemandScope::Changed).is_empty());
+    });
+}
+
+/// Guards against a host that gives up the tokens of its own fraction while the
+/// coordinator does not answer.
+#[test]
+fn tokens_of_the_fraction_are_kept() {
+    paused::run(14, async {
+        let mut limiter = LocalLimiter::new(SLACK);
+        limiter.apply(vec![Grant {
+            organisation: organisation(),
+            tokens: 0,
+            fraction: 0.1,
+        }]);
+        limiter.mark_disconnected();
+        sleep(Duration::from_secs(8)).await;
+        assert_eq!(limiter.admit(&config(LARGE_LIMITS)), Admission::Granted);
+        sleep(Duration::from_secs(8)).await;
+        let _ = limiter.demands(DemandScope::Changed);
+        assert_eq!(limiter.admit(&config(LARGE_LIMITS)), Admission::Granted);
+    });
+}
+
 /// Guards against reports that repeat unchanged demand. In a large fleet, they
 /// were most of the traffic between availability zones.
 #[test]
--- a/crates/burdockslip_shares/tests/relays.rs
+++ b/crates/burdockslip_shares/tests/relays.rs
@@ -22,9 +22,17 @@
     burst: 7.0,
 };
 
-/// The chance of an operation in a step, in thousandths: 4.4 operations a second, five
-/// eighths of the rate.
-const CHANCE: u64 = 44;
+/// The limits of an organisation with many operations.
+const LARGE_LIMITS: Limits = Limits {
+    rate: 200.0,
+    burst: 200.0,
+};
+
+/// The demand as a fraction of the rate.
+const DEMAND: f64 = 0.625;
+
+/// The resolution of the random draw for an operation.
+const DRAWS: u32 = 1_000;
 
 fn organisation() -> Organisation {
     Organisation::from("airline")
@@ -35,6 +43,7 @@
     hosts: Vec<(HostId, LocalLimiter)>,
     allocator: Allocator,
     config: OrganisationConfig,
+    limits: Limits,
     /// The zones that cannot reach the coordinator.
     cut: HashSet<usize>,
     admitted: Vec<usize>,
@@ -44,19 +53,23 @@
 
 impl Relays {
     fn new() -> Self {
-        let host = |zone| {
-            (
-                HostId::from(format!("relay-{zone}")),
-                LocalLimiter::new(SLACK),
-            )
+        Self::with_hosts(ZONES, LIMITS)
+    }
+
+    /// Creates a fleet whose first six hosts are the relays; the others only report.
+    fn with_hosts(count: usize, limits: Limits) -> Self {
+        let host = |number| {
+            let name = HostId::from(format!("host-{number}"));
+            (name, LocalLimiter::new(SLACK))
         };
         Self {
-            hosts: (0..ZONES).map(host).collect(),
+            limits,
+            hosts: (0..count).map(host).collect(),
             allocator: Allocator::new(SLACK),
             config: OrganisationConfig {
                 name: organisation(),
-                rate: LIMITS.rate,
-                burst: LIMITS.burst,
+                rate: limits.rate,
+                burst: limits.burst,
             },
             cut: HashSet::new(),
             admitted: Vec::new(),
@@ -66,10 +79,10 @@
     }
 
     fn report(&mut self, zone: usize, scope: DemandScope) {
-        let registered = self.hosts.iter().map(|(host, _)| host.clone()).collect();
-        let limits = HashMap::from([(organisation(), LIMITS)]);
+        let registered: HashSet<_> = self.hosts.iter().map(|(host, _)| host.clone()).collect();
+        let limits = HashMap::from([(organisation(), self.limits)]);
         let (host, limiter) = &mut self.hosts[zone];
-        limiter.set_host_count(ZONES);
+        limiter.set_host_count(registered.len());
         if self.cut.contains(&zone) {
             limiter.mark_disconnected();
             return;
@@ -99,9 +112,12 @@
 
     /// Plays `steps` steps in which clients in all zones send operations.
     async fn play(&mut self, steps: usize) {
+        let mut due = 0.0;
         for step in 0..steps {
             let mut admitted = 0;
-            if random_range(0..1_000) < CHANCE {
+            due += self.limits.rate * DEMAND * STEP.as_secs_f64() * draw();
+            while due >= 1.0 {
+                due -= 1.0;
                 let zone = usize::try_from(random_range(0..6)).expect("a small number");
                 self.asked += 1;
                 if self.operate(zone) {
@@ -110,9 +126,9 @@
                     self.refused += 1;
                 }
             }
-            for zone in 0..ZONES {
-                if step % REPORT_STEPS == zone * 5 {
-                    self.report(zone, DemandScope::All);
+            for host in 0..self.hosts.len() {
+                if step % REPORT_STEPS == host * 5 % REPORT_STEPS {
+                    self.report(host, DemandScope::Changed);
                 }
             }
             self.admitted.push(admitted);
@@ -127,6 +143,12 @@
     }
 }
 
+/// Returns a random factor with a mean of one.
+fn draw() -> f64 {
+    let drawn = u32::try_from(random_range(0..u64::from(DRAWS))).unwrap_or_default();
+    2.0 * f64::from(drawn) / f64::from(DRAWS)
+}
+
 fn max_operations() -> f64 {
     (LIMITS.rate * 5.0 + LIMITS.burst) * 1.1 + f64::from(SLACK)
 }
@@ -163,3 +185,22 @@
     assert!(refused * 20 <= asked, "{refused} of {asked}");
     assert!(f64::from(busiest) <= max_operations());
 }
+
+/// Guards against tokens and fractions that restarted hosts hold for the time before the
+/// coordinator answers, and that nobody uses afterwards. A large organisation was limited
+/// below its rate for half a minute.
+#[test]
+fn restarted_hosts_hold_nothing_back() {
+    let (refused, asked) = paused::run(23, async {
+        let mut relays = Relays::with_hosts(195, LARGE_LIMITS);
+        for zone in 0..195 {
+            relays.hosts[zone].1.set_host_count(195);
+            relays.operate(zone);
+        }
+        relays.play(600).await;
+        (relays.refused, relays.asked) = (0, 0);
+        relays.play(1_500).await;
+        (relays.refused, relays.asked)
+    });
+    assert!(refused * 100 <= asked, "{refused} of {asked}");
+}
