Take a token only for operations that have a primary

Cause: an operation took its token before it was known whether its primary can be used. Change: an operation that needs a primary waits for it first, as long as it would have waited afterwards, and is refused without a token.

--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Consistency, Route};
-use burdockslip_runtime::random_range;
+use burdockslip_runtime::{Instant, random_range, sleep};
+use burdockslip_statement::Access;
 use burdockslip_types::{ErrorKind, LogPosition, MemberName};
 use burdockslip_upstream::MemberPool;
 
-use crate::context::Context;
+use crate::context::{Context, wait_limit};
 use crate::outcome::Job;
 use crate::position;
 
@@ -33,6 +34,9 @@
 /// to 1.3 s old.
 const REFRESH_AGE: Duration = Duration::from_millis(900);
 
+/// The pause before the primary is looked up again.
+const PRIMARY_PAUSE: Duration = Duration::from_millis(10);
+
 /// A member chosen for a statement, with the position that its log must have reached;
 /// the floor is `None` at the primary.
 #[derive(Debug, Clone)]
@@ -51,6 +55,39 @@
     })
 }
 
+/// Waits until an operation can be served, which is at once unless it needs a primary
+/// that is not usable.
+///
+/// This comes before the operation takes a token: during a change of primary the
+/// attempts of all clients would otherwise use up the rates of their organisations.
+///
+/// # Errors
+///
+/// Returns `NoPrimary` if there is no usable primary within the wait limit.
+pub(crate) async fn wait_until_servable(
+    cx: &Context,
+    route: &Route,
+    access: Access,
+    started: Instant,
+) -> Result<(), ErrorKind> {
+    let until = started + wait_limit(route);
+    while needs_primary(route, access) && !has_usable_primary(cx, route) {
+        if until.is_past() {
+            return Err(ErrorKind::NoPrimary);
+        }
+        sleep(PRIMARY_PAUSE).await;
+    }
+    Ok(())
+}
+
+const fn needs_primary(route: &Route, access: Access) -> bool {
+    matches!(access, Access::Write) || matches!(route.consistency, Consistency::Strong)
+}
+
+fn has_usable_primary(cx: &Context, route: &Route) -> bool {
+    primary(cx, route).is_some_and(|target| !target.pool.health.is_suspected())
+}
+
 /// Chooses the member with the lowest cost for a read, except for those in `tried`.
 pub(crate) fn choose(cx: &Rc<Context>, job: &Rc<Job>, tried: &[MemberName]) -> Option<Target> {
     let primary = primary(cx, &job.route).filter(|target| !is_tried(target, tried));
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -14,7 +14,7 @@
 use crate::context::Context;
 use crate::outcome::{Job, ServedReply, Work, error_kind};
 use crate::transaction::OpenTransaction;
-use crate::{read, write};
+use crate::{place, read, write};
 
 /// The organisation of clients without a key, which only open routes accept.
 const PUBLIC: &str = "public";
@@ -256,7 +256,7 @@
         if self.transaction.is_some() {
             return self.fail(ErrorKind::Protocol);
         }
-        if let Err(kind) = self.cx.admit(&self.organisation, id_text(&query.id)).await {
+        if let Err(kind) = self.admit(route, access, &query.id).await {
             return ClientResponse::failed(kind, TransactionStatus::Idle);
         }
         let work = Work::Direct(query.text.clone());
@@ -265,6 +265,12 @@
         ClientResponse::done(TransactionStatus::Open)
     }
 
+    /// Admits an operation once it can be served.
+    async fn admit(&self, route: &Route, access: Access, id: &Bytes) -> Result<(), ErrorKind> {
+        place::wait_until_servable(&self.cx, route, access, self.started).await?;
+        self.cx.admit(&self.organisation, id_text(id)).await
+    }
+
     async fn commit(&mut self, route: &Rc<Route>, query: Query) -> ClientResponse {
         let Some(transaction) = self.transaction.take() else {
             return ClientResponse::failed(ErrorKind::Protocol, TransactionStatus::Idle);
@@ -305,7 +311,7 @@
         if let Some(transaction) = self.transaction.take() {
             return self.execute_in(transaction, id, work, access).await;
         }
-        if let Err(kind) = self.cx.admit(&self.organisation, id_text(&id)).await {
+        if let Err(kind) = self.admit(route, access, &id).await {
             return ClientResponse::failed(kind, TransactionStatus::Idle);
         }
         let job = self.job(route, id, work, access);
