--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -13,9 +13,9 @@
 use crate::directory::Shared;
 
 /// The age of the configuration at which a host confirms it at the store itself,
-/// because no peer has. This leaves time for three attempts before requests are
-/// rejected.
-const CONFIRM_AGE: Duration = Duration::from_millis(1_500);
+/// because no peer has. A change of the coordinator takes less, and this leaves time
+/// for two attempts before requests are rejected.
+const CONFIRM_AGE: Duration = Duration::from_millis(2_200);
 
 /// The age at which the coordinator confirms the configuration. It is lower, because
 /// the other hosts rely on it.
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Coordinator {
     pub(crate) duty: Duty,
-    directory: Directory,
+    pub(crate) directory: Directory,
     supervisor: Supervisor,
     permission: Permission,
     cached: Rc<RefCell<Rc<FleetView>>>,
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Changes, Directory, Relay};
-use burdockslip_failover::keys;
+use burdockslip_failover::{Registration, keys};
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
@@ -44,6 +44,11 @@
 /// even without changes.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_400);
 
+/// How often a relay is asked for the coordinator, and the pause between two requests.
+/// An election takes up to 1.5 s.
+const DUTY_REQUESTS: u32 = 12;
+const DUTY_PAUSE: Duration = Duration::from_millis(150);
+
 /// How long a relay that did not answer, or was behind, is not asked for changes.
 const AVOID_SPAN: Duration = Duration::from_secs(5);
 
@@ -78,17 +83,19 @@
     peers: &PeerPool,
 ) -> Relay {
     let client: PeerClient<FollowExchange> = peers.client();
+    let duties: PeerClient<DutyExchange> = peers.client();
     let relays = Rc::new(Relays::new(host.clone(), zone, AVOID_SPAN));
     Rc::new(move |revision| {
         let holder = coordinator.duty.holder();
-        let is_own = holder.as_ref() == Some(&host);
-        let (client, relays) = (client.clone(), Rc::clone(&relays));
+        let (client, duties, relays) = (client.clone(), duties.clone(), Rc::clone(&relays));
+        let (coordinator, host) = (coordinator.clone(), host.clone());
         let hosts = fleet.hosts();
         async move {
-            let Some(holder) = holder else {
-                bail!(ErrorKind::NoPrimary);
+            let holder = match holder {
+                Some(holder) => holder,
+                None => learn_coordinator(&coordinator, &relays, &hosts, &duties).await?,
             };
-            ensure!(!is_own, ErrorKind::Conflict);
+            ensure!(holder != host, ErrorKind::Conflict);
             if let Some(relay) = relays.choose(&hosts, Some(&holder)) {
                 match follow(&client, &relay, revision, RELAY_TIMEOUT).await {
                     Ok(changes) if changes.age < MAX_RELAYED_AGE => return Ok(changes),
@@ -105,6 +112,34 @@
     })
 }
 
+/// Waits until the relay names a coordinator, so that not every host watches its record
+/// at the store.
+///
+/// Fails with `NoPrimary` if this host has no relay, or if there is no coordinator for
+/// too long.
+async fn learn_coordinator(
+    coordinator: &Coordinator,
+    relays: &Relays,
+    hosts: &[(HostId, Registration)],
+    client: &PeerClient<DutyExchange>,
+) -> Result<HostId> {
+    for _ in 0..DUTY_REQUESTS {
+        let Some(relay) = relays.choose(hosts, None) else {
+            break;
+        };
+        match timeout(REQUEST_TIMEOUT, client.call(&relay, ())).await {
+            Ok(Ok(Some(entry))) => coordinator.directory.apply(entry),
+            Ok(Ok(None)) => {}
+            _ => relays.avoid(relay),
+        }
+        if let Some(holder) = coordinator.duty.holder() {
+            return Ok(holder);
+        }
+        sleep(DUTY_PAUSE).await;
+    }
+    bail!(ErrorKind::NoPrimary)
+}
+
 async fn follow(
     client: &PeerClient<FollowExchange>,
     host: &HostId,
