--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -123,37 +123,9 @@
         let peers = PeerPool::new(settings.host.clone(), move |host| {
             registration::address(&peer_directory, host)
         });
-        let answering = coordinator.clone();
-        let following = coordinator.clone();
-        let router = Router::default()
-            .on(ReportExchange, move |host, report| {
-                ready(answering.answer(&host, report))
-            })
-            .on(FollowExchange, move |_, revision| {
-                following.clone().follow(revision)
-            });
         let is_draining = Rc::new(Cell::new(false));
-        let router = admission::serve(router, &cx, &is_draining);
-        let duty_directory = directory.clone();
-        let router = router.on(DutyExchange, move |_, ()| {
-            ready(Ok(duty_directory.record(keys::DUTY)))
-        });
-        let fleet = Fleet::new(directory.clone());
-        let relay = report::relay(
-            coordinator.clone(),
-            settings.host.clone(),
-            settings.zone.clone(),
-            fleet.clone(),
-            &peers,
-        );
-        directory.set_relay(relay, keys::DUTY);
-        cx.set_authority(admission::authority(
-            duty.clone(),
-            settings.host.clone(),
-            settings.zone.clone(),
-            fleet,
-            &peers,
-        ));
+        let router = peer_router(&coordinator, &cx, &is_draining);
+        use_relays(settings, &coordinator, &cx, &peers);
         let peer_server = PeerServer::bind(settings.peer_address, router)?;
         let stop = Rc::new(StopSignal::default());
         let status = status(settings, &cx, &is_draining);
@@ -241,6 +213,38 @@
     }
 }
 
+/// Returns the router of the exchanges that this host serves.
+fn peer_router(
+    coordinator: &Coordinator,
+    cx: &Rc<Context>,
+    is_draining: &Rc<Cell<bool>>,
+) -> Router {
+    let (answering, following) = (coordinator.clone(), coordinator.clone());
+    let directory = cx.directory.clone();
+    let router = Router::default()
+        .on(ReportExchange, move |host, report| {
+            ready(answering.answer(&host, report))
+        })
+        .on(FollowExchange, move |_, revision| {
+            following.clone().follow(revision)
+        })
+        .on(DutyExchange, move |_, ()| {
+            ready(Ok(directory.record(keys::DUTY)))
+        });
+    admission::serve(router, cx, is_draining)
+}
+
+/// Makes the host receive changes and admit operations through the relay of its zone.
+fn use_relays(settings: &EntrySettings, coordinator: &Coordinator, cx: &Context, peers: &PeerPool) {
+    let fleet = Fleet::new(cx.directory.clone());
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    let relay = report::relay(coordinator.clone(), host, zone, fleet.clone(), peers);
+    cx.directory.set_relay(relay, keys::DUTY);
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    let duty = coordinator.duty.clone();
+    cx.set_authority(admission::authority(duty, host, zone, fleet, peers));
+}
+
 fn status(
     settings: &EntrySettings,
     cx: &Rc<Context>,
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -1,6 +1,6 @@
 //! Keeps the host registered in the store, and looks up other hosts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -113,33 +113,38 @@
     format!("{}{host}", keys::HOSTS)
 }
 
+/// Registered hosts with their records.
+type Hosts = Vec<(HostId, Registration)>;
+
 /// The registered hosts, decoded once for each state of the directory.
 #[derive(Debug, Clone)]
 pub(crate) struct Fleet {
     directory: Directory,
-    cached: Rc<RefCell<(Option<u64>, Rc<Vec<(HostId, Registration)>>)>>,
+    /// The epoch of the directory at which the hosts were decoded.
+    epoch: Rc<Cell<Option<u64>>>,
+    cached: Rc<RefCell<Rc<Hosts>>>,
 }
 
 impl Fleet {
     pub(crate) fn new(directory: Directory) -> Self {
         Self {
             directory,
+            epoch: Rc::default(),
             cached: Rc::default(),
         }
     }
 
     /// Returns the registered hosts with their records.
-    pub(crate) fn hosts(&self) -> Rc<Vec<(HostId, Registration)>> {
-        let epoch = self.directory.changed().epoch();
-        let mut cached = self.cached.borrow_mut();
-        if cached.0 != Some(epoch) {
-            *cached = (Some(epoch), Rc::new(registrations(&self.directory)));
+    pub(crate) fn hosts(&self) -> Rc<Hosts> {
+        let epoch = Some(self.directory.changed().epoch());
+        if self.epoch.replace(epoch) != epoch {
+            *self.cached.borrow_mut() = Rc::new(registrations(&self.directory));
         }
-        Rc::clone(&cached.1)
+        Rc::clone(&self.cached.borrow())
     }
 }
 
-fn registrations(directory: &Directory) -> Vec<(HostId, Registration)> {
+fn registrations(directory: &Directory) -> Hosts {
     let entries = directory.records(keys::HOSTS);
     let read = |entry: &Entry| {
         let name = entry.key.strip_prefix(keys::HOSTS)?;
