--- a/crates/burdockslip_entry/src/admission.rs
+++ b/crates/burdockslip_entry/src/admission.rs
@@ -11,7 +11,7 @@
 
 use burdockslip_failover::Duty;
 use burdockslip_peer::{PeerPool, Router};
-use burdockslip_runtime::timeout;
+use burdockslip_runtime::{now, timeout};
 use burdockslip_session::{Authority, Context};
 use burdockslip_types::{ErrorKind, HostId, Organisation, PeerClient, Zone};
 use error_stack::Report;
@@ -29,6 +29,9 @@
 /// zone holds tokens, too, so that both have too few of them.
 const AVOID_SPAN: Duration = Duration::from_secs(2);
 
+/// How long after the start of an operation another relay is still asked.
+const NEXT_RELAY_LIMIT: Duration = Duration::from_millis(30);
+
 /// Returns the function that admits operations at the relay of the zone.
 pub(crate) fn authority(
     duty: Duty,
@@ -40,25 +43,38 @@
     let client: PeerClient<AdmitExchange> = peers.client();
     let relays = Rc::new(Relays::new(host, zone, AVOID_SPAN));
     Rc::new(move |organisation: Organisation| {
-        let relay = relays.choose(&fleet.hosts(), duty.holder().as_ref());
         let (client, relays) = (client.clone(), Rc::clone(&relays));
+        let (hosts, holder) = (fleet.hosts(), duty.holder());
         async move {
-            let relay = relay?;
-            match timeout(REQUEST_TIMEOUT, client.call(&relay, organisation)).await {
-                Ok(Ok(is_admitted)) => Some(is_admitted),
-                outcome => {
-                    let error = outcome.ok().and_then(Result::err);
-                    let error = error.as_ref().map(Report::current_context);
-                    info!(%relay, ?error, "relay admits no operations");
-                    relays.avoid(relay);
-                    None
-                }
+            let until = now() + NEXT_RELAY_LIMIT;
+            while !until.is_past() {
+                let relay = relays.choose(&hosts, holder.as_ref())?;
+                let error = match ask(&client, &relay, &organisation).await {
+                    Ok(is_admitted) => return Some(is_admitted),
+                    // The relay does not know the organisation yet.
+                    Err(ErrorKind::NoFreshData) => return None,
+                    Err(error) => error,
+                };
+                info!(%relay, ?error, "relay admits no operations");
+                relays.avoid(relay);
             }
+            None
         }
         .boxed_local()
     })
 }
 
+async fn ask(
+    client: &PeerClient<AdmitExchange>,
+    relay: &HostId,
+    organisation: &Organisation,
+) -> Result<bool, ErrorKind> {
+    match timeout(REQUEST_TIMEOUT, client.call(relay, organisation.clone())).await {
+        Ok(reply) => reply.map_err(|report| *report.current_context()),
+        Err(_) => Err(ErrorKind::ConnectionLost),
+    }
+}
+
 /// Adds the exchange in which other hosts ask this one to admit their operations.
 pub(crate) fn serve(router: Router, cx: &Rc<Context>, is_draining: &Rc<Cell<bool>>) -> Router {
     let (cx, is_draining) = (Rc::clone(cx), Rc::clone(is_draining));
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -164,11 +164,12 @@
     ///
     /// # Errors
     ///
-    /// Returns `ConfigMissing` if there is no current configuration.
+    /// Returns `ConfigMissing` if there is no current configuration, and `NoFreshData`
+    /// if it does not contain the organisation, which the peer's does.
     pub async fn admit_for_peer(&self, organisation: &Organisation) -> Result<bool, ErrorKind> {
         let configuration = self.current_configuration()?;
         let Some(config) = configuration.organisations.get(organisation) else {
-            return Ok(false);
+            return Err(ErrorKind::NoFreshData);
         };
         Ok(self.admit_locally(config).await.is_ok())
     }
