--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -249,6 +249,27 @@
     });
 }
 
+/// Guards against hosts that keep following a peer which is itself cut off: the age of
+/// what it forwards has to grow.
+#[test]
+fn forwarded_state_grows_old() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        let directory = open(&store);
+        assert!(directory.changes_since(Revision(0)).is_none());
+        wait().await;
+        store.set_faults(Faults {
+            is_down: true,
+            ..Faults::default()
+        });
+        sleep(Duration::from_secs(3)).await;
+        let changes = directory.changes_since(Revision(0));
+        let age = changes.expect("the store was read").age;
+        assert!(age >= Duration::from_secs(3), "{age:?}");
+    });
+}
+
 /// Guards against records that come back: a peer that lags behind sends one that has
 /// been deleted meanwhile.
 #[test]
