Follow only the confirmed coordinator directly, and send small changes at once

Cause: by reading: a coordinator that had lost the duty went on serving its hosts with a state of up to 2.3 s, which with the wait of 1 s exceeds the 3 s of small sites; and records of groups waited behind configurations on a relay's link. Change: a state of another host than the confirmed coordinator is accepted from relays only; replies of up to 8 KB are not paced. The number of hosts is counted without their names.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -33,6 +33,10 @@
 /// follow in quick succession.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(15);
 
+/// The size up to which a reply with changes is sent at once, in bytes. Records of
+/// groups and hosts are far smaller, a configuration is larger.
+const SMALL_REPLY: usize = 8 << 10;
+
 /// A view of the directory in the form needed to answer reports, cached for an epoch
 /// of the directory.
 #[derive(Debug, Default)]
@@ -118,9 +122,14 @@
         Ok(changes)
     }
 
-    /// Waits for the turn of a reply on the link, and includes what changed meanwhile.
+    /// Waits for the turn of a large reply on the link, and includes what changed
+    /// meanwhile.
     async fn pace(&self, revision: Revision, changes: Changes) -> Result<Changes> {
-        let turn = self.link.reserve(size(&changes));
+        let bytes = size(&changes);
+        if bytes <= SMALL_REPLY {
+            return Ok(changes);
+        }
+        let turn = self.link.reserve(bytes);
         if turn.is_past() {
             return Ok(changes);
         }
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -106,7 +106,10 @@
                 }
                 relays.avoid(relay);
             }
-            follow(&client, &holder, revision, FOLLOW_TIMEOUT).await
+            let changes = follow(&client, &holder, revision, FOLLOW_TIMEOUT).await?;
+            // A former coordinator relays what it knows, which may be old.
+            ensure!(changes.age.is_zero(), ErrorKind::Conflict);
+            Ok(changes)
         }
         .boxed_local()
     })
@@ -165,7 +168,7 @@
         let is_coordinator = coordinator.duty.coordinator_role().is_some();
         cx.directory.set_coordinator(is_coordinator);
         cx.permission.set_coordinator(is_coordinator);
-        let hosts = registered(&cx.directory).len();
+        let hosts = cx.directory.count(keys::HOSTS);
         cx.pools.set_host_count(hosts);
         let period = period(hosts);
         cx.limiter.borrow_mut().set_host_count(hosts);
