--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -24,7 +24,7 @@
 use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
 use crate::registration::Fleet;
 use crate::relay::SendBudget;
-use crate::{EntrySettings, admission, eviction, positions, registration, report};
+use crate::{EntrySettings, admission, changes, eviction, positions, registration, report};
 
 /// How often the age of the configuration is checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -238,7 +238,7 @@
 fn use_relays(settings: &EntrySettings, coordinator: &Coordinator, cx: &Context, peers: &PeerPool) {
     let fleet = Fleet::new(cx.directory.clone());
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
-    let relay = report::relay(coordinator.clone(), host, zone, fleet.clone(), peers);
+    let relay = changes::relay(coordinator.clone(), host, zone, fleet.clone(), peers);
     cx.directory.set_relay(relay, keys::DUTY);
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
     let duty = coordinator.duty.clone();
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! See `docs/platform.md`, "Programs".
 
 mod admission;
+mod changes;
 mod coordinator;
 mod eviction;
 mod host;
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -1,24 +1,21 @@
-//! Reports to the coordinator and receives changes from it.
+//! Reports to the coordinator.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Changes, Directory, Relay};
-use burdockslip_failover::{Registration, keys};
+use burdockslip_directory::Directory;
+use burdockslip_failover::keys;
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
 use burdockslip_shares::DemandScope;
-use burdockslip_types::{ErrorKind, HostId, MemberName, PeerClient, Result, Revision, Zone};
-use error_stack::{bail, ensure};
-use futures::FutureExt;
+use burdockslip_types::{ErrorKind, HostId, MemberName, PeerClient, Revision};
 use futures::future::select;
 use tracing::{debug, info};
 
 use crate::coordinator::Coordinator;
-use crate::messages::{DutyExchange, FollowExchange, HostReport, ReportExchange, ReportReply};
-use crate::registration::{Fleet, registered};
-use crate::relay::{MAX_RELAYED_AGE, Relays};
+use crate::messages::{DutyExchange, HostReport, ReportExchange, ReportReply};
+use crate::registration::registered;
 
 /// How often a host reports. The reply renews its permissions, which last 900 ms.
 const REPORT_PERIOD: Duration = Duration::from_millis(300);
@@ -40,22 +37,6 @@
 /// The timeout of a request to a peer for the record of the coordinator.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The timeout of a request for changes to the coordinator, which answers within 1 s
-/// even without changes.
-const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_400);
-
-/// How often a relay is asked for the coordinator, and the pause between two requests.
-/// An election takes up to 1.5 s.
-const DUTY_REQUESTS: u32 = 12;
-const DUTY_PAUSE: Duration = Duration::from_millis(150);
-
-/// How long a relay that did not answer, or was behind, is not asked for changes.
-const AVOID_SPAN: Duration = Duration::from_secs(5);
-
-/// The timeout of a request for changes to a relay, which may also wait for its turn
-/// on the link.
-const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// The timeout of a report, so that a lost one does not delay the next.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -73,88 +54,6 @@
     is_answered: bool,
 }
 
-/// Returns the relay that requests changes from a host of the own availability zone or
-/// from the coordinator.
-pub(crate) fn relay(
-    coordinator: Coordinator,
-    host: HostId,
-    zone: Zone,
-    fleet: Fleet,
-    peers: &PeerPool,
-) -> Relay {
-    let client: PeerClient<FollowExchange> = peers.client();
-    let duties: PeerClient<DutyExchange> = peers.client();
-    let relays = Rc::new(Relays::new(host.clone(), zone, AVOID_SPAN));
-    Rc::new(move |revision| {
-        let holder = coordinator.duty.holder();
-        let (client, duties, relays) = (client.clone(), duties.clone(), Rc::clone(&relays));
-        let (coordinator, host) = (coordinator.clone(), host.clone());
-        let hosts = fleet.hosts();
-        async move {
-            let holder = match holder {
-                Some(holder) => holder,
-                None => learn_coordinator(&coordinator, &relays, &hosts, &duties).await?,
-            };
-            ensure!(holder != host, ErrorKind::Conflict);
-            if let Some(relay) = relays.choose(&hosts, Some(&holder)) {
-                match follow(&client, &relay, revision, RELAY_TIMEOUT).await {
-                    Ok(changes) if changes.age < MAX_RELAYED_AGE => return Ok(changes),
-                    Ok(changes) => info!(%relay, age_ms = changes.age.as_millis(),
-                        "relay is behind, following the coordinator"),
-                    Err(error) => info!(%relay, error = ?error.current_context(),
-                        "relay failed, following the coordinator"),
-                }
-                relays.avoid(relay);
-            }
-            let changes = follow(&client, &holder, revision, FOLLOW_TIMEOUT).await?;
-            // A former coordinator relays what it knows, which may be old.
-            ensure!(changes.age.is_zero(), ErrorKind::Conflict);
-            Ok(changes)
-        }
-        .boxed_local()
-    })
-}
-
-/// Waits until the relay names a coordinator, so that not every host watches its record
-/// at the store.
-///
-/// Fails with `NoPrimary` if this host has no relay, or if there is no coordinator for
-/// too long.
-async fn learn_coordinator(
-    coordinator: &Coordinator,
-    relays: &Relays,
-    hosts: &[(HostId, Registration)],
-    client: &PeerClient<DutyExchange>,
-) -> Result<HostId> {
-    for _ in 0..DUTY_REQUESTS {
-        let Some(relay) = relays.choose(hosts, None) else {
-            break;
-        };
-        match timeout(REQUEST_TIMEOUT, client.call(&relay, ())).await {
-            Ok(Ok(Some(entry))) => coordinator.directory.apply(entry),
-            Ok(Ok(None)) => {}
-            _ => relays.avoid(relay),
-        }
-        if let Some(holder) = coordinator.duty.holder() {
-            return Ok(holder);
-        }
-        sleep(DUTY_PAUSE).await;
-    }
-    bail!(ErrorKind::NoPrimary)
-}
-
-async fn follow(
-    client: &PeerClient<FollowExchange>,
-    host: &HostId,
-    revision: Revision,
-    limit: Duration,
-) -> Result<Changes> {
-    match timeout(limit, client.call(host, revision)).await {
-        Ok(changes) => changes,
-        Err(_) => bail!(ErrorKind::ConnectionLost),
-    }
-}
-
 /// Reports to the coordinator in a loop, and applies the replies.
 pub(crate) async fn run(cx: Rc<Context>, host: HostId, coordinator: Coordinator, peers: PeerPool) {
     let client: PeerClient<ReportExchange> = peers.client();
