--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,8 @@
 
 
 def run(with_trouble):
-    world = World(5, promote_s=1.0)
+    # Slots and work of a member as on the site (2 slots, 14 ms for `credit-check`).
+    world = World(5, promote_s=1.0, slots=2, service_s=0.014)
     try:
         if not world.wait_ready():
             return None
@@ -34,9 +35,10 @@
                     record(f"client {host}/{number} {ident}: {error!r}")
                     session = None
                     time.sleep(0.1)
-                time.sleep(0.02)
+                time.sleep(0.005 if host in kept else 0.05)
 
-        writers = [spawn(write, host, n) for host in world.hosts for n in range(3)]
+        writers = [spawn(write, host, n) for host in cut for n in range(2)]
+        writers += [spawn(write, host, n) for host in kept for n in range(4)]
         time.sleep(2)
         old = group.primary()
         if with_trouble:
@@ -78,6 +80,7 @@
             f"lost: {lost}"
         )
         if len(acked) < 50 or with_trouble and new is old:
+            record("too few writes, or the primary was not replaced")
             return None
         return not lost
     finally:
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -238,7 +239,7 @@
             return base64.b64decode(item["value"]) if item else None
 
     def handle(self, method, path, query, headers, body):
-        time.sleep(0.002)
+        time.sleep(0.004)
         with self.lock:
             if path == "/kv-range":
                 prefix, after = query.get("prefix", ""), query.get("after", "")
@@ -350,6 +351,7 @@
         self.cut_hosts = set()
         self.cut_members = set()
         self.connections = set()
+        self.slots = threading.Semaphore(group.slots)
         self.saw_successor = None
         self.sock = listen()
         self.port = self.sock.getsockname()[1]
@@ -434,7 +436,8 @@
 class Group:
     """A primary with replicas; a commit is acknowledged once one replica has it."""
 
-    def __init__(self, store, name, count=3, promote_s=1.0):
+    def __init__(self, store, name, count=3, promote_s=1.0, slots=64, service_s=0.004):
+        self.slots = slots
         self.store = store
         self.name = name
         self.promote_s = promote_s
@@ -445,7 +448,7 @@
         self.on_run = None
         self.on_control = None
         self.rows_of = None
-        self.service_s = 0.004
+        self.service_s = service_s
         for number in range(1, count + 1):
             member = Member(self, f"i-{number}", number == 1)
             self.members[member.name] = member
@@ -717,7 +720,8 @@
                 return self.fail("NOSTMT")
             verb = self.prepared[name][0]
         item, _, data = rest.partition(" ")
-        time.sleep(group.service_s)
+        with member.slots:
+            time.sleep(group.service_s)
         if verb == "READ":
             group.runs.append((now(), member.name, ident, text, self.organisation))
             if group.on_run:
@@ -920,11 +924,24 @@
             return file.read()
 
 
+PORTS = range(12_000, 32_000)
+USED_PORTS = set()
+
+
 def free_ports(count):
-    socks = [listen() for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Finds free ports below the range from which the system takes ephemeral ones."""
+    ports = []
+    while len(ports) < count:
+        port = random.choice(PORTS)
+        if port in USED_PORTS:
+            continue
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        USED_PORTS.add(port)
+        ports.append(port)
     return ports
 
 
@@ -1007,10 +1024,14 @@
 class World:
     """Store, group, cloud interface and hosts of a case."""
 
-    def __init__(self, hosts, promote_s=1.0, service="ledger", **config):
+    def __init__(
+        self, hosts, promote_s=1.0, service="ledger", slots=64, service_s=0.004, **config
+    ):
         self.folder = tempfile.mkdtemp(prefix="burdockslip-review-")
         self.store = Store()
-        self.group = Group(self.store, service, promote_s=promote_s)
+        self.group = Group(
+            self.store, service, promote_s=promote_s, slots=slots, service_s=service_s
+        )
         self.cloud = CloudApi(self.group)
         self.store.put_json("op/config", configuration(service, **config))
         self.hosts = {}
@@ -1035,6 +1056,7 @@
                     record("all hosts are ready")
                     return True
             time.sleep(0.1)
+        record("the hosts didn't become ready in time")
         return False
 
     def coordinator(self):
@@ -1064,6 +1086,7 @@
     global RECORD
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     RECORD = Record(os.path.join(folder, "record.txt"))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     program = os.path.join(ROOT, deploy_command()[0])
     if not os.path.exists(program):
