--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -724,6 +724,7 @@
             time.sleep(group.service_s)
         if verb == "READ":
             group.runs.append((now(), member.name, ident, text, self.organisation))
+            record(f"member {member.name} runs {ident} for {self.organisation}")
             if group.on_run:
                 group.on_run(member, ident, text)
             with group.lock:
