--- a/review/5/case.py
+++ b/review/5/case.py
@@ -43,17 +43,17 @@
                     record(f"client {host}/{number} {ident}: {error!r}")
                     session = None
                     time.sleep(0.1)
-                time.sleep(0.05)
+                time.sleep(0.15)
 
         for host in world.hosts:
-            for number in range(3):
+            for number in range(2):
                 spawn(read, host, number)
         time.sleep(2)
         old = group.primary()
         if with_trouble:
-            record(f"trouble: the primary {old.name} crashes and is back after 50 ms")
+            record(f"trouble: the primary {old.name} crashes and is back after 20 ms")
             old.crash()
-            time.sleep(0.05)
+            time.sleep(0.02)
             old.restart(new_name="i-9")
             time.sleep(3)
             world.store.delete("servers/i-1")
