failover: order a promotion only after all permissions have expired

Cause: the coordinator asked the replicas whether they were stopped, and ordered the promotion at once. Hosts could use the old primary for 0.9 s longer. A stopped replica that restarted, or one that joined, in the time that the promotion took let the old primary acknowledge commits which the promoted member lacks, and hosts passed the acknowledgements on without another look at their permission. On a related path, a host without the store and the coordinator took the word of a restarted replica, over a new connection, as a proof that the old primary was still valid.

Change: a host passes an acknowledgement on only under a permission that is valid after it has arrived. The coordinator orders a promotion after all permissions have expired, by positions that the replicas reported after that and with the members' records read again, unless the old primary has stepped down and the chosen member has its whole log. A proof from members needs a connection to the replica that was open at the moment of an earlier proof; hosts keep one for each group.

Why it works: a permission dates from before the fence was replaced or the last replica was stopped, so whatever reached a client was received by a replica before the final round, and every replica on the roster replies in that round.

Tried first: connections for proofs opened every 250 ms. A host that had just started had none when the store went down; three existing tests showed it.

--- /dev/null
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -0,0 +1,398 @@
+//! Chooses the member that replaces a primary.
+//!
+//! Invariant: the chosen member has every commit that a client was told is kept. The old
+//! primary acknowledges a commit as soon as one replica has it, and hosts pass an
+//! acknowledgement on only while they may use the old primary. So either the old primary
+//! has stepped down and the chosen member has its whole log; or all replicas on the roster
+//! were stopped, the permissions of all hosts have expired since, and the replicas were
+//! asked again after that. A replica that restarts or joins later lets the old primary
+//! acknowledge more, but to nobody. See `docs/platform.md`, "Promotion".
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use burdockslip_directory::Member;
+use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout_at};
+use burdockslip_statement::{Command, MemberStatus};
+use burdockslip_store::with_timeout;
+use burdockslip_types::{GroupName, MemberName, Result, Term};
+use futures::future::join;
+use tracing::{info, warn};
+
+use crate::PERMISSION_TTL;
+use crate::promotion::{Promotion, STORE_TIMEOUT};
+use crate::records::GroupRecord;
+use crate::roster::join as join_names;
+
+/// Added to the TTL of permissions, because the clocks of hosts run at slightly
+/// different rates.
+const PERMISSION_MARGIN: Duration = Duration::from_millis(50);
+
+/// How long a change of primary waits for members before it logs a warning.
+const WAIT_WARNING: Duration = Duration::from_secs(5);
+
+/// The pause between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(40);
+
+/// How often the old primary is contacted while permissions expire.
+const EXPIRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The member to promote.
+#[derive(Debug)]
+pub(crate) struct Choice {
+    pub(crate) member: Rc<Member>,
+    /// When the permissions have expired that rested on the replies of members.
+    pub(crate) expiry: Instant,
+}
+
+/// The members that a round contacts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Contact {
+    /// The old primary if it is not suspected, then the replicas, so that these receive
+    /// its whole log. A suspected primary would only delay the replies of the replicas.
+    PrimaryFirst,
+    /// The old primary and the replicas at the same time.
+    All,
+    /// The replicas only.
+    Replicas,
+}
+
+/// The replies of the members of a group.
+struct Round {
+    primary: Vec<Rc<Member>>,
+    replicas: Vec<Rc<Member>>,
+    statuses: HashMap<MemberName, MemberStatus>,
+    held: Term,
+    ended: Instant,
+}
+
+/// What the rounds of a change have established so far.
+struct Progress {
+    /// When the permissions of all hosts were withdrawn.
+    fenced: Instant,
+    /// The first moment at which all replicas on this roster had been stopped.
+    whole: Option<(Vec<Rc<Member>>, Instant)>,
+    /// When the latest reload of the members' records was started.
+    reloaded: Option<Instant>,
+}
+
+impl Promotion {
+    /// Stops the members of a group and chooses the one to promote; `fenced` is when the
+    /// permissions of all hosts were withdrawn.
+    ///
+    /// Neither a timeout nor the reports of hosts can replace the reply of a replica: it
+    /// may be partitioned together with the primary and with hosts that still use it.
+    pub(crate) async fn choose_member(
+        &self,
+        group: &GroupName,
+        record: &GroupRecord,
+        held: Term,
+        fenced: Instant,
+    ) -> Result<Choice> {
+        let started = now();
+        let mut has_warned = false;
+        let mut contact = Contact::PrimaryFirst;
+        let mut progress = Progress::new(fenced);
+        loop {
+            self.tenure()?;
+            let began = now();
+            let roster = self.roster(record, group);
+            progress.check_roster(&roster);
+            let has_expired = progress.has_expired();
+            let needs_reload = progress.needs_reload();
+            let reload = async { needs_reload && self.reload_members().await };
+            let round = self.run_round(record, &roster, held, contact);
+            let (round, is_reloaded) = join(round, reload).await;
+            if is_reloaded {
+                progress.reloaded = Some(began);
+            }
+            round.log(group, has_expired);
+            if let Some(member) = round.promoted(record.term) {
+                info!(%group, member = %member.name, "member already promoted by an earlier order");
+                let expiry = progress.expiry_after(round.ended);
+                return Ok(Choice { member, expiry });
+            }
+            let is_unchanged = self.roster(record, group) == roster;
+            if let Some(member) = round.heir()
+                && is_unchanged
+                && self
+                    .are_still_stopped(&round.primary, Term::default())
+                    .await
+            {
+                let expiry = progress.expiry_after(round.ended);
+                return Ok(Choice { member, expiry });
+            }
+            if round.is_whole() && is_unchanged {
+                let expiry = progress.record_whole(roster, round.ended);
+                if has_expired
+                    && !progress.needs_reload()
+                    && let Some(member) = best(&round.replicas, &round.statuses)
+                    && self.are_still_stopped(&round.replicas, held).await
+                {
+                    return Ok(Choice { member, expiry });
+                }
+                contact = self.wait_for_expiry(&round, expiry).await;
+                continue;
+            }
+            contact = Contact::All;
+            if started.elapsed() > WAIT_WARNING && !has_warned {
+                has_warned = true;
+                warn!(%group, primary = %record.primary,
+                    missing = %join_names(round.missing()),
+                    "promotion waits until the primary or the missing members answer");
+            }
+            sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Waits until permissions have expired, or until the old primary has stepped down;
+    /// returns the members to contact next.
+    async fn wait_for_expiry(&self, round: &Round, expiry: Instant) -> Contact {
+        if expiry.is_past() {
+            sleep(ROUND_PAUSE).await;
+            return Contact::Replicas;
+        }
+        let next = expiry.min(now() + EXPIRY_PAUSE);
+        // Replicas that have restarted are stopped again.
+        let stop = Command::Suspend(round.held);
+        let calls = join(
+            self.step_down(&round.primary, round.held),
+            self.control_all(&round.replicas, &stop),
+        );
+        match timeout_at(expiry, calls).await {
+            Ok((primary, _)) if !primary.is_empty() => Contact::All,
+            _ => {
+                sleep_until(next).await;
+                Contact::Replicas
+            }
+        }
+    }
+
+    /// Reloads the members' records, since a member that joined while the watch
+    /// delivered no events may hold acknowledged commits. Returns whether they were
+    /// read.
+    async fn reload_members(&self) -> bool {
+        let refresh = self.directory.refresh(self.directory.members_prefix());
+        match with_timeout(STORE_TIMEOUT, refresh).await {
+            Ok(()) => true,
+            Err(error) => {
+                info!(?error, "reload of the members failed");
+                false
+            }
+        }
+    }
+
+    /// Returns whether replicas still report that they are stopped, or an old primary
+    /// that it is a replica. A replica that restarts receives again.
+    async fn are_still_stopped(&self, members: &[Rc<Member>], held: Term) -> bool {
+        let statuses = self.control_all(members, &Command::Status).await;
+        members
+            .iter()
+            .all(|member| is_stopped(member, &statuses, held))
+    }
+
+    /// Demotes the old primary and stops the replicas, as far as `contact` includes them.
+    async fn run_round(
+        &self,
+        record: &GroupRecord,
+        roster: &[Rc<Member>],
+        held: Term,
+        contact: Contact,
+    ) -> Round {
+        let (primary, replicas): (Vec<_>, Vec<_>) = roster
+            .iter()
+            .cloned()
+            .partition(|member| record.is_primary(member));
+        let command = Command::Suspend(held);
+        let is_suspected = |member: &Rc<Member>| self.pools.pool(member).health.is_suspected();
+        let (mut statuses, stopped) = match contact {
+            Contact::All => {
+                join(
+                    self.step_down(&primary, held),
+                    self.control_all(&replicas, &command),
+                )
+                .await
+            }
+            Contact::PrimaryFirst if !primary.iter().any(is_suspected) => {
+                let statuses = self.step_down(&primary, held).await;
+                (statuses, self.control_all(&replicas, &command).await)
+            }
+            Contact::PrimaryFirst | Contact::Replicas => {
+                (HashMap::new(), self.control_all(&replicas, &command).await)
+            }
+        };
+        // A primary of an earlier term may not have learned of the current one. One
+        // of a later term was promoted by an earlier attempt and must stay.
+        let is_outdated = |member: &&Rc<Member>| {
+            let status = stopped.get(&member.name);
+            status.is_some_and(|status| status.is_primary && status.term <= record.term)
+        };
+        let outdated: Vec<_> = replicas.iter().filter(is_outdated).cloned().collect();
+        self.control_all(&outdated, &Command::Demote(held)).await;
+        statuses.extend(stopped);
+        Round {
+            primary,
+            replicas,
+            statuses,
+            held,
+            ended: now(),
+        }
+    }
+
+    /// Demotes the old primary if it is still reachable; returns its status if it is
+    /// a replica afterwards.
+    async fn step_down(
+        &self,
+        primary: &[Rc<Member>],
+        term: Term,
+    ) -> HashMap<MemberName, MemberStatus> {
+        let mut statuses = self.control_all(primary, &Command::Demote(term)).await;
+        statuses.retain(|_, status| !status.is_primary);
+        statuses
+    }
+}
+
+impl Progress {
+    const fn new(fenced: Instant) -> Self {
+        Self {
+            fenced,
+            whole: None,
+            reloaded: None,
+        }
+    }
+
+    /// Starts over if the roster has changed, since a new replica may have been the proof
+    /// of a host that the old primary is still valid.
+    fn check_roster(&mut self, roster: &[Rc<Member>]) {
+        self.whole.take_if(|(known, _)| known != roster);
+    }
+
+    /// Records that all replicas on a roster were stopped at `moment`; returns when no
+    /// host may use the old primary any more.
+    fn record_whole(&mut self, roster: Vec<Rc<Member>>, moment: Instant) -> Instant {
+        let (_, since) = self.whole.get_or_insert((roster, moment));
+        let since = *since;
+        self.expiry_after(since)
+    }
+
+    /// Returns when the permissions expire that rest on the fence, or on the reply of a
+    /// member before `moment`.
+    fn expiry_after(&self, moment: Instant) -> Instant {
+        self.fenced.max(moment) + PERMISSION_TTL + PERMISSION_MARGIN
+    }
+
+    fn expiry(&self) -> Option<Instant> {
+        let (_, since) = self.whole.as_ref()?;
+        Some(self.expiry_after(*since))
+    }
+
+    /// Returns whether no host may use the old primary any more.
+    fn has_expired(&self) -> bool {
+        self.expiry().is_some_and(Instant::is_past)
+    }
+
+    /// Returns whether the members' records have to be reloaded: once at the start, and
+    /// once after all permissions have expired.
+    fn needs_reload(&self) -> bool {
+        let is_due = |reloaded: Instant| {
+            self.expiry()
+                .is_some_and(|expiry| expiry.is_past() && reloaded < expiry)
+        };
+        self.reloaded.is_none_or(is_due)
+    }
+}
+
+impl Round {
+    /// Returns the replicas that have not reported that they are stopped.
+    fn missing(&self) -> impl Iterator<Item = &MemberName> {
+        let replicas = self.replicas.iter();
+        let missing = replicas.filter(|member| !is_stopped(member, &self.statuses, self.held));
+        missing.map(|member| &member.name)
+    }
+
+    /// Returns whether all replicas have reported that they are stopped.
+    fn is_whole(&self) -> bool {
+        !self.replicas.is_empty() && self.missing().next().is_none()
+    }
+
+    /// Returns whether the old primary has stepped down with a log at least as new as
+    /// that of every other member. After a restart that lost its log, it lacks commits
+    /// that its replicas have.
+    fn has_stepped_down(&self) -> bool {
+        let newest = self.statuses.values().map(|status| status.received).max();
+        self.primary
+            .iter()
+            .filter_map(|member| self.statuses.get(&member.name))
+            .any(|status| Some(status.received) >= newest)
+    }
+
+    /// Returns a member that has the whole log of the old primary, which has stepped
+    /// down.
+    ///
+    /// While all replicas reply, the old primary itself is no candidate: it may be about
+    /// to leave.
+    fn heir(&self) -> Option<Rc<Member>> {
+        if !self.has_stepped_down() {
+            return None;
+        }
+        let newest = self.statuses.values().map(|status| status.received).max();
+        let all = [self.primary.clone(), self.replicas.clone()].concat();
+        let candidates = if self.is_whole() {
+            &self.replicas
+        } else {
+            &all
+        };
+        let heir = best(candidates, &self.statuses)?;
+        let status = self.statuses.get(&heir.name);
+        (status.map(|status| status.received) == newest).then_some(heir)
+    }
+
+    /// Returns the replica that an earlier order has promoted to a term after `old`, if
+    /// any; of several, the one with the highest term.
+    fn promoted(&self, old: Term) -> Option<Rc<Member>> {
+        self.replicas
+            .iter()
+            .filter_map(|member| Some((member, self.statuses.get(&member.name)?)))
+            .filter(|(_, status)| status.is_primary && status.term > old)
+            .max_by_key(|(_, status)| status.term)
+            .map(|(member, _)| Rc::clone(member))
+    }
+
+    fn log(&self, group: &GroupName, has_expired: bool) {
+        let mut positions: Vec<_> = self
+            .statuses
+            .iter()
+            .map(|(name, status)| format!("{name}={}", status.received))
+            .collect();
+        positions.sort();
+        info!(%group, held = self.held.0, answered = self.statuses.len(),
+            of = self.primary.len() + self.replicas.len(),
+            missing = %join_names(self.missing()),
+            is_whole = self.is_whole(), has_stepped_down = self.has_stepped_down(), has_expired,
+            positions = %positions.join(" "),
+            "replicas stopped");
+    }
+}
+
+/// Returns whether a member reported that it is a replica and that it receives from
+/// no primary with a term below `held`.
+fn is_stopped(member: &Member, statuses: &HashMap<MemberName, MemberStatus>, held: Term) -> bool {
+    let status = statuses.get(&member.name);
+    status.is_some_and(|status| !status.is_primary && status.held >= held)
+}
+
+/// Chooses the replica with the newest log; among equals, one that is not about to
+/// leave. A member that leads already is no candidate, since its promotion would
+/// change nothing.
+fn best(
+    members: &[Rc<Member>],
+    statuses: &HashMap<MemberName, MemberStatus>,
+) -> Option<Rc<Member>> {
+    members
+        .iter()
+        .filter_map(|member| Some((member, statuses.get(&member.name)?)))
+        .filter(|(_, status)| !status.is_primary)
+        .max_by_key(|(member, status)| (status.received, !member.is_draining))
+        .map(|(member, _)| Rc::clone(member))
+}
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -5,6 +5,7 @@
 //! primary only while they have a permission, which they renew continuously; see
 //! `docs/platform.md`, "The old primary".
 
+mod choice;
 mod duty;
 mod permission;
 mod promotion;
@@ -13,6 +14,7 @@
 mod roster;
 mod supervisor;
 mod votes;
+mod witness;
 
 pub use duty::{CoordinatorRole, Duty, Tenure};
 pub use permission::{PERMISSION_TTL, Permission};
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -6,19 +6,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Directory, Member, Role};
-use burdockslip_runtime::{Instant, Task, now, random_range, sleep, spawn, timeout};
-use burdockslip_statement::{Command, MemberStatus};
+use burdockslip_directory::Directory;
+use burdockslip_runtime::{Instant, Signal, Task, now, sleep, spawn, timeout};
+use burdockslip_statement::MemberStatus;
 use burdockslip_store::LeaseId;
 use burdockslip_telemetry::Metrics;
 use burdockslip_types::{ErrorKind, GroupName, LogPosition, MemberName, Result, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
-use futures::future::try_join;
 use tracing::{info, warn};
 
 use crate::proof::{Proof, ProofSource};
 use crate::records::{self, GroupRecord, keys};
+use crate::witness;
 
 /// How long a permission lasts after the moment of its proof. A new primary serves
 /// only once older permissions have expired. The promotion itself takes 300 ms or
@@ -50,15 +50,9 @@
 /// themselves.
 const COORDINATOR_CHECK_AGE: Duration = Duration::from_millis(250);
 
-/// How often members may be queried.
-const MEMBER_CHECK_PERIOD: Duration = Duration::from_millis(250);
-
-/// The timeout of a query to a member.
-const MEMBER_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-
-struct Shared {
-    directory: Directory,
-    pools: Pools,
+pub(crate) struct Shared {
+    pub(crate) directory: Directory,
+    pub(crate) pools: Pools,
     metrics: Metrics,
     /// The newest proof that the lease behind all permissions was alive.
     lease_proof: RefCell<Option<Proof>>,
@@ -68,10 +62,12 @@
     /// logged.
     on_replicas: RefCell<HashSet<GroupName>>,
     /// The queries to members in progress.
-    member_checks: RefCell<HashMap<GroupName, Task<()>>>,
+    pub(crate) member_checks: RefCell<HashMap<GroupName, Task<()>>>,
+    /// Notified when a proof of the lease is wanted before the last one gets old.
+    pub(crate) proof_wanted: Signal,
     /// Whether the last renewal succeeded, for log lines on a change.
     is_store_reachable: Cell<bool>,
-    is_coordinator: Cell<bool>,
+    pub(crate) is_coordinator: Cell<bool>,
 }
 
 /// Keeps the permission to use primaries renewed; clones share it.
@@ -92,11 +88,12 @@
             group_proofs: RefCell::default(),
             on_replicas: RefCell::default(),
             member_checks: RefCell::default(),
+            proof_wanted: Signal::default(),
             is_store_reachable: Cell::new(true),
             is_coordinator: Cell::new(false),
         });
         let renewing = spawn(renew(Rc::clone(&shared)));
-        let checking = spawn(check_groups(Rc::clone(&shared)));
+        let checking = spawn(witness::check_groups(Rc::clone(&shared)));
         Self {
             shared,
             _renewing: Rc::new((renewing, checking)),
@@ -110,10 +107,11 @@
         is_usable.then_some(record.primary)
     }
 
-    /// Returns whether the primary of a group is being replaced.
-    pub fn is_replacing_primary(&self, group: &GroupName) -> bool {
-        let record = self.shared.record(group);
-        record.is_some_and(|record| !record.is_stable())
+    /// Returns the primary of a group according to its record, whether or not this host
+    /// may currently use it; `None` while it is being replaced.
+    pub fn recorded_primary(&self, group: &GroupName) -> Option<MemberName> {
+        let record = self.shared.record(group)?;
+        record.is_stable().then_some(record.primary)
     }
 
     /// Returns the newest proof for a group.
@@ -197,7 +195,7 @@
 }
 
 impl Shared {
-    fn record(&self, group: &GroupName) -> Option<GroupRecord> {
+    pub(crate) fn record(&self, group: &GroupName) -> Option<GroupRecord> {
         let entry = self.directory.record(&keys::group(group))?;
         match GroupRecord::read(&entry.value) {
             Ok(record) => Some(record),
@@ -208,7 +206,7 @@
         }
     }
 
-    fn proof(&self, group: &GroupName) -> Option<Proof> {
+    pub(crate) fn proof(&self, group: &GroupName) -> Option<Proof> {
         let lease = self.lease_proof.borrow().clone();
         let proofs = self.group_proofs.borrow();
         let own = proofs.get(group).map(|(_, proof)| proof.clone());
@@ -217,7 +215,7 @@
     }
 
     /// Returns whether there is a proof of the lease younger than `limit`.
-    fn has_lease_proof(&self, limit: Duration) -> bool {
+    pub(crate) fn has_lease_proof(&self, limit: Duration) -> bool {
         let proof = self.lease_proof.borrow();
         proof.as_ref().is_some_and(|proof| proof.age() < limit)
     }
@@ -233,7 +231,7 @@
         self.log_lease_proof();
     }
 
-    fn record_group_proof(
+    pub(crate) fn record_group_proof(
         &self,
         group: &GroupName,
         term: Term,
@@ -299,7 +297,7 @@
     }
 
     /// Returns the age of the proof at which members are queried.
-    const fn check_age(&self) -> Duration {
+    pub(crate) const fn check_age(&self) -> Duration {
         if self.is_coordinator.get() {
             COORDINATOR_CHECK_AGE
         } else {
@@ -348,6 +346,7 @@
 }
 
 async fn renew(shared: Rc<Shared>) {
+    let mut seen = shared.proof_wanted.epoch();
     loop {
         let limit = if shared.is_coordinator.get() {
             COORDINATOR_RENEW_AGE
@@ -356,10 +355,14 @@
         };
         // Without a lease there is nothing to renew; the watch will deliver its record.
         let lease = shared.fence();
-        let Some(lease) = lease.filter(|_| !shared.has_lease_proof(limit)) else {
-            sleep(RENEW_TICK.min(limit / 2)).await;
+        let is_wanted = shared.proof_wanted.epoch() != seen;
+        let Some(lease) = lease.filter(|_| is_wanted || !shared.has_lease_proof(limit)) else {
+            let wanted = shared.proof_wanted.changed(seen);
+            // The loop looks at the signal again.
+            let _ = timeout(RENEW_TICK.min(limit / 2), wanted).await;
             continue;
         };
+        seen = shared.proof_wanted.epoch();
         match timeout(RENEW_TIMEOUT, shared.renew_or_reload(lease)).await {
             Ok(Ok(sent)) => {
                 shared.record_lease_proof(sent, ProofSource::Store);
@@ -374,106 +377,3 @@
         sleep(RENEW_TICK).await;
     }
 }
-
-/// Queries the primary and one replica of each group while there is no recent proof
-/// from the store.
-///
-/// A promotion requires either that every replica has been stopped at a higher
-/// term, or that the old primary has stepped down. So no promotion has happened as
-/// long as the primary still leads in the known term and one replica still receives
-/// in it.
-async fn check_groups(shared: Rc<Shared>) {
-    loop {
-        sleep(MEMBER_CHECK_PERIOD).await;
-        let limit = shared.check_age();
-        let is_fresh = |proof: Proof| proof.age() < limit;
-        if shared.has_lease_proof(limit) || !shared.directory.is_configuration_current() {
-            continue;
-        }
-        let Some(configuration) = shared.directory.configuration() else {
-            continue;
-        };
-        for group in configuration.groups.keys() {
-            if shared.proof(group).is_some_and(is_fresh) {
-                continue;
-            }
-            let record = shared.record(group);
-            if let Some(record) = record.filter(GroupRecord::is_stable) {
-                start_member_check(&shared, group, &record);
-            }
-        }
-    }
-}
-
-fn start_member_check(shared: &Rc<Shared>, group: &GroupName, record: &GroupRecord) {
-    if shared.member_checks.borrow().contains_key(group) {
-        return;
-    }
-    let Some(primary) = shared.directory.member(&record.primary) else {
-        return;
-    };
-    let mut replicas = shared.directory.members(group);
-    replicas.retain(|member| {
-        member.name != record.primary
-            && member.role == Role::Replica
-            && !shared.pools.pool(member).health.is_suspected()
-    });
-    if replicas.is_empty() {
-        return;
-    }
-    let last = u64::try_from(replicas.len()).unwrap_or(1);
-    let index = usize::try_from(random_range(0..last)).unwrap_or_default();
-    let replica = replicas.swap_remove(index);
-    let check = check_members(
-        Rc::clone(shared),
-        group.clone(),
-        [primary, replica],
-        record.term,
-    );
-    shared
-        .member_checks
-        .borrow_mut()
-        .insert(group.clone(), spawn(check));
-}
-
-/// Records a proof if the primary leads in the known term and the replica follows.
-///
-/// The proof is valid for the moment before both queries: a member that was stopped
-/// or had stepped down by then would still be so in this term when it answers.
-async fn check_members(
-    shared: Rc<Shared>,
-    group: GroupName,
-    [primary, replica]: [Rc<Member>; 2],
-    known: Term,
-) {
-    let sent = now();
-    let query = |member| {
-        let pools = &shared.pools;
-        pools.control(member, Command::Status, MEMBER_CHECK_TIMEOUT)
-    };
-    match try_join(query(&primary), query(&replica)).await {
-        Ok((leading, following)) => {
-            let is_leading = leading.is_primary && leading.term == known;
-            let is_following =
-                !following.is_primary && following.term == known && following.held <= known;
-            if is_leading && is_following {
-                let source = ProofSource::Replica(replica.name.clone());
-                shared.record_group_proof(&group, known, sent, source, Some(&following));
-            } else {
-                info!(
-                    %group,
-                    primary = %primary.name,
-                    is_leading,
-                    replica = %replica.name,
-                    is_following,
-                    known = known.0,
-                    "members do not confirm the primary, not using it"
-                );
-            }
-        }
-        Err(error) => {
-            info!(%group, primary = %primary.name, replica = %replica.name, ?error, "query of members for a proof failed");
-        }
-    }
-    shared.member_checks.borrow_mut().remove(&group);
-}
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/platform.md`, "A statement's way".
 
+mod acknowledge;
 mod begin;
 mod context;
 mod freshness;
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -8,6 +8,7 @@
 use burdockslip_types::{ErrorKind, LogPosition};
 use burdockslip_upstream::PooledConnection;
 
+use crate::acknowledge;
 use crate::begin::{self, EagerBegin};
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, ServedReply};
@@ -112,6 +113,9 @@
             Ok(reply) => {
                 let served = self.served(&connection, reply);
                 outcome::return_if_idle(connection, &served.reply);
+                if self.has_written && served.reply.result.is_ok() {
+                    acknowledge::confirm(cx, job, &served.member).await?;
+                }
                 Ok(served)
             }
             Err(_) if self.has_written => Err(ErrorKind::OutcomeUnknown),
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -8,6 +8,7 @@
 use burdockslip_types::ErrorKind;
 use tracing::info;
 
+use crate::acknowledge;
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, ServedReply};
 use crate::place;
@@ -26,7 +27,11 @@
             Ok(served) => match served.reply.result {
                 Err(MemberError::Busy) => return Err(ErrorKind::QueueFull),
                 Err(error) if error.did_not_run() => outcome::error_kind(error),
-                _ => return Ok(served),
+                Err(_) => return Ok(served),
+                Ok(_) => {
+                    acknowledge::confirm(cx, job, &served.member).await?;
+                    return Ok(served);
+                }
             },
             Err(SendError::NotSent(kind)) => kind,
             Err(SendError::Broken | SendError::TimedOut) => return Err(ErrorKind::OutcomeUnknown),
--- a/crates/burdockslip_upstream/src/connection.rs
+++ b/crates/burdockslip_upstream/src/connection.rs
@@ -47,6 +47,7 @@
     prepared: HashMap<PreparedStatement, Bytes>,
     name_count: u64,
     in_transaction: bool,
+    opened: Instant,
     last_used: Instant,
 }
 
@@ -82,11 +83,15 @@
             prepared: HashMap::new(),
             name_count: 0,
             in_transaction: false,
+            opened: now(),
             last_used: now(),
         };
         connection.send(&[command]).await?;
         match connection.next_message().await? {
-            MemberMessage::Ready(..) => Ok(connection),
+            MemberMessage::Ready(..) => {
+                connection.opened = now();
+                Ok(connection)
+            }
             MemberMessage::Failed(MemberError::TooManyConnections | MemberError::Busy) => {
                 bail!(ErrorKind::QueueFull)
             }
@@ -110,6 +115,12 @@
         self.values == state.values
     }
 
+    /// Returns since when the connection has been open. The member has not restarted
+    /// since.
+    pub const fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// Returns when the connection last received a reply, or was opened.
     pub const fn last_used(&self) -> Instant {
         self.last_used
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -78,6 +78,17 @@
             .any(|connection| connection.organisation() == organisation)
     }
 
+    /// Returns whether this host has a connection to the member, idle or in use.
+    pub fn is_open(&self) -> bool {
+        self.open_count.get() > 0
+    }
+
+    /// Returns whether this host's share of the member's connections is at least one
+    /// connection.
+    pub fn has_whole_share(&self) -> bool {
+        self.kept_count() > 0
+    }
+
     /// Returns whether opening connections is paused because the member recently
     /// refused one.
     pub fn is_paused(&self) -> bool {
@@ -143,7 +154,19 @@
         }
     }
 
-    async fn open_connection(
+    /// Takes an idle connection of any organisation that has been open since `moment`
+    /// or longer.
+    pub fn take_open_since(self: &Rc<Self>, moment: Instant) -> Option<PooledConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let index = idle
+            .iter()
+            .rposition(|connection| connection.opened() <= moment && connection.is_quiet())?;
+        let connection = idle.remove(index);
+        drop(idle);
+        Some(self.reuse(connection))
+    }
+
+    pub(crate) async fn open_connection(
         self: &Rc<Self>,
         organisation: &Organisation,
         deadline: Instant,
--- a/crates/burdockslip_upstream/src/pools.rs
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Directory, Member};
-use burdockslip_runtime::{Task, sleep, spawn, timeout};
-use burdockslip_statement::{Codec, Command, MemberStatus};
+use burdockslip_runtime::{Task, now, sleep, spawn, timeout};
+use burdockslip_statement::{Codec, Command, MemberReply, MemberStatus};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Organisation, Result};
 use error_stack::{Report, bail};
 use tracing::{debug, info};
 
-use crate::{Connection, MemberPool};
+use crate::{Connection, MemberPool, PooledConnection};
 
 /// The part of a member's connections that all hosts together keep open, in
 /// thousandths. The rest is a reserve: a member keeps the connections of hosts
@@ -139,6 +139,38 @@
     ) -> Result<MemberStatus> {
         self.shared.control(member, command, limit).await
     }
+
+    /// Requests a member's status over an open connection, which is returned to its pool
+    /// afterwards.
+    ///
+    /// # Errors
+    ///
+    /// See [`Pools::control`].
+    pub async fn status(
+        &self,
+        mut connection: PooledConnection,
+        limit: Duration,
+    ) -> Result<MemberStatus> {
+        let call = timeout(limit, connection.call(Command::Status)).await;
+        let reply = call.unwrap_or_else(|_| Err(no_reply()))?;
+        connection.return_to_pool();
+        self.shared.read_status(&reply)
+    }
+
+    /// Opens a connection to a member and leaves it idle in the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`MemberPool::acquire`].
+    pub async fn open_idle(&self, pool: &Rc<MemberPool>, limit: Duration) -> Result<()> {
+        if pool.is_paused() {
+            bail!(ErrorKind::QueueFull);
+        }
+        let organisation = self.shared.control_organisation();
+        let connection = pool.open_connection(&organisation, now() + limit).await?;
+        connection.return_to_pool();
+        Ok(())
+    }
 }
 
 impl fmt::Debug for Pools {
@@ -179,13 +211,13 @@
                 Connection::open(self.codec, Rc::clone(member), organisation).await?;
             connection.call(command).await
         };
-        let reply = match timeout(limit, exchange).await {
-            Ok(reply) => reply?,
-            Err(_) => {
-                bail!(Report::new(ErrorKind::ConnectionLost).attach("no reply before the timeout"))
-            }
-        };
-        match (reply.result, reply.rows.first()) {
+        let reply = timeout(limit, exchange).await;
+        let reply = reply.unwrap_or_else(|_| Err(no_reply()))?;
+        self.read_status(&reply)
+    }
+
+    fn read_status(&self, reply: &MemberReply) -> Result<MemberStatus> {
+        match (&reply.result, reply.rows.first()) {
             (Ok(_), Some(row)) => (self.codec.read_status)(row),
             (Ok(_), None) => bail!(ErrorKind::Protocol),
             (Err(error), _) if error.did_not_run() => bail!(ErrorKind::QueueFull),
@@ -194,6 +226,10 @@
     }
 }
 
+fn no_reply() -> Report<ErrorKind> {
+    Report::new(ErrorKind::ConnectionLost).attach("no reply before the timeout")
+}
+
 async fn watch(shared: Rc<Shared>) {
     let mut ticks = 0_u32;
     loop {
