directory: notice that a watch of the store is on a dead connection

Cause: only the coordinator watches the store. Its watch on a silent connection reports no error, and 14 s without an event were allowed, while the coordinator told all hosts that its state was the newest. Both members had exited when the reports were read, and a promotion must not go on without their logs.

Change: each read of the configuration compares the store's revision with what the watch has delivered. Changes that are missing for 1.5 s end the watch, and the store is read again. The state that hosts follow carries the age of the last read that was covered, on the coordinator as well, and nobody follows one older than 3 s. A primary that has been known to leave for 2 s is not used.

Why it works: a read that is sent after a report returns at least its revision, whichever connection carries it, so silence and absence of changes differ within 4.5 s at the latest, below drainMs.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -13,6 +13,7 @@
 use tracing::{info, warn};
 
 use crate::follow;
+use crate::recency::Recency;
 use crate::{Configuration, Member};
 
 /// How long after its last confirmation a configuration may authorise requests.
@@ -66,6 +67,8 @@
     member: Rc<Member>,
     /// The moment at which the record was found to be missing.
     missing_since: Option<Instant>,
+    /// The moment from which the member was known to be about to leave.
+    draining_since: Option<Instant>,
 }
 
 pub(crate) struct Shared {
@@ -83,8 +86,7 @@
     deletions_from: Cell<Revision>,
     /// The revision up to which all changes have been applied.
     pub(crate) applied: Cell<Revision>,
-    /// The latest moment at which the local copy had the newest state of the store.
-    synced_at: Cell<Option<Instant>>,
+    pub(crate) recency: Recency,
     pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
     is_loaded: Cell<bool>,
     pub(crate) is_coordinator: Cell<bool>,
@@ -112,7 +114,7 @@
             deletions: RefCell::default(),
             deletions_from: Cell::default(),
             applied: Cell::default(),
-            synced_at: Cell::default(),
+            recency: Recency::default(),
             relay: RefCell::default(),
             is_loaded: Cell::new(false),
             is_coordinator: Cell::new(false),
@@ -193,6 +195,14 @@
         Some(Rc::clone(&known.member))
     }
 
+    /// Returns how long a member has been known to be about to leave, or `None` if it
+    /// stays.
+    pub fn draining_for(&self, name: &MemberName) -> Option<Duration> {
+        let members = self.shared.members.borrow();
+        let since = members.get(name)?.draining_since?;
+        Some(since.elapsed())
+    }
+
     /// Returns whether a member has a record according to the local copy. A member
     /// without one stays usable for some time.
     pub fn is_listed(&self, name: &MemberName) -> bool {
@@ -251,7 +261,7 @@
 
     /// Returns the changes after `revision`, or `None` if the store has never been read.
     pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
-        let age = self.shared.synced_at.get()?.elapsed();
+        let age = self.shared.recency.age()?;
         Some(self.shared.changes_since(revision, age))
     }
 
@@ -341,7 +351,8 @@
             self.apply_event(event);
         }
         self.applied.set(self.applied.get().max(changes.revision));
-        self.mark_synced(now() - changes.age);
+        self.recency.record_received(changes.revision);
+        self.recency.record_newest(now() - changes.age);
     }
 
     /// Applies one change.
@@ -362,18 +373,10 @@
         }
     }
 
-    /// Records that the local copy had the newest state of the store at `moment`.
-    pub(crate) fn mark_synced(&self, moment: Instant) {
-        let latest = self
-            .synced_at
-            .get()
-            .map_or(moment, |known| known.max(moment));
-        self.synced_at.set(Some(latest));
-    }
-
     /// Records that all changes up to `revision` have been applied.
     pub(crate) fn advance(&self, revision: Revision) {
         self.applied.set(self.applied.get().max(revision));
+        self.recency.record_received(revision);
         self.changed.notify();
     }
 
@@ -484,7 +487,13 @@
                     born = member.born,
                     "member record changed"
                 );
+                let drained_before = known
+                    .filter(|known| known.member.born == member.born)
+                    .and_then(|known| known.draining_since);
                 let known = KnownMember {
+                    draining_since: member
+                        .is_draining
+                        .then(|| drained_before.unwrap_or_else(now)),
                     member: Rc::new(member),
                     missing_since: None,
                 };
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -48,6 +48,9 @@
 /// watch on a dead connection reports no error.
 const WATCH_SILENCE: Duration = Duration::from_secs(14);
 
+/// How often the coordinator checks whether its watch misses changes.
+const WATCH_CHECK: Duration = Duration::from_millis(250);
+
 /// Loads the store and applies its changes, in a loop.
 ///
 /// Changes are received from a peer as long as one forwards them; otherwise every
@@ -83,7 +86,7 @@
     let sent = now();
     let page = with_timeout(CALL_TIMEOUT, shared.store.range("")).await?;
     shared.replace(page.entries, page.revision);
-    shared.mark_synced(sent);
+    shared.recency.record_newest(sent);
     shared.confirm(sent);
     Ok(())
 }
@@ -126,37 +129,50 @@
     }
 }
 
-/// Applies the changes of a watch until it is time to try a peer again.
+/// Applies the changes of a watch until it is time to try a peer again. Fails if the
+/// watch is dead.
 ///
 /// The progress of a watch of a part of the store is ignored: it does not mean that
 /// all changes up to its revision have been applied.
 async fn follow_store(shared: &Shared, mut watch: Watch, prefix: &str) -> Result<()> {
-    let until = now() + RELAY_PAUSE;
+    let opened = now();
+    let mut heard = opened;
+    let until = opened + RELAY_PAUSE;
     loop {
-        let wait = if shared.is_coordinator.get() {
-            WATCH_SILENCE
+        let is_coordinator = shared.is_coordinator.get();
+        let wait = if is_coordinator {
+            WATCH_CHECK
         } else {
             until.remaining()
         };
         match timeout(wait, watch.next()).await {
             Ok(Some(Ok(Event::Progress(_)))) if !prefix.is_empty() => {}
             Ok(Some(Ok(event))) => {
+                let revision = event.revision();
                 shared.apply_event(event);
                 if !prefix.is_empty() {
                     return Ok(());
                 }
-                shared.mark_synced(now());
+                shared.recency.record_received(revision);
+                shared.recency.record_newest(opened);
+                heard = now();
             }
             Ok(Some(Err(error))) => return Err(error),
-            Ok(None) => return Err(Report::new(ErrorKind::StoreUnavailable).attach("watch ended")),
-            Err(_) if shared.is_coordinator.get() => {
-                return Err(Report::new(ErrorKind::StoreUnavailable).attach("watch timed out"));
+            Ok(None) => return Err(missed("watch ended")),
+            Err(_) if shared.recency.is_behind() => {
+                return Err(missed("watch misses changes that a read has shown"));
             }
-            Err(_) => return Ok(()),
+            Err(_) if !is_coordinator => return Ok(()),
+            Err(_) if heard.elapsed() > WATCH_SILENCE => return Err(missed("watch timed out")),
+            Err(_) => {}
         }
     }
 }
 
+fn missed(reason: &'static str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::StoreUnavailable).attach(reason)
+}
+
 /// Confirms the configuration in a loop, with reads that see every acknowledged
 /// change.
 pub(crate) async fn confirm(shared: Rc<Shared>) {
@@ -178,6 +194,7 @@
             Ok(page) => {
                 page.entries.into_iter().for_each(|entry| shared.put(entry));
                 shared.confirm(sent);
+                shared.recency.record_read(page.revision, sent);
             }
             Err(error) => {
                 let age_ms = shared.configuration_age().map(|age| age.as_millis());
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod follow;
 mod member;
+mod recency;
 
 pub use configuration::{Configuration, Consistency, GroupConfig, OrganisationConfig, Route};
 pub use directory::{Changes, Directory, KEY_VALIDITY, Relay, Schema};
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -32,7 +32,7 @@
 }
 
 fn read_member(name: &str, bytes: &[u8]) -> Result<Member> {
-    if bytes != b"ok" {
+    if bytes != b"ok" && bytes != b"draining" {
         bail!(ErrorKind::InvalidInput);
     }
     Ok(Member {
@@ -41,7 +41,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         zone: Zone::from("a"),
         slots: 1,
-        is_draining: false,
+        is_draining: bytes == b"draining",
         role: Role::Replica,
         born: 1,
     })
@@ -270,6 +270,78 @@
     });
 }
 
+/// Guards against a coordinator that takes what it knows for the newest state while its
+/// watch is on a dead connection: all hosts would go on using members that have left.
+#[test]
+fn silent_watch_of_the_coordinator_is_noticed() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        store.put("members/a", b"ok");
+        let directory = open(&store);
+        directory.set_coordinator(true);
+        for round in 0..4_u64 {
+            // Changes come at any moment after the connections have gone silent.
+            sleep(Duration::from_millis(4_000 + 170 * round)).await;
+            store.silence_watches();
+            sleep(Duration::from_millis(900 * round)).await;
+            let name = format!("members/b{round}");
+            store.put(&name, b"ok");
+            let changed = now();
+            while directory.record(&name).is_none() {
+                sleep(Duration::from_millis(10)).await;
+                assert!(changed.elapsed() < Duration::from_secs(3), "round {round}");
+            }
+        }
+    });
+}
+
+/// Guards against a primary that is used until it exits although it cannot be replaced:
+/// the time since the first report counts, not since the last change of its record.
+#[test]
+fn time_since_a_member_reported_its_end_is_known() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        store.put("members/a", b"ok");
+        let directory = open(&store);
+        let name = MemberName::from("a");
+        wait().await;
+        assert_eq!(directory.draining_for(&name), None);
+        store.put("members/a", b"draining");
+        sleep(Duration::from_secs(1)).await;
+        store.delete("members/a");
+        sleep(Duration::from_secs(1)).await;
+        store.put("members/a", b"draining");
+        sleep(Duration::from_secs(1)).await;
+        let span = directory.draining_for(&name).expect("it leaves");
+        assert!(span > Duration::from_millis(2_900), "{span:?}");
+        store.put("members/a", b"ok");
+        wait().await;
+        assert_eq!(directory.draining_for(&name), None);
+    });
+}
+
+/// Guards against a state that is passed on as the newest one although changes are
+/// missing in it.
+#[test]
+fn state_of_a_silent_watch_grows_old() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        let directory = open(&store);
+        directory.set_coordinator(true);
+        sleep(Duration::from_secs(4)).await;
+        let age = || directory.changes_since(Revision(0)).map(|known| known.age);
+        assert!(age().is_some_and(|age| age < Duration::from_millis(700)));
+        store.silence_watches();
+        store.put("members/a", b"ok");
+        sleep(Duration::from_millis(1_400)).await;
+        assert!(directory.record("members/a").is_none());
+        assert!(age().is_some_and(|age| age > Duration::from_secs(1)));
+    });
+}
+
 /// Guards against records that come back: a peer that lags behind sends one that has
 /// been deleted meanwhile.
 #[test]
--- a/crates/burdockslip_entry/src/changes.rs
+++ b/crates/burdockslip_entry/src/changes.rs
@@ -73,8 +73,9 @@
                 relays.avoid(relay);
             }
             let changes = follow(&client, &holder, revision, FOLLOW_TIMEOUT).await?;
-            // A former coordinator relays what it knows, which may be old.
-            ensure!(changes.age.is_zero(), ErrorKind::Conflict);
+            // A former coordinator relays what it knows, and the watch of a coordinator
+            // may be silent.
+            ensure!(changes.age < MAX_RELAYED_AGE, ErrorKind::Conflict);
             Ok(changes)
         }
         .boxed_local()
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -112,12 +112,9 @@
     }
 
     fn current_changes(&self, revision: Revision) -> Result<Changes> {
-        let Some(mut changes) = self.directory.changes_since(revision) else {
+        let Some(changes) = self.directory.changes_since(revision) else {
             bail!(ErrorKind::NoFreshData);
         };
-        if self.duty.confirmed_token().is_some() {
-            changes.age = Duration::ZERO;
-        }
         ensure!(changes.age < MAX_RELAYED_AGE, ErrorKind::NoFreshData);
         Ok(changes)
     }
--- a/crates/burdockslip_entry/src/relay.rs
+++ b/crates/burdockslip_entry/src/relay.rs
@@ -16,10 +16,11 @@
 /// The size of a fleet up to which all hosts follow the coordinator directly.
 const MAX_DIRECT_HOSTS: usize = 40;
 
-/// The age from which changes of a relay are rejected. A relay that is itself cut off
-/// would otherwise keep its zone on an old state. A relay that follows another one
-/// adds the second that a request may wait.
-pub const MAX_RELAYED_AGE: Duration = Duration::from_millis(2_300);
+/// The age from which changes of a peer are rejected. A relay that is itself cut off, or
+/// a coordinator whose watch is silent, would otherwise keep others on an old state. The
+/// coordinator's state is up to 0.7 s old, and each relay adds the second that a request
+/// may wait.
+pub const MAX_RELAYED_AGE: Duration = Duration::from_secs(3);
 
 /// The part of a host's link that replies with changes may occupy, so that tokens and
 /// proofs are not queued behind them.
--- a/crates/burdockslip_failover/src/witness.rs
+++ b/crates/burdockslip_failover/src/witness.rs
@@ -114,7 +114,7 @@
                 task_shared.proof_wanted.notify();
             }
             Err(error) => {
-                info!(group = %task_group, %replica, ?error, "no connection to a replica kept")
+                info!(group = %task_group, %replica, ?error, "no connection to a replica kept");
             }
         }
         task_shared.member_checks.borrow_mut().remove(&task_group);
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -34,6 +34,11 @@
 /// to 1.3 s old.
 const REFRESH_AGE: Duration = Duration::from_millis(900);
 
+/// How long a primary is used after its planned end became known. A member that leaves
+/// must get nothing 7 s after its report, and a host with silent connections learns of
+/// the report up to 4.5 s later. The coordinator usually replaces it long before.
+const DRAINING_LIMIT: Duration = Duration::from_secs(2);
+
 /// The pause before the primary is looked up again.
 const PRIMARY_PAUSE: Duration = Duration::from_millis(10);
 
@@ -45,9 +50,14 @@
     pub(crate) floor: Option<LogPosition>,
 }
 
-/// Returns the primary of the route's group if this host has the permission to use it.
+/// Returns the primary of the route's group if this host has the permission to use it and
+/// it is not about to exit.
 pub(crate) fn primary(cx: &Context, route: &Route) -> Option<Target> {
     let name = cx.permission.primary(&route.group)?;
+    let draining_for = cx.directory.draining_for(&name);
+    if draining_for.is_some_and(|span| span > DRAINING_LIMIT) {
+        return None;
+    }
     let member = cx.directory.member(&name)?;
     Some(Target {
         pool: cx.pools.pool(&member),
--- a/crates/burdockslip_store/src/memory.rs
+++ b/crates/burdockslip_store/src/memory.rs
@@ -67,6 +67,8 @@
     pub(crate) disconnected: BTreeSet<String>,
     pub(crate) calls: CallCounts,
     pub(crate) generation: u64,
+    /// The number of watches, in the order of opening, that deliver nothing any more.
+    pub(crate) silenced: u64,
     entries: BTreeMap<String, Stored>,
     leases: BTreeMap<LeaseId, Lease>,
     last_lease: i64,
@@ -124,6 +126,12 @@
         self.notify();
     }
 
+    /// Makes all watches that are open now deliver nothing any more, without an error.
+    pub fn silence_watches(&self) {
+        let mut state = self.state.borrow_mut();
+        state.silenced = state.calls.watches;
+    }
+
     /// Breaks all watches that are open now.
     pub fn drop_watches(&self) {
         self.state.borrow_mut().generation += 1;
--- a/crates/burdockslip_store/src/watching.rs
+++ b/crates/burdockslip_store/src/watching.rs
@@ -17,13 +17,17 @@
     after: Revision,
     index: usize,
     generation: u64,
+    /// The number of watches that were opened up to this one.
+    number: u64,
     progress_due: Instant,
     is_broken: bool,
 }
 
 impl Cursor {
     pub(crate) fn new(store: MemoryStore, client: &str, prefix: String, after: Revision) -> Self {
-        let generation = store.state().borrow().generation;
+        let state = store.state().borrow();
+        let (generation, number) = (state.generation, state.calls.watches);
+        drop(state);
         Self {
             store,
             client: client.to_owned(),
@@ -31,6 +35,7 @@
             after,
             index: 0,
             generation,
+            number,
             progress_due: now() + PROGRESS_PERIOD,
             is_broken: false,
         }
@@ -60,7 +65,7 @@
             self.is_broken = true;
             return Some(Err(broken()));
         }
-        if state.disconnected.contains(&self.client) {
+        if state.disconnected.contains(&self.client) || self.number <= state.silenced {
             self.progress_due = now() + PROGRESS_PERIOD;
             return None;
         }
