session: do not blame clients for what a member answers to a host

Cause: a connection that another member answered was reported as RouteDenied, the kind for an organisation that may not use a route, and sessions passed on whatever kind a pool returned; the platform's code for it is UNAUTH.

--- a/crates/burdockslip_upstream/src/connection.rs
+++ b/crates/burdockslip_upstream/src/connection.rs
@@ -56,9 +56,9 @@
     ///
     /// # Errors
     ///
-    /// Returns `ConnectionLost` if the member cannot be reached, `QueueFull` if
-    /// it is busy or has no connection left, `RouteDenied` if another member
-    /// answers, and `Protocol` if the reply is unexpected.
+    /// Returns `ConnectionLost` if the member cannot be reached or another member
+    /// answers, `QueueFull` if it is busy or has no connection left, and `Protocol` if
+    /// the reply is unexpected.
     pub async fn open(
         codec: Codec,
         member: Rc<Member>,
@@ -95,7 +95,9 @@
             MemberMessage::Failed(MemberError::TooManyConnections | MemberError::Busy) => {
                 bail!(ErrorKind::QueueFull)
             }
-            MemberMessage::Failed(MemberError::WrongMember) => bail!(ErrorKind::RouteDenied),
+            MemberMessage::Failed(MemberError::WrongMember) => {
+                bail!(Report::new(ErrorKind::ConnectionLost).attach("another member answers"))
+            }
             message => bail!(Report::new(ErrorKind::Protocol).attach(format!("{message:?}"))),
         }
     }
