failover: end the wait for permissions when all hosts know of the change

Change: hosts report at once which changes of primary they know of, and the wait ends when every host that may have a permission has done so. These are the registered hosts, read again then, and those registered or heard in the last 6 s.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -178,7 +178,13 @@
                 "grounds for answering reports changed"
             );
         }
-        self.supervisor.report(host.clone(), report.suspects);
+        let HostReport {
+            suspects,
+            changing,
+            demands,
+            wants_positions,
+        } = report;
+        self.supervisor.report(host.clone(), suspects, changing);
         self.last_reports.record(host);
         let view = self.fleet_view();
         let mut allocator_slot = self.allocator.borrow_mut();
@@ -187,13 +193,7 @@
         allocator_slot.take_if(|(token, _)| *token != role.token);
         let (_, allocator) =
             allocator_slot.get_or_insert_with(|| (role.token, Allocator::new(self.rate_slack)));
-        let grants = allocator.grant(
-            host,
-            &report.demands,
-            &view.limits,
-            &view.hosts,
-            role.is_interim,
-        );
+        let grants = allocator.grant(host, &demands, &view.limits, &view.hosts, role.is_interim);
         let age = self.directory.configuration_age();
         Ok(ReportReply {
             grants,
@@ -201,7 +201,7 @@
             suspected: self.supervisor.suspected(),
             permission: self.permission.lease_proof_age(),
             group_proofs: self.permission.group_proof_ages(),
-            positions: if report.wants_positions {
+            positions: if wants_positions {
                 self.recent_positions()
             } else {
                 Vec::new()
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -147,7 +147,12 @@
         let evicting = eviction::run(directory.clone(), duty.clone(), host.clone(), reports);
         let tasks = [
             spawn(evicting),
-            spawn(registration::run(directory, host.clone(), own)),
+            spawn(registration::run(
+                directory,
+                cx.permission.clone(),
+                host.clone(),
+                own,
+            )),
             spawn(positions::run(Rc::clone(&cx), duty.clone())),
             spawn(report::run(Rc::clone(&cx), host, coordinator, peers)),
             spawn(maintain(
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -15,6 +15,9 @@
 pub struct HostReport {
     /// The members that the host suspects to be lost.
     pub suspects: Vec<MemberName>,
+    /// The groups of which the host knows that their primary is being replaced, with the
+    /// terms at which their members are stopped.
+    pub changing: Vec<(GroupName, Term)>,
     /// The demand of the host for operations of each organisation.
     pub demands: Vec<Demand>,
     /// Whether the host requests the log positions of primaries.
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -9,7 +9,7 @@
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
 use burdockslip_shares::DemandScope;
-use burdockslip_types::{ErrorKind, HostId, MemberName, PeerClient, Revision};
+use burdockslip_types::{ErrorKind, GroupName, HostId, MemberName, PeerClient, Revision, Term};
 use futures::future::select;
 use tracing::{debug, info};
 
@@ -31,8 +31,13 @@
 /// members.
 const URGENT_PERIOD: Duration = Duration::from_millis(8);
 
-/// How often the suspected members are compared with the reported ones.
-const SUSPECTS_PERIOD: Duration = Duration::from_millis(100);
+/// How often the suspected members and the changes of primaries are compared with the
+/// reported ones.
+const COMPARE_PERIOD: Duration = Duration::from_millis(100);
+
+/// The most hosts of a fleet in which each of them reports at once that it knows of a
+/// change of primary.
+const MAX_ANNOUNCING_HOSTS: usize = 60;
 
 /// The timeout of a request to a peer for the record of the coordinator.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
@@ -44,6 +49,10 @@
 /// replicas. Commits normally take up to 100 ms.
 const COMMIT_LIMIT: Duration = Duration::from_millis(700);
 
+/// What the last report said: the suspected members, and the groups whose primary is being
+/// replaced.
+type State = (Vec<MemberName>, Vec<(GroupName, Term)>);
+
 /// Whether the current coordinator has answered the last report, so that unchanged
 /// demands are not sent again.
 #[derive(Debug, Default)]
@@ -59,7 +68,7 @@
     let client: PeerClient<ReportExchange> = peers.client();
     let mut last_full = None;
     let mut last_error = None;
-    let mut suspected = Vec::new();
+    let mut sent_state: State;
     let mut delivery = Delivery::default();
     loop {
         let sent = now();
@@ -72,7 +81,8 @@
         let period = period(hosts);
         cx.limiter.borrow_mut().set_host_count(hosts);
         let suspects = cx.pools.suspects(COMMIT_LIMIT);
-        suspected.clone_from(&suspects);
+        let changing = cx.permission.changing();
+        sent_state = (suspects.clone(), changing.clone());
         // Between the regular reports, only urgent demands are sent.
         let is_full = last_full.is_none_or(|at: Instant| at.elapsed() >= period);
         if is_full {
@@ -92,6 +102,7 @@
         };
         let report = HostReport {
             suspects,
+            changing,
             demands: cx.limiter.borrow_mut().demands(scope),
             wants_positions: is_full,
         };
@@ -127,7 +138,7 @@
         cx.tokens_granted.notify();
         sleep_until(sent + URGENT_PERIOD).await;
         let next = last_full.unwrap_or(sent) + period;
-        wait_until_urgent(&cx, seen, &suspected, next).await;
+        wait_until_urgent(&cx, seen, &sent_state, next).await;
     }
 }
 
@@ -165,11 +176,15 @@
 }
 
 /// Waits until there is something urgent to report, at most until `until`.
-async fn wait_until_urgent(cx: &Context, seen: u64, known: &[MemberName], until: Instant) {
+async fn wait_until_urgent(cx: &Context, seen: u64, known: &State, until: Instant) {
+    // In large fleets the regular reports of all hosts keep the coordinator busy.
+    let announces_changes = cx.directory.count(keys::HOSTS) <= MAX_ANNOUNCING_HOSTS;
     while !until.is_past() {
-        let pause = sleep(SUSPECTS_PERIOD.min(until.remaining()));
+        let pause = sleep(COMPARE_PERIOD.min(until.remaining()));
         select(Box::pin(cx.tokens_low.changed(seen)), pause).await;
-        let is_urgent = cx.tokens_low.epoch() != seen || cx.pools.suspects(COMMIT_LIMIT) != known;
+        let is_urgent = cx.tokens_low.epoch() != seen
+            || cx.pools.suspects(COMMIT_LIMIT) != known.0
+            || announces_changes && cx.permission.changing() != known.1;
         if is_urgent {
             return;
         }
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -13,11 +13,11 @@
 use std::time::Duration;
 
 use burdockslip_directory::Member;
-use burdockslip_runtime::{Instant, now, sleep, sleep_until, timeout_at};
+use burdockslip_runtime::{Instant, now, sleep};
 use burdockslip_statement::{Command, MemberStatus};
 use burdockslip_store::with_timeout;
 use burdockslip_types::{GroupName, MemberName, Result, Term};
-use futures::future::join;
+use futures::future::{Either, join, select};
 use tracing::{info, warn};
 
 use crate::PERMISSION_TTL;
@@ -73,6 +73,8 @@
     fenced: Instant,
     /// The first moment at which all replicas on this roster had been stopped.
     whole: Option<(Vec<Rc<Member>>, Instant)>,
+    /// When all hosts were found to know of the change, after that moment.
+    withdrawn: Option<Instant>,
     /// When the latest reload of the members' records was started.
     reloaded: Option<Instant>,
 }
@@ -130,9 +132,12 @@
                     && let Some(member) = best(&round.replicas, &round.statuses)
                     && self.are_still_stopped(&round.replicas, held).await
                 {
+                    let expiry = progress.expiry().unwrap_or(expiry);
                     return Ok(Choice { member, expiry });
                 }
-                contact = self.wait_for_expiry(&round, expiry).await;
+                contact = self
+                    .wait_for_expiry(group, &round, &mut progress, expiry)
+                    .await;
                 continue;
             }
             contact = Contact::All;
@@ -146,26 +151,44 @@
         }
     }
 
-    /// Waits until permissions have expired, or until the old primary has stepped down;
-    /// returns the members to contact next.
-    async fn wait_for_expiry(&self, round: &Round, expiry: Instant) -> Contact {
-        if expiry.is_past() {
+    /// Waits until no host uses the old primary, or until it has stepped down; returns the
+    /// members to contact next.
+    async fn wait_for_expiry(
+        &self,
+        group: &GroupName,
+        round: &Round,
+        progress: &mut Progress,
+        expiry: Instant,
+    ) -> Contact {
+        if progress.has_expired() {
             sleep(ROUND_PAUSE).await;
             return Contact::Replicas;
         }
-        let next = expiry.min(now() + EXPIRY_PAUSE);
-        // Replicas that have restarted are stopped again.
-        let stop = Command::Suspend(round.held);
-        let calls = join(
-            self.step_down(&round.primary, round.held),
-            self.control_all(&round.replicas, &stop),
-        );
-        match timeout_at(expiry, calls).await {
-            Ok((primary, _)) if !primary.is_empty() => Contact::All,
-            _ => {
-                sleep_until(next).await;
+        let withdrawn = Box::pin(self.wait_until_withdrawn(group, round.held, expiry));
+        let stepped_down = Box::pin(self.wait_for_step_down(round));
+        match select(withdrawn, stepped_down).await {
+            Either::Left(_) => {
+                progress.withdrawn = Some(now());
                 Contact::Replicas
             }
+            Either::Right(_) => Contact::All,
+        }
+    }
+
+    /// Contacts the old primary until it has stepped down, and stops replicas again that
+    /// have restarted.
+    async fn wait_for_step_down(&self, round: &Round) {
+        let stop = Command::Suspend(round.held);
+        loop {
+            sleep(EXPIRY_PAUSE).await;
+            let calls = join(
+                self.step_down(&round.primary, round.held),
+                self.control_all(&round.replicas, &stop),
+            );
+            let (primary, _) = calls.await;
+            if !primary.is_empty() {
+                return;
+            }
         }
     }
 
@@ -258,6 +281,7 @@
         Self {
             fenced,
             whole: None,
+            withdrawn: None,
             reloaded: None,
         }
     }
@@ -265,7 +289,9 @@
     /// Starts over if the roster has changed, since a new replica may have been the proof
     /// of a host that the old primary is still valid.
     fn check_roster(&mut self, roster: &[Rc<Member>]) {
-        self.whole.take_if(|(known, _)| known != roster);
+        if self.whole.take_if(|(known, _)| known != roster).is_some() {
+            self.withdrawn = None;
+        }
     }
 
     /// Records that all replicas on a roster were stopped at `moment`; returns when no
@@ -284,7 +310,11 @@
 
     fn expiry(&self) -> Option<Instant> {
         let (_, since) = self.whole.as_ref()?;
-        Some(self.expiry_after(*since))
+        let expiry = self.expiry_after(*since);
+        Some(
+            self.withdrawn
+                .map_or(expiry, |withdrawn| withdrawn.min(expiry)),
+        )
     }
 
     /// Returns whether no host may use the old primary any more.
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -63,6 +63,8 @@
     on_replicas: RefCell<HashSet<GroupName>>,
     /// The queries to members in progress.
     pub(crate) member_checks: RefCell<HashMap<GroupName, Task<()>>>,
+    /// Since when this host has been registered; `None` while it is not.
+    registered_since: Cell<Option<Instant>>,
     /// Notified when a proof of the lease is wanted before the last one gets old.
     pub(crate) proof_wanted: Signal,
     /// Whether the last renewal succeeded, for log lines on a change.
@@ -88,6 +90,7 @@
             group_proofs: RefCell::default(),
             on_replicas: RefCell::default(),
             member_checks: RefCell::default(),
+            registered_since: Cell::default(),
             proof_wanted: Signal::default(),
             is_store_reachable: Cell::new(true),
             is_coordinator: Cell::new(false),
@@ -182,9 +185,33 @@
         (self.primary(group).as_ref() == Some(member)).then_some(position)
     }
 
+    /// Returns the groups whose primary is being replaced, with the terms at which their
+    /// members are stopped. The coordinator learns from them that this host does not use
+    /// the old primaries.
+    pub fn changing(&self) -> Vec<(GroupName, Term)> {
+        let Some(configuration) = self.shared.directory.configuration() else {
+            return Vec::new();
+        };
+        let held = |group: &GroupName| Some((group.clone(), self.shared.record(group)?.held?));
+        configuration.groups.keys().filter_map(held).collect()
+    }
+
+    /// Sets since when this host has been registered, or `None` if it is not. Without a
+    /// registration the coordinator does not know that the host may use a primary, so
+    /// permissions have to be newer.
+    pub fn set_registered(&self, since: Option<Instant>) {
+        self.shared.registered_since.set(since);
+        if since.is_some() {
+            self.shared.proof_wanted.notify();
+        }
+    }
+
     fn is_proved(&self, group: &GroupName) -> bool {
+        let Some(registered) = self.shared.registered_since.get() else {
+            return false;
+        };
         self.proof(group)
-            .is_some_and(|proof| proof.age() < PERMISSION_TTL)
+            .is_some_and(|proof| proof.at >= registered && proof.age() < PERMISSION_TTL)
     }
 }
 
@@ -353,15 +380,18 @@
         } else {
             RENEW_AGE
         };
+        let pause = RENEW_TICK.min(limit / 2);
         // Without a lease there is nothing to renew; the watch will deliver its record.
-        let lease = shared.fence();
+        let Some(lease) = shared.fence() else {
+            sleep(pause).await;
+            continue;
+        };
         let is_wanted = shared.proof_wanted.epoch() != seen;
-        let Some(lease) = lease.filter(|_| is_wanted || !shared.has_lease_proof(limit)) else {
-            let wanted = shared.proof_wanted.changed(seen);
+        if !is_wanted && shared.has_lease_proof(limit) {
             // The loop looks at the signal again.
-            let _ = timeout(RENEW_TICK.min(limit / 2), wanted).await;
+            let _ = timeout(pause, shared.proof_wanted.changed(seen)).await;
             continue;
-        };
+        }
         seen = shared.proof_wanted.epoch();
         match timeout(RENEW_TIMEOUT, shared.renew_or_reload(lease)).await {
             Ok(Ok(sent)) => {
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -1,23 +1,23 @@
 //! Replaces the primary of a group.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use burdockslip_directory::{Directory, Member};
-use burdockslip_runtime::{now, sleep, sleep_until, timeout};
+use burdockslip_runtime::{Instant, now, sleep, timeout};
 use burdockslip_statement::{Command, MemberStatus};
 use burdockslip_store::{Compare, Entry, Operation, Txn, with_timeout};
-use burdockslip_types::{ErrorKind, GroupName, MemberName, Result, Revision, Term};
+use burdockslip_types::{ErrorKind, GroupName, HostId, MemberName, Result, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::{Report, bail, ensure};
 use futures::future::{LocalBoxFuture, join_all};
 use tracing::{info, warn};
 
-use crate::records::{self, GroupRecord, keys};
+use crate::records::{self, GroupRecord, RemovedHosts, keys};
 use crate::roster::merge;
-use crate::{Duty, Tenure};
+use crate::{Duty, Tenure, Withdrawals};
 
 /// The timeout of a control command to a member.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -36,6 +36,9 @@
 /// The pause between attempts, and between status queries to the new primary.
 const STEP_PAUSE: Duration = Duration::from_millis(40);
 
+/// The pause between checks of the reports of hosts.
+const WITHDRAWAL_PAUSE: Duration = Duration::from_millis(10);
+
 /// How long the chosen member may take to become primary.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -65,6 +68,8 @@
     pub(crate) promote: PromoteFn,
     /// The number of consecutive orders that failed.
     pub(crate) failed_orders: Rc<Cell<u32>>,
+    /// Which hosts know of the changes in progress.
+    pub(crate) withdrawals: Rc<RefCell<Withdrawals>>,
 }
 
 impl Promotion {
@@ -90,7 +95,7 @@
         let choice = self.choose_member(group, &record, held, fenced).await?;
         let chosen = choice.member;
         let term = self.order_promotion(group, &chosen, record.term).await?;
-        sleep_until(choice.expiry).await;
+        self.wait_until_withdrawn(group, held, choice.expiry).await;
         let record = GroupRecord {
             primary: chosen.name.clone(),
             address: chosen.address,
@@ -99,6 +104,7 @@
             held: None,
         };
         self.write(group, &record, revision).await?;
+        self.withdrawals.borrow_mut().finish(group);
         info!(
             %group,
             old = %old,
@@ -225,6 +231,50 @@
         self.duty.tenure().ok_or_else(lost)
     }
 
+    /// Records the hosts that are registered, or whose registrations were removed,
+    /// according to the directory.
+    pub(crate) fn record_registered(&self) {
+        let entries = self.directory.records(keys::HOSTS);
+        let name = |entry: &Entry| entry.key.strip_prefix(keys::HOSTS).map(HostId::from);
+        let hosts = entries.iter().filter_map(name);
+        let removed = self.directory.record(keys::REMOVED);
+        let removed = removed.and_then(|entry| RemovedHosts::read(&entry.value).ok());
+        let removed = removed.unwrap_or_default().hosts;
+        let mut withdrawals = self.withdrawals.borrow_mut();
+        withdrawals.record_registered(hosts, removed);
+    }
+
+    /// Waits until no host uses the old primary of a group: until all permissions have
+    /// expired, or all hosts have reported that they know of the change.
+    pub(crate) async fn wait_until_withdrawn(
+        &self,
+        group: &GroupName,
+        held: Term,
+        expiry: Instant,
+    ) {
+        if expiry.is_past() {
+            return;
+        }
+        let is_complete = || self.withdrawals.borrow().is_complete(group, held);
+        while !expiry.is_past() {
+            if is_complete() {
+                // Hosts may have registered without an event of the watch so far.
+                let refresh = self.directory.refresh(keys::ROOT);
+                if with_timeout(STORE_TIMEOUT, refresh).await.is_ok() {
+                    self.record_registered();
+                    if is_complete() {
+                        info!(%group, held = held.0, "all hosts know of the change of primary");
+                        return;
+                    }
+                }
+            }
+            sleep(WITHDRAWAL_PAUSE.min(expiry.remaining())).await;
+        }
+        let unconfirmed = self.withdrawals.borrow().unconfirmed(group, held);
+        let names: Vec<_> = unconfirmed.iter().map(HostId::as_str).collect();
+        info!(%group, held = held.0, unconfirmed = names.join(" "), "all permissions have expired");
+    }
+
     /// Sends a control command to members concurrently; returns the status of those
     /// that answered.
     pub(crate) async fn control_all(
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -9,7 +9,7 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
 use burdockslip_store::Entry;
-use burdockslip_types::{GroupName, HostId, MemberName, Result};
+use burdockslip_types::{GroupName, HostId, MemberName, Result, Term};
 use burdockslip_upstream::Pools;
 use tracing::{debug, info, warn};
 
@@ -20,7 +20,8 @@
 /// How often the groups are checked.
 const TICK: Duration = Duration::from_millis(60);
 
-/// How often the fence, the lease behind all permissions, is checked, in ticks.
+/// How often the fence, the lease behind all permissions, and the registered hosts are
+/// checked, in ticks.
 const FENCE_TICKS: u32 = 8;
 
 /// How long a change of primary may take to replace the fence, which takes four
@@ -62,6 +63,7 @@
                 duty,
                 promote,
                 failed_orders: Rc::default(),
+                withdrawals: Rc::default(),
             },
             votes: RefCell::default(),
             changes: RefCell::default(),
@@ -74,8 +76,16 @@
         }
     }
 
-    /// Records which members a host cannot reach.
-    pub fn report(&self, host: HostId, suspects: Vec<MemberName>) {
+    /// Records which members a host cannot reach, and of which groups it knows that the
+    /// primary is being replaced.
+    pub fn report(
+        &self,
+        host: HostId,
+        suspects: Vec<MemberName>,
+        changing: Vec<(GroupName, Term)>,
+    ) {
+        let mut withdrawals = self.shared.promotion.withdrawals.borrow_mut();
+        withdrawals.record_report(&host, changing);
         self.shared.votes.borrow_mut().record(host, suspects);
     }
 
@@ -101,8 +111,12 @@
             shared.updates.borrow_mut().clear();
             shared.receiving.borrow_mut().clear();
             shared.votes.borrow_mut().reset();
+            shared.promotion.withdrawals.borrow_mut().clear();
             continue;
         }
+        if ticks.is_multiple_of(FENCE_TICKS) {
+            shared.promotion.record_registered();
+        }
         if shared.leave_minority() {
             continue;
         }
--- /dev/null
+++ b/crates/burdockslip_failover/src/withdrawals.rs
@@ -0,0 +1,80 @@
+//! Tracks which hosts know that a primary is being replaced.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, now};
+use burdockslip_types::{GroupName, HostId, Term};
+
+/// How long after it was last registered, or last reported, a host may still use a
+/// primary. A host whose registration was removed learns of it within 5 s and stops.
+const HOST_SPAN: Duration = Duration::from_secs(6);
+
+/// The hosts that may have a permission, and the changes that each of them has reported
+/// to know; a host that knows of a change does not use the old primary.
+///
+/// A host uses permissions only if they are newer than its registration, so no host is
+/// missing here after the registrations were read; see `docs/platform.md`, "Promotion".
+#[derive(Debug, Default)]
+pub struct Withdrawals {
+    /// When the tenure started.
+    since: Option<Instant>,
+    /// When each host was last registered or reported.
+    hosts: HashMap<HostId, Instant>,
+    confirmed: HashMap<(GroupName, Term), HashSet<HostId>>,
+}
+
+impl Withdrawals {
+    /// Forgets everything, at the end of a tenure.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Records the hosts that are registered, and those whose registrations were removed.
+    /// Has to be called regularly during a tenure.
+    ///
+    /// Removals before the tenure may have been recent. Those during the tenure are known
+    /// from the registrations.
+    pub fn record_registered(
+        &mut self,
+        hosts: impl IntoIterator<Item = HostId>,
+        removed: impl IntoIterator<Item = HostId>,
+    ) {
+        let moment = now();
+        let since = *self.since.get_or_insert(moment);
+        for host in removed {
+            self.hosts.entry(host).or_insert(since);
+        }
+        self.hosts
+            .extend(hosts.into_iter().map(|host| (host, moment)));
+        self.hosts.retain(|_, seen| seen.elapsed() < HOST_SPAN);
+    }
+
+    /// Records the report of a host, with the groups of which it knows that their primary
+    /// is being replaced and the terms at which members are stopped.
+    pub fn record_report(&mut self, host: &HostId, changing: Vec<(GroupName, Term)>) {
+        self.hosts.insert(host.clone(), now());
+        for change in changing {
+            let hosts = self.confirmed.entry(change).or_default();
+            hosts.insert(host.clone());
+        }
+    }
+
+    /// Returns whether no host uses the old primary of a group whose members are being
+    /// stopped at `held`.
+    pub fn is_complete(&self, group: &GroupName, held: Term) -> bool {
+        !self.hosts.is_empty() && self.unconfirmed(group, held).is_empty()
+    }
+
+    /// Returns the hosts that have not reported that they know of a change.
+    pub fn unconfirmed(&self, group: &GroupName, held: Term) -> Vec<HostId> {
+        let confirmed = self.confirmed.get(&(group.clone(), held));
+        let is_missing = |host: &&HostId| confirmed.is_none_or(|hosts| !hosts.contains(*host));
+        self.hosts.keys().filter(is_missing).cloned().collect()
+    }
+
+    /// Forgets the confirmations of a change that has ended.
+    pub fn finish(&mut self, group: &GroupName) {
+        self.confirmed.retain(|(known, _), _| known != group);
+    }
+}
--- /dev/null
+++ b/crates/burdockslip_failover/tests/withdrawals.rs
@@ -0,0 +1,87 @@
+//! Tests when a change of primary may assume that no host uses the old one.
+
+use std::time::Duration;
+
+use burdockslip_failover::Withdrawals;
+use burdockslip_runtime::{paused, sleep};
+use burdockslip_types::{GroupName, HostId, Term};
+
+fn host(name: &str) -> HostId {
+    HostId::from(name)
+}
+
+fn group() -> GroupName {
+    GroupName::from("ledger")
+}
+
+fn change(held: u64) -> Vec<(GroupName, Term)> {
+    vec![(group(), Term(held))]
+}
+
+/// Runs a tenure in which `a` and `b` are registered for longer than a host may use a
+/// primary without a registration.
+async fn start() -> Withdrawals {
+    let mut withdrawals = Withdrawals::default();
+    for _ in 0..14 {
+        withdrawals.record_registered([host("a"), host("b")], []);
+        sleep(Duration::from_millis(500)).await;
+    }
+    withdrawals
+}
+
+/// Guards against an order to promote while a host has not learned of the change, or has
+/// learned of an earlier one only.
+#[test]
+fn every_registered_host_has_to_know_of_the_change() {
+    paused::run(1, async {
+        let mut withdrawals = start().await;
+        withdrawals.record_report(&host("a"), change(7));
+        assert!(!withdrawals.is_complete(&group(), Term(7)));
+        withdrawals.record_report(&host("b"), change(6));
+        assert!(!withdrawals.is_complete(&group(), Term(7)));
+        withdrawals.record_report(&host("b"), change(7));
+        assert!(withdrawals.is_complete(&group(), Term(7)));
+        withdrawals.record_registered([host("a"), host("b"), host("c")], []);
+        assert!(!withdrawals.is_complete(&group(), Term(7)));
+    });
+}
+
+/// Guards against an order to promote while a host uses the old primary whose
+/// registration has just been removed, or which reports without one.
+#[test]
+fn hosts_without_a_registration_count_for_some_time() {
+    paused::run(1, async {
+        let mut withdrawals = start().await;
+        withdrawals.record_report(&host("c"), Vec::new());
+        withdrawals.record_registered([host("a")], []);
+        for name in ["a", "c"] {
+            withdrawals.record_report(&host(name), change(7));
+        }
+        sleep(Duration::from_secs(5)).await;
+        withdrawals.record_registered([host("a")], []);
+        assert!(!withdrawals.is_complete(&group(), Term(7)));
+        sleep(Duration::from_secs(2)).await;
+        withdrawals.record_registered([host("a")], []);
+        assert!(withdrawals.is_complete(&group(), Term(7)));
+    });
+}
+
+/// Guards against a coordinator that does not know of hosts whose registrations its
+/// predecessor has removed.
+#[test]
+fn removals_before_the_tenure_count_for_some_time() {
+    paused::run(1, async {
+        let mut withdrawals = Withdrawals::default();
+        withdrawals.record_registered([host("a")], [host("b")]);
+        withdrawals.record_report(&host("a"), change(7));
+        assert!(!withdrawals.is_complete(&group(), Term(7)));
+        sleep(Duration::from_secs(5)).await;
+        withdrawals.record_registered([host("a")], [host("b")]);
+        assert!(!withdrawals.is_complete(&group(), Term(7)));
+        sleep(Duration::from_secs(2)).await;
+        withdrawals.record_registered([host("a")], [host("b")]);
+        assert!(withdrawals.is_complete(&group(), Term(7)));
+        withdrawals.clear();
+        assert!(!withdrawals.is_complete(&group(), Term(7)));
+    });
+}
