failover: follow registrations instead of listing removed hosts

A host whose lease could not be renewed for 28 s stopped using primaries, which a store outage of 17 s is enough for; and the list of removed hosts is one more record for what every host can see.

Change: every host records the registered hosts at all times, so a new coordinator knows those whose registrations have ended in the last 6 s, and ends no wait early before it has recorded for that long. The list and the limit of 28 s are gone.

Tests: burdockslip_failover::withdrawals:: registrations_that_ended_before_the_tenure_count_for_some_time; the tests of promotion, failover, path, registration and roster pass.

--- a/crates/burdockslip_entry/src/eviction.rs
+++ b/crates/burdockslip_entry/src/eviction.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Directory;
-use burdockslip_failover::{Duty, RemovedHosts, keys};
+use burdockslip_failover::{Duty, keys};
 use burdockslip_runtime::{Instant, now, sleep};
 use burdockslip_store::{Compare, Entry, Operation, Txn, with_timeout};
 use burdockslip_types::{HostId, Revision};
@@ -23,9 +23,8 @@
 const CHECK_PERIOD: Duration = Duration::from_secs(1);
 
 /// The most registrations that are removed in one call; each takes two of the 32
-/// entries that a transaction of the platform's store may have, and so does the list of
-/// the hosts that were removed.
-const MAX_REMOVED: usize = 15;
+/// entries that a transaction of the platform's store may have.
+const MAX_REMOVED: usize = 16;
 
 /// The timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -111,25 +110,10 @@
         .iter()
         .map(|(host, revision)| Compare::Revision(key(host), *revision));
     let operations = silent.iter().map(|(host, _)| Operation::Delete(key(host)));
-    let mut txn = Txn {
+    let txn = Txn {
         compares: compares.collect(),
         operations: operations.collect(),
     };
-    let known = directory.record(keys::REMOVED);
-    let known_revision = known.as_ref().map_or(Revision(0), |entry| entry.revision);
-    let removed = known.and_then(|entry| RemovedHosts::read(&entry.value).ok());
-    let mut removed = removed.unwrap_or_default();
-    for (host, _) in &silent {
-        removed.push(host.clone());
-    }
-    let Ok(value) = removed.write() else {
-        return;
-    };
-    // The next coordinator has to know the hosts that may not have learned of this.
-    let list = keys::REMOVED.to_owned();
-    txn.compares
-        .push(Compare::Revision(list.clone(), known_revision));
-    txn.operations.push(Operation::Put(list, value, None));
     let outcome = with_timeout(CALL_TIMEOUT, directory.store().txn(txn)).await;
     let names: Vec<_> = silent.iter().map(|(host, _)| host.as_str()).collect();
     info!(
--- a/crates/burdockslip_entry/src/registration.rs
+++ b/crates/burdockslip_entry/src/registration.rs
@@ -8,7 +8,7 @@
 
 use burdockslip_directory::Directory;
 use burdockslip_failover::{Permission, Registration, keys};
-use burdockslip_runtime::{Instant, now, sleep, timeout_at};
+use burdockslip_runtime::{now, sleep, timeout_at};
 use burdockslip_store::{Entry, LeaseId, Operation, Txn, with_timeout};
 use burdockslip_types::{ErrorKind, HostId, Result};
 use error_stack::ensure;
@@ -22,9 +22,6 @@
 /// How often the lease is renewed, twice within its TTL.
 const RENEW_PERIOD: Duration = Duration::from_secs(12);
 
-/// How long after its last renewal the lease counts as alive.
-const LEASE_LIMIT: Duration = Duration::from_secs(28);
-
 /// The timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -40,12 +37,11 @@
 ) {
     let mut lease = None;
     loop {
-        let sent = now();
         match register(&directory, &host, &own, lease).await {
             Ok(used) => {
                 info!(lease = used.0, "host registered");
                 permission.set_registered(Some(now()));
-                lease = renew_until_lost(&directory, &host, used, sent)
+                lease = renew_until_lost(&directory, &host, used)
                     .await
                     .then_some(used);
                 permission.set_registered(None);
@@ -93,32 +89,21 @@
 
 /// Renews the lease until the record is gone. Returns whether the lease may still be
 /// used: the coordinator removes the record of a host that it does not hear.
-async fn renew_until_lost(
-    directory: &Directory,
-    host: &HostId,
-    lease: LeaseId,
-    registered: Instant,
-) -> bool {
-    let mut renewed = registered;
+async fn renew_until_lost(directory: &Directory, host: &HostId, lease: LeaseId) -> bool {
     let mut next = now() + RENEW_PERIOD;
     loop {
-        if renewed.elapsed() > LEASE_LIMIT {
-            return true;
-        }
         let seen = directory.changed().epoch();
         if directory.record(&key(host)).is_none() {
             return true;
         }
-        let until = next.min(renewed + LEASE_LIMIT);
-        let _ = timeout_at(until, directory.changed().changed(seen)).await;
+        let _ = timeout_at(next, directory.changed().changed(seen)).await;
         if !next.is_past() {
             continue;
         }
-        let sent = now();
-        next = sent + RENEW_PERIOD;
+        next = now() + RENEW_PERIOD;
         match with_timeout(CALL_TIMEOUT, directory.store().keep_lease(lease)).await {
             Ok(left) if left.is_zero() => return false,
-            Ok(_) => renewed = sent,
+            Ok(_) => {}
             // The lease may still be alive: only an answer of the store proves that
             // it has ended.
             Err(error) => info!(
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -21,7 +21,7 @@
 pub use permission::{PERMISSION_TTL, Permission};
 pub use promotion::{PromoteFn, PromotionReply};
 pub use proof::{Proof, ProofSource};
-pub use records::{GroupRecord, Registration, RemovedHosts, keys};
+pub use records::{GroupRecord, Registration, keys};
 pub use supervisor::Supervisor;
 pub use votes::Votes;
 pub use withdrawals::Withdrawals;
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -15,7 +15,7 @@
 use futures::future::{LocalBoxFuture, join_all};
 use tracing::{info, warn};
 
-use crate::records::{self, GroupRecord, RemovedHosts, keys};
+use crate::records::{self, GroupRecord, keys};
 use crate::roster::merge;
 use crate::{Duty, Tenure, Withdrawals};
 
@@ -231,17 +231,12 @@
         self.duty.tenure().ok_or_else(lost)
     }
 
-    /// Records the hosts that are registered, or whose registrations were removed,
-    /// according to the directory.
+    /// Records the hosts that are registered according to the directory.
     pub(crate) fn record_registered(&self) {
         let entries = self.directory.records(keys::HOSTS);
         let name = |entry: &Entry| entry.key.strip_prefix(keys::HOSTS).map(HostId::from);
         let hosts = entries.iter().filter_map(name);
-        let removed = self.directory.record(keys::REMOVED);
-        let removed = removed.and_then(|entry| RemovedHosts::read(&entry.value).ok());
-        let removed = removed.unwrap_or_default().hosts;
-        let mut withdrawals = self.withdrawals.borrow_mut();
-        withdrawals.record_registered(hosts, removed);
+        self.withdrawals.borrow_mut().record_registered(hosts);
     }
 
     /// Waits until no host uses the old primary of a group: until all permissions have
@@ -259,7 +254,7 @@
         while !expiry.is_past() {
             if is_complete() {
                 // Hosts may have registered without an event of the watch so far.
-                let refresh = self.directory.refresh(keys::ROOT);
+                let refresh = self.directory.refresh(keys::HOSTS);
                 if with_timeout(STORE_TIMEOUT, refresh).await.is_ok() {
                     self.record_registered();
                     if is_complete() {
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use burdockslip_directory::Member;
-use burdockslip_types::{ErrorKind, HostId, MemberName, Result, Term, Zone, domain};
+use burdockslip_types::{ErrorKind, MemberName, Result, Term, Zone, domain};
 use error_stack::ResultExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -11,9 +11,6 @@
 /// The maximum size of a decoded record, in bytes, the limit of the store's values.
 const RECORD_LIMIT: usize = 1 << 20;
 
-/// The maximum number of hosts in the list of those whose registrations were removed.
-const MAX_REMOVED_HOSTS: usize = 256;
-
 /// The keys of the records in the store.
 pub mod keys {
     use burdockslip_types::GroupName;
@@ -22,8 +19,6 @@
     pub const ROOT: &str = "burdockslip/";
     /// The prefix of the hosts' registrations, each under the host's lease.
     pub const HOSTS: &str = "burdockslip/hosts/";
-    /// The key of the list of hosts whose registrations were removed.
-    pub const REMOVED: &str = "burdockslip/removed";
     /// The key of the duty: the record of the coordinator, attached to its lease.
     pub const DUTY: &str = "burdockslip/duty";
     /// The key of the fence: the ID of a lease that all hosts renew. Revoking this
@@ -54,14 +49,6 @@
         pub held: Option<Term>,
     }
 
-    /// The hosts whose registrations coordinators have removed, newest last. They may not
-    /// have learned of it yet.
-    #[derive(Default)]
-    pub struct RemovedHosts {
-        /// The names of the hosts.
-        pub hosts: Vec<HostId>,
-    }
-
     /// The record with which a host announces itself to its peers.
     pub struct Registration {
         /// The address at which peers connect.
@@ -112,34 +99,6 @@
     }
 }
 
-impl RemovedHosts {
-    /// Decodes a record from the store.
-    ///
-    /// # Errors
-    ///
-    /// Returns `Protocol` if the bytes are not such a list.
-    pub fn read(bytes: &[u8]) -> Result<Self> {
-        decode(bytes)
-    }
-
-    /// Adds a host; the oldest ones make room.
-    pub fn push(&mut self, host: HostId) {
-        self.hosts.retain(|known| *known != host);
-        self.hosts.push(host);
-        let surplus = self.hosts.len().saturating_sub(MAX_REMOVED_HOSTS);
-        self.hosts.drain(..surplus);
-    }
-
-    /// Encodes the record for the store.
-    ///
-    /// # Errors
-    ///
-    /// Returns `Internal` if the record cannot be encoded.
-    pub fn write(&self) -> Result<Vec<u8>> {
-        encode(self)
-    }
-}
-
 impl Registration {
     /// Decodes a record from the store.
     ///
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -20,10 +20,12 @@
 /// How often the groups are checked.
 const TICK: Duration = Duration::from_millis(60);
 
-/// How often the fence, the lease behind all permissions, and the registered hosts are
-/// checked, in ticks.
+/// How often the fence, the lease behind all permissions, is checked, in ticks.
 const FENCE_TICKS: u32 = 8;
 
+/// How often the registered hosts are recorded, by every host.
+const REGISTERED_PERIOD: Duration = Duration::from_millis(500);
+
 /// How long a change of primary may take to replace the fence, which takes four
 /// calls to the store.
 const FENCE_SPAN: Duration = Duration::from_secs(3);
@@ -104,19 +106,21 @@
 
 async fn run(shared: Rc<Shared>) {
     let mut ticks = 0_u32;
+    let mut registered_at = None;
     loop {
         sleep(TICK).await;
+        if registered_at.is_none_or(|at: Instant| at.elapsed() >= REGISTERED_PERIOD) {
+            registered_at = Some(now());
+            shared.promotion.record_registered();
+        }
         if shared.promotion.duty.tenure().is_none() {
             shared.changes.borrow_mut().clear();
             shared.updates.borrow_mut().clear();
             shared.receiving.borrow_mut().clear();
             shared.votes.borrow_mut().reset();
-            shared.promotion.withdrawals.borrow_mut().clear();
+            shared.promotion.withdrawals.borrow_mut().end_tenure();
             continue;
         }
-        if ticks.is_multiple_of(FENCE_TICKS) {
-            shared.promotion.record_registered();
-        }
         if shared.leave_minority() {
             continue;
         }
--- a/crates/burdockslip_failover/src/withdrawals.rs
+++ b/crates/burdockslip_failover/src/withdrawals.rs
@@ -13,11 +13,13 @@
 /// The hosts that may have a permission, and the changes that each of them has reported
 /// to know; a host that knows of a change does not use the old primary.
 ///
-/// A host uses permissions only if they are newer than its registration, so no host is
-/// missing here after the registrations were read; see `docs/platform.md`, "Promotion".
+/// Registrations are followed by every host at all times, so that a new coordinator knows
+/// the hosts whose registrations have just ended. A host uses only permissions that are
+/// newer than its registration, so none is missing here after the registrations were read
+/// again; see `docs/platform.md`, "Promotion".
 #[derive(Debug, Default)]
 pub struct Withdrawals {
-    /// When the tenure started.
+    /// Since when registrations have been followed.
     since: Option<Instant>,
     /// When each host was last registered or reported.
     hosts: HashMap<HostId, Instant>,
@@ -25,26 +27,15 @@
 }
 
 impl Withdrawals {
-    /// Forgets everything, at the end of a tenure.
-    pub fn clear(&mut self) {
-        *self = Self::default();
+    /// Forgets what hosts have reported, at the end of a tenure.
+    pub fn end_tenure(&mut self) {
+        self.confirmed.clear();
     }
 
-    /// Records the hosts that are registered, and those whose registrations were removed.
-    /// Has to be called regularly during a tenure.
-    ///
-    /// Removals before the tenure may have been recent. Those during the tenure are known
-    /// from the registrations.
-    pub fn record_registered(
-        &mut self,
-        hosts: impl IntoIterator<Item = HostId>,
-        removed: impl IntoIterator<Item = HostId>,
-    ) {
+    /// Records the hosts that are registered. Has to be called regularly.
+    pub fn record_registered(&mut self, hosts: impl IntoIterator<Item = HostId>) {
         let moment = now();
-        let since = *self.since.get_or_insert(moment);
-        for host in removed {
-            self.hosts.entry(host).or_insert(since);
-        }
+        self.since.get_or_insert(moment);
         self.hosts
             .extend(hosts.into_iter().map(|host| (host, moment)));
         self.hosts.retain(|_, seen| seen.elapsed() < HOST_SPAN);
@@ -63,7 +54,8 @@
     /// Returns whether no host uses the old primary of a group whose members are being
     /// stopped at `held`.
     pub fn is_complete(&self, group: &GroupName, held: Term) -> bool {
-        !self.hosts.is_empty() && self.unconfirmed(group, held).is_empty()
+        let is_followed = self.since.is_some_and(|since| since.elapsed() >= HOST_SPAN);
+        is_followed && self.unconfirmed(group, held).is_empty()
     }
 
     /// Returns the hosts that have not reported that they know of a change.
--- a/crates/burdockslip_failover/tests/withdrawals.rs
+++ b/crates/burdockslip_failover/tests/withdrawals.rs
@@ -23,7 +23,7 @@
 async fn start() -> Withdrawals {
     let mut withdrawals = Withdrawals::default();
     for _ in 0..14 {
-        withdrawals.record_registered([host("a"), host("b")], []);
+        withdrawals.record_registered([host("a"), host("b")]);
         sleep(Duration::from_millis(500)).await;
     }
     withdrawals
@@ -41,7 +41,7 @@
         assert!(!withdrawals.is_complete(&group(), Term(7)));
         withdrawals.record_report(&host("b"), change(7));
         assert!(withdrawals.is_complete(&group(), Term(7)));
-        withdrawals.record_registered([host("a"), host("b"), host("c")], []);
+        withdrawals.record_registered([host("a"), host("b"), host("c")]);
         assert!(!withdrawals.is_complete(&group(), Term(7)));
     });
 }
@@ -53,35 +53,38 @@
     paused::run(1, async {
         let mut withdrawals = start().await;
         withdrawals.record_report(&host("c"), Vec::new());
-        withdrawals.record_registered([host("a")], []);
+        withdrawals.record_registered([host("a")]);
         for name in ["a", "c"] {
             withdrawals.record_report(&host(name), change(7));
         }
         sleep(Duration::from_secs(5)).await;
-        withdrawals.record_registered([host("a")], []);
+        withdrawals.record_registered([host("a")]);
         assert!(!withdrawals.is_complete(&group(), Term(7)));
         sleep(Duration::from_secs(2)).await;
-        withdrawals.record_registered([host("a")], []);
+        withdrawals.record_registered([host("a")]);
         assert!(withdrawals.is_complete(&group(), Term(7)));
     });
 }
 
-/// Guards against a coordinator that does not know of hosts whose registrations its
-/// predecessor has removed.
+/// Guards against a coordinator that does not know of hosts whose registrations ended
+/// before its own start, or before its tenure.
 #[test]
-fn removals_before_the_tenure_count_for_some_time() {
+fn registrations_that_ended_before_the_tenure_count_for_some_time() {
     paused::run(1, async {
         let mut withdrawals = Withdrawals::default();
-        withdrawals.record_registered([host("a")], [host("b")]);
+        withdrawals.record_registered([host("a")]);
         withdrawals.record_report(&host("a"), change(7));
-        assert!(!withdrawals.is_complete(&group(), Term(7)));
         sleep(Duration::from_secs(5)).await;
-        withdrawals.record_registered([host("a")], [host("b")]);
         assert!(!withdrawals.is_complete(&group(), Term(7)));
         sleep(Duration::from_secs(2)).await;
-        withdrawals.record_registered([host("a")], [host("b")]);
-        assert!(withdrawals.is_complete(&group(), Term(7)));
-        withdrawals.clear();
-        assert!(!withdrawals.is_complete(&group(), Term(7)));
+        withdrawals.record_registered([host("a"), host("b")]);
+        withdrawals.end_tenure();
+        withdrawals.record_report(&host("a"), change(8));
+        sleep(Duration::from_secs(5)).await;
+        withdrawals.record_registered([host("a")]);
+        assert!(!withdrawals.is_complete(&group(), Term(8)));
+        sleep(Duration::from_secs(2)).await;
+        withdrawals.record_registered([host("a")]);
+        assert!(withdrawals.is_complete(&group(), Term(8)));
     });
 }
