--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -158,18 +158,18 @@
                 heard = now();
             }
             Ok(Some(Err(error))) => return Err(error),
-            Ok(None) => return Err(missed("watch ended")),
+            Ok(None) => return Err(dead_watch("watch ended")),
             Err(_) if shared.recency.is_behind() => {
-                return Err(missed("watch misses changes that a read has shown"));
+                return Err(dead_watch("watch misses changes that a read has shown"));
             }
             Err(_) if !is_coordinator => return Ok(()),
-            Err(_) if heard.elapsed() > WATCH_SILENCE => return Err(missed("watch timed out")),
+            Err(_) if heard.elapsed() > WATCH_SILENCE => return Err(dead_watch("watch timed out")),
             Err(_) => {}
         }
     }
 }
 
-fn missed(reason: &'static str) -> Report<ErrorKind> {
+fn dead_watch(reason: &'static str) -> Report<ErrorKind> {
     Report::new(ErrorKind::StoreUnavailable).attach(reason)
 }
 
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -51,7 +51,7 @@
 
 /// What the last report said: the suspected members, and the groups whose primary is being
 /// replaced.
-type State = (Vec<MemberName>, Vec<(GroupName, Term)>);
+type Announced = (Vec<MemberName>, Vec<(GroupName, Term)>);
 
 /// Whether the current coordinator has answered the last report, so that unchanged
 /// demands are not sent again.
@@ -68,7 +68,7 @@
     let client: PeerClient<ReportExchange> = peers.client();
     let mut last_full = None;
     let mut last_error = None;
-    let mut sent_state: State;
+    let mut announced: Announced;
     let mut delivery = Delivery::default();
     loop {
         let sent = now();
@@ -82,7 +82,7 @@
         cx.limiter.borrow_mut().set_host_count(hosts);
         let suspects = cx.pools.suspects(COMMIT_LIMIT);
         let changing = cx.permission.changing();
-        sent_state = (suspects.clone(), changing.clone());
+        announced = (suspects.clone(), changing.clone());
         // Between the regular reports, only urgent demands are sent.
         let is_full = last_full.is_none_or(|at: Instant| at.elapsed() >= period);
         if is_full {
@@ -138,7 +138,7 @@
         cx.tokens_granted.notify();
         sleep_until(sent + URGENT_PERIOD).await;
         let next = last_full.unwrap_or(sent) + period;
-        wait_until_urgent(&cx, seen, &sent_state, next).await;
+        wait_until_urgent(&cx, seen, &announced, next).await;
     }
 }
 
@@ -176,7 +176,7 @@
 }
 
 /// Waits until there is something urgent to report, at most until `until`.
-async fn wait_until_urgent(cx: &Context, seen: u64, known: &State, until: Instant) {
+async fn wait_until_urgent(cx: &Context, seen: u64, known: &Announced, until: Instant) {
     // In large fleets the regular reports of all hosts keep the coordinator busy.
     let announces_changes = cx.directory.count(keys::HOSTS) <= MAX_ANNOUNCING_HOSTS;
     while !until.is_past() {
