upstream: return only errors that a pool may give to clients

Cause: found by reading the change as a whole.

Change: a pool returns QueueFull or ConnectionLost and nothing else.

--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -141,21 +141,10 @@
         .await;
     connection.map_err(|report| {
         debug!(id = job.id(), member = %pool.member().name, error = ?report, "no connection available");
-        SendError::NotSent(acquire_kind(*report.current_context()))
+        SendError::NotSent(*report.current_context())
     })
 }
 
-/// Maps the error of a pool to the error that the client gets.
-///
-/// A member that refuses this host, or answers something unknown, says nothing about the
-/// client: errors that blame the client come only from the checks of its own request.
-const fn acquire_kind(error: ErrorKind) -> ErrorKind {
-    match error {
-        ErrorKind::QueueFull => ErrorKind::QueueFull,
-        _ => ErrorKind::ConnectionLost,
-    }
-}
-
 /// Runs a statement outside transactions.
 ///
 /// Without a floor, the member must be the primary, and this host must have the
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -9,7 +9,7 @@
 use burdockslip_runtime::{Instant, Signal, timeout};
 use burdockslip_statement::Codec;
 use burdockslip_types::{ErrorKind, Organisation, Result};
-use error_stack::bail;
+use error_stack::{Report, bail};
 
 use crate::{ConnectPacer, Connection, Health, SessionState};
 
@@ -122,9 +122,10 @@
     ///
     /// # Errors
     ///
-    /// Returns `QueueFull` if no connection becomes available in time or opening is
-    /// paused, `ConnectionLost` if a new one does not open in time, and the errors
-    /// of [`Connection::open`].
+    /// Returns `QueueFull` if no connection becomes available in time, the member is busy
+    /// or opening is paused, and `ConnectionLost` if a new one does not open. No other
+    /// kind is returned: callers pass it on to clients, and what a member answers to this
+    /// host says nothing about them.
     pub async fn acquire(
         self: &Rc<Self>,
         organisation: &Organisation,
@@ -191,7 +192,7 @@
                     }
                     _ => self.health.mark_suspected(),
                 }
-                Err(report)
+                Err(into_pool_error(report))
             }
             Err(_) => {
                 if limit == CONNECT_TIMEOUT {
@@ -276,6 +277,14 @@
     }
 }
 
+/// Maps an error of opening a connection to one that a pool may return.
+fn into_pool_error(report: Report<ErrorKind>) -> Report<ErrorKind> {
+    match report.current_context() {
+        ErrorKind::QueueFull | ErrorKind::ConnectionLost => report,
+        _ => report.change_context(ErrorKind::ConnectionLost),
+    }
+}
+
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
 struct OpenGuard(Rc<MemberPool>);
