--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -68,7 +68,6 @@
     let client: PeerClient<ReportExchange> = peers.client();
     let mut last_full = None;
     let mut last_error = None;
-    let mut announced: Announced;
     let mut delivery = Delivery::default();
     loop {
         let sent = now();
@@ -82,7 +81,7 @@
         cx.limiter.borrow_mut().set_host_count(hosts);
         let suspects = cx.pools.suspects(COMMIT_LIMIT);
         let changing = cx.permission.changing();
-        announced = (suspects.clone(), changing.clone());
+        let announced = (suspects.clone(), changing.clone());
         // Between the regular reports, only urgent demands are sent.
         let is_full = last_full.is_none_or(|at: Instant| at.elapsed() >= period);
         if is_full {
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -20,15 +20,11 @@
 use futures::future::{Either, join, select};
 use tracing::{info, warn};
 
-use crate::PERMISSION_TTL;
+use crate::OrderGate;
 use crate::promotion::{Promotion, STORE_TIMEOUT};
 use crate::records::GroupRecord;
 use crate::roster::join as join_names;
 
-/// Added to the TTL of permissions, because the clocks of hosts run at slightly
-/// different rates.
-const PERMISSION_MARGIN: Duration = Duration::from_millis(50);
-
 /// How long a change of primary waits for members before it logs a warning.
 const WAIT_WARNING: Duration = Duration::from_secs(5);
 
@@ -42,7 +38,7 @@
 #[derive(Debug)]
 pub(crate) struct Choice {
     pub(crate) member: Rc<Member>,
-    /// When the permissions have expired that rested on the replies of members.
+    /// When no host uses the old primary any more.
     pub(crate) expiry: Instant,
 }
 
@@ -67,18 +63,6 @@
     ended: Instant,
 }
 
-/// What the rounds of a change have established so far.
-struct Progress {
-    /// When the permissions of all hosts were withdrawn.
-    fenced: Instant,
-    /// The first moment at which all replicas on this roster had been stopped.
-    whole: Option<(Vec<Rc<Member>>, Instant)>,
-    /// When all hosts were found to know of the change, after that moment.
-    withdrawn: Option<Instant>,
-    /// When the latest reload of the members' records was started.
-    reloaded: Option<Instant>,
-}
-
 impl Promotion {
     /// Stops the members of a group and chooses the one to promote; `fenced` is when the
     /// permissions of all hosts were withdrawn.
@@ -95,24 +79,24 @@
         let started = now();
         let mut has_warned = false;
         let mut contact = Contact::PrimaryFirst;
-        let mut progress = Progress::new(fenced);
+        let mut gate = OrderGate::new(fenced);
         loop {
             self.tenure()?;
             let began = now();
             let roster = self.roster(record, group);
-            progress.check_roster(&roster);
-            let has_expired = progress.has_expired();
-            let needs_reload = progress.needs_reload();
+            gate.check_roster(&roster);
+            let has_expired = gate.has_expired();
+            let needs_reload = gate.needs_reload();
             let reload = async { needs_reload && self.reload_members().await };
             let round = self.run_round(record, &roster, held, contact);
             let (round, is_reloaded) = join(round, reload).await;
             if is_reloaded {
-                progress.reloaded = Some(began);
+                gate.record_reload(began);
             }
             round.log(group, has_expired);
             if let Some(member) = round.promoted(record.term) {
                 info!(%group, member = %member.name, "member already promoted by an earlier order");
-                let expiry = progress.expiry_after(round.ended);
+                let expiry = gate.expiry_after(round.ended);
                 return Ok(Choice { member, expiry });
             }
             let is_unchanged = self.roster(record, group) == roster;
@@ -122,22 +106,19 @@
                     .are_still_stopped(&round.primary, Term::default())
                     .await
             {
-                let expiry = progress.expiry_after(round.ended);
+                let expiry = gate.expiry_after(round.ended);
                 return Ok(Choice { member, expiry });
             }
             if round.is_whole() && is_unchanged {
-                let expiry = progress.record_whole(roster, round.ended);
+                let expiry = gate.record_stopped(roster, round.ended);
                 if has_expired
-                    && !progress.needs_reload()
+                    && !gate.needs_reload()
                     && let Some(member) = best(&round.replicas, &round.statuses)
                     && self.are_still_stopped(&round.replicas, held).await
                 {
-                    let expiry = progress.expiry().unwrap_or(expiry);
                     return Ok(Choice { member, expiry });
                 }
-                contact = self
-                    .wait_for_expiry(group, &round, &mut progress, expiry)
-                    .await;
+                contact = self.wait_for_expiry(group, &round, &mut gate, expiry).await;
                 continue;
             }
             contact = Contact::All;
@@ -157,10 +138,10 @@
         &self,
         group: &GroupName,
         round: &Round,
-        progress: &mut Progress,
+        gate: &mut OrderGate,
         expiry: Instant,
     ) -> Contact {
-        if progress.has_expired() {
+        if gate.has_expired() {
             sleep(ROUND_PAUSE).await;
             return Contact::Replicas;
         }
@@ -168,7 +149,7 @@
         let stepped_down = Box::pin(self.wait_for_step_down(round));
         match select(withdrawn, stepped_down).await {
             Either::Left(_) => {
-                progress.withdrawn = Some(now());
+                gate.record_withdrawn(now());
                 Contact::Replicas
             }
             Either::Right(_) => Contact::All,
@@ -276,63 +257,6 @@
     }
 }
 
-impl Progress {
-    const fn new(fenced: Instant) -> Self {
-        Self {
-            fenced,
-            whole: None,
-            withdrawn: None,
-            reloaded: None,
-        }
-    }
-
-    /// Starts over if the roster has changed, since a new replica may have been the proof
-    /// of a host that the old primary is still valid.
-    fn check_roster(&mut self, roster: &[Rc<Member>]) {
-        if self.whole.take_if(|(known, _)| known != roster).is_some() {
-            self.withdrawn = None;
-        }
-    }
-
-    /// Records that all replicas on a roster were stopped at `moment`; returns when no
-    /// host may use the old primary any more.
-    fn record_whole(&mut self, roster: Vec<Rc<Member>>, moment: Instant) -> Instant {
-        let (_, since) = self.whole.get_or_insert((roster, moment));
-        let since = *since;
-        self.expiry_after(since)
-    }
-
-    /// Returns when the permissions expire that rest on the fence, or on the reply of a
-    /// member before `moment`.
-    fn expiry_after(&self, moment: Instant) -> Instant {
-        self.fenced.max(moment) + PERMISSION_TTL + PERMISSION_MARGIN
-    }
-
-    fn expiry(&self) -> Option<Instant> {
-        let (_, since) = self.whole.as_ref()?;
-        let expiry = self.expiry_after(*since);
-        Some(
-            self.withdrawn
-                .map_or(expiry, |withdrawn| withdrawn.min(expiry)),
-        )
-    }
-
-    /// Returns whether no host may use the old primary any more.
-    fn has_expired(&self) -> bool {
-        self.expiry().is_some_and(Instant::is_past)
-    }
-
-    /// Returns whether the members' records have to be reloaded: once at the start, and
-    /// once after all permissions have expired.
-    fn needs_reload(&self) -> bool {
-        let is_due = |reloaded: Instant| {
-            self.expiry()
-                .is_some_and(|expiry| expiry.is_past() && reloaded < expiry)
-        };
-        self.reloaded.is_none_or(is_due)
-    }
-}
-
 impl Round {
     /// Returns the replicas that have not reported that they are stopped.
     fn missing(&self) -> impl Iterator<Item = &MemberName> {
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod choice;
 mod duty;
+mod order_gate;
 mod permission;
 mod promotion;
 mod proof;
@@ -18,6 +19,7 @@
 mod witness;
 
 pub use duty::{CoordinatorRole, Duty, Tenure};
+pub use order_gate::OrderGate;
 pub use permission::{PERMISSION_TTL, Permission};
 pub use promotion::{PromoteFn, PromotionReply};
 pub use proof::{Proof, ProofSource};
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -61,8 +61,8 @@
     /// The groups whose newest proof is based on a replica, and for which this was
     /// logged.
     on_replicas: RefCell<HashSet<GroupName>>,
-    /// The queries to members in progress.
-    pub(crate) member_checks: RefCell<HashMap<GroupName, Task<()>>>,
+    /// The tasks that open a connection to a replica or query members, one for a group.
+    pub(crate) member_tasks: RefCell<HashMap<GroupName, Task<()>>>,
     /// Since when this host has been registered; `None` while it is not.
     registered_since: Cell<Option<Instant>>,
     /// Notified when a proof of the lease is wanted before the last one gets old.
@@ -89,7 +89,7 @@
             lease_proof: RefCell::default(),
             group_proofs: RefCell::default(),
             on_replicas: RefCell::default(),
-            member_checks: RefCell::default(),
+            member_tasks: RefCell::default(),
             registered_since: Cell::default(),
             proof_wanted: Signal::default(),
             is_store_reachable: Cell::new(true),
--- a/crates/burdockslip_failover/src/witness.rs
+++ b/crates/burdockslip_failover/src/witness.rs
@@ -92,7 +92,7 @@
 /// Hosts whose share of the members' connections is below one have none to spare; they
 /// depend on the proofs of the coordinator, which always keeps a connection.
 fn keep_connection(shared: &Rc<Shared>, group: &GroupName, record: &GroupRecord) -> bool {
-    if shared.member_checks.borrow().contains_key(group) {
+    if shared.member_tasks.borrow().contains_key(group) {
         return false;
     }
     let replicas = replicas(shared, group, &record.primary);
@@ -117,15 +117,15 @@
                 info!(group = %task_group, %replica, ?error, "no connection to a replica kept");
             }
         }
-        task_shared.member_checks.borrow_mut().remove(&task_group);
+        task_shared.member_tasks.borrow_mut().remove(&task_group);
     });
-    let mut checks = shared.member_checks.borrow_mut();
-    checks.insert(group.clone(), task);
+    let mut tasks = shared.member_tasks.borrow_mut();
+    tasks.insert(group.clone(), task);
     false
 }
 
 fn start_check(shared: &Rc<Shared>, group: &GroupName, record: &GroupRecord) {
-    if shared.member_checks.borrow().contains_key(group) {
+    if shared.member_tasks.borrow().contains_key(group) {
         return;
     }
     let Some(primary) = shared.directory.member(&record.primary) else {
@@ -134,10 +134,10 @@
     let (task_shared, task_group, term) = (Rc::clone(shared), group.clone(), record.term);
     let task = spawn(async move {
         check(&task_shared, &task_group, primary, term).await;
-        task_shared.member_checks.borrow_mut().remove(&task_group);
+        task_shared.member_tasks.borrow_mut().remove(&task_group);
     });
-    let mut checks = shared.member_checks.borrow_mut();
-    checks.insert(group.clone(), task);
+    let mut tasks = shared.member_tasks.borrow_mut();
+    tasks.insert(group.clone(), task);
 }
 
 /// Records a proof if the primary leads in the known term and a replica follows.
