--- /dev/null
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -0,0 +1,99 @@
+//! Tests when a host may use a primary.
+
+use std::time::Duration;
+
+use burdockslip_directory::{Configuration, Directory, GroupConfig, Schema};
+use burdockslip_failover::{GroupRecord, Permission};
+use burdockslip_runtime::{now, paused, sleep};
+use burdockslip_statement::Codec;
+use burdockslip_store::{Faults, MemoryStore};
+use burdockslip_telemetry::Metrics;
+use burdockslip_types::{ErrorKind, GroupName, MemberName, Term};
+use burdockslip_upstream::Pools;
+use error_stack::Report;
+use serde::Serialize;
+
+const SCHEMA: Schema = Schema {
+    configuration: "config",
+    members: "members/",
+    read_configuration: |_| {
+        let mut configuration = Configuration::default();
+        let config = GroupConfig {
+            name: group(),
+            connections: 42,
+        };
+        configuration.groups.insert(group(), config);
+        Ok(configuration)
+    },
+    read_member: |_, _| Err(Report::new(ErrorKind::InvalidInput)),
+};
+
+/// No member is contacted.
+const CODEC: Codec = Codec {
+    read_client: |_| Ok(None),
+    write_greeting: |_, _| {},
+    write_response: |_, _| {},
+    write_command: |_, _| {},
+    read_member: |_| Ok(None),
+    read_status: |_| Err(Report::new(ErrorKind::Protocol)),
+};
+
+fn group() -> GroupName {
+    GroupName::from("ledger")
+}
+
+fn encode(record: &impl Serialize) -> Vec<u8> {
+    bincode::serde::encode_to_vec(record, bincode::config::standard()).expect("it can be encoded")
+}
+
+/// Returns a store with a group whose primary is `i-1`, and with a fence.
+async fn store() -> MemoryStore {
+    let store = MemoryStore::new();
+    let record = GroupRecord {
+        primary: MemberName::from("i-1"),
+        address: ([127, 0, 0, 1], 1).into(),
+        term: Term(1),
+        roster: Vec::new(),
+        held: None,
+    };
+    let client = store.client("test");
+    let lease = client.grant_lease(Duration::from_mins(10)).await;
+    let lease = lease.expect("the store answers");
+    store.put("config", b"");
+    store.put("burdockslip/groups/ledger", &encode(&record));
+    store.put("burdockslip/fence", &encode(&lease));
+    store
+}
+
+/// Guards against an order to promote that does not wait for a host: the coordinator knows
+/// of a permission only if it is newer than the registration of the host.
+#[test]
+fn permission_is_newer_than_the_registration() {
+    paused::run(1, async {
+        let store = store().await;
+        let directory = Directory::spawn(store.client("host"), SCHEMA);
+        let pools = Pools::spawn(CODEC, directory.clone());
+        let metrics = Metrics::new().expect("the metrics can be registered");
+        let permission = Permission::spawn(directory, pools, metrics);
+        let primary = || permission.primary(&group());
+        sleep(Duration::from_secs(1)).await;
+        assert!(permission.proof(&group()).is_some());
+        assert_eq!(primary(), None, "not registered");
+
+        let down = Faults {
+            is_down: true,
+            ..Faults::default()
+        };
+        store.set_faults(down);
+        permission.set_registered(Some(now()));
+        for _ in 0..10 {
+            sleep(Duration::from_millis(50)).await;
+            assert_eq!(primary(), None, "all proofs are older");
+        }
+        store.set_faults(Faults::default());
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(primary(), Some(MemberName::from("i-1")));
+        permission.set_registered(None);
+        assert_eq!(primary(), None);
+    });
+}
