--- a/review/stand-ins-2/src/edge.rs
+++ b/review/stand-ins-2/src/edge.rs
@@ -77,6 +77,11 @@
         Self { name: name.to_owned(), settings, front: at(0), ready: at(1), child }
     }
 
+    /// Returns the process id.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the resident memory in bytes; zero if the process has ended.
     pub fn memory(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
