failover: exclude members in steps, and ask for receipts while any is excluded

Cause: a silent member left the roster once a replica held what the primary held at that moment.

Change: the record lists a member as excluded; the fence is replaced; the member leaves only after every host that may have a permission has reported that it knows this record, and a replica that stays holds all that the primary held after that. While a group has excluded members, a host passes a commit on after a replica on the roster has shown that it holds it. Excluded members prove no permissions; proofs of a coordinator carry the revision of the record.

--- a/crates/burdockslip_directory/src/member.rs
+++ b/crates/burdockslip_directory/src/member.rs
@@ -35,3 +35,11 @@
         pub born: u64,
     }
 }
+
+impl Member {
+    /// Returns whether two records are from the same run of a member. The log of a member
+    /// is that of its run: a member that starts again under its name may hold nothing.
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.name == other.name && self.address == other.address && self.born == other.born
+    }
+}
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -181,10 +181,12 @@
         let HostReport {
             suspects,
             changing,
+            excluding,
             demands,
             wants_positions,
         } = report;
-        self.supervisor.report(host.clone(), suspects, changing);
+        self.supervisor
+            .report(host.clone(), suspects, changing, excluding);
         self.last_reports.record(host);
         let view = self.fleet_view();
         let mut allocator_slot = self.allocator.borrow_mut();
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -18,6 +18,9 @@
     /// The groups of which the host knows that their primary is being replaced, with the
     /// terms at which their members are stopped.
     pub changing: Vec<(GroupName, Term)>,
+    /// The groups of which the host knows that members are excluded, with the revisions
+    /// of their records.
+    pub excluding: Vec<(GroupName, Revision)>,
     /// The demand of the host for operations of each organisation.
     pub demands: Vec<Demand>,
     /// Whether the host requests the log positions of primaries.
@@ -36,9 +39,9 @@
     pub suspected: Vec<MemberName>,
     /// The lease behind all permissions, and how long ago it was proved to be alive.
     pub permission: Option<(LeaseId, Duration)>,
-    /// The groups whose members confirmed the term, and how long ago they did; empty
-    /// while the store provides proofs.
-    pub group_proofs: Vec<(GroupName, Term, Duration)>,
+    /// The groups whose members confirmed the primary, with the revision of the record
+    /// and how long ago they did; empty while the store provides proofs.
+    pub group_proofs: Vec<(GroupName, Revision, Duration)>,
     /// The log positions of primaries, and how long ago they were queried.
     pub positions: Vec<(GroupName, LogPosition, Duration)>,
 }
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -102,6 +102,7 @@
         let report = HostReport {
             suspects,
             changing,
+            excluding: cx.permission.excluding(),
             demands: cx.limiter.borrow_mut().demands(scope),
             wants_positions: is_full,
         };
@@ -122,8 +123,9 @@
             if let Some((lease, age)) = reply.permission {
                 cx.permission.accept_lease_proof(lease, sent - age);
             }
-            for (group, term, age) in reply.group_proofs {
-                cx.permission.accept_group_proof(&group, term, sent - age);
+            for (group, revision, age) in reply.group_proofs {
+                cx.permission
+                    .accept_group_proof(&group, revision, sent - age);
             }
             for (group, position, age) in reply.positions {
                 cx.positions.record(&group, sent - age, position);
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod choice;
 mod duty;
+mod exclusion;
 mod order_gate;
 mod permission;
 mod promotion;
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -6,12 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::Directory;
+use burdockslip_directory::{Directory, Member};
 use burdockslip_runtime::{Instant, Signal, Task, now, sleep, spawn, timeout};
 use burdockslip_statement::MemberStatus;
 use burdockslip_store::LeaseId;
 use burdockslip_telemetry::Metrics;
-use burdockslip_types::{ErrorKind, GroupName, LogPosition, MemberName, Result, Term};
+use burdockslip_types::{ErrorKind, GroupName, LogPosition, MemberName, Result, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
 use tracing::{info, warn};
@@ -56,8 +56,9 @@
     metrics: Metrics,
     /// The newest proof that the lease behind all permissions was alive.
     lease_proof: RefCell<Option<Proof>>,
-    /// The newest proof of each group from its members, with the term they confirmed.
-    group_proofs: RefCell<HashMap<GroupName, (Term, Proof)>>,
+    /// The newest proof of each group from its members, with the revision of the record
+    /// whose primary they confirmed.
+    group_proofs: RefCell<HashMap<GroupName, (Revision, Proof)>>,
     /// The groups whose newest proof is based on a replica, and for which this was
     /// logged.
     on_replicas: RefCell<HashSet<GroupName>>,
@@ -140,10 +141,10 @@
         }
     }
 
-    /// Returns the groups with a valid proof from members, with the term and the
-    /// proof's age. The coordinator sends them to the other hosts while there is no
-    /// recent proof of the lease; otherwise the list is empty.
-    pub fn group_proof_ages(&self) -> Vec<(GroupName, Term, Duration)> {
+    /// Returns the groups with a valid proof from members, with the revision of the
+    /// group's record and the proof's age. The coordinator sends them to the other hosts
+    /// while there is no recent proof of the lease; otherwise the list is empty.
+    pub fn group_proof_ages(&self) -> Vec<(GroupName, Revision, Duration)> {
         let shared = &self.shared;
         let limit = shared.check_age();
         if shared.has_lease_proof(limit) {
@@ -152,18 +153,23 @@
         let proofs = shared.group_proofs.borrow();
         let ages = proofs
             .iter()
-            .map(|(group, (term, proof))| (group.clone(), *term, proof.age()));
+            .map(|(group, (revision, proof))| (group.clone(), *revision, proof.age()));
         ages.filter(|(_, _, age)| *age < PERMISSION_TTL).collect()
     }
 
-    /// Records the proof of a peer that the members of a group confirmed `term` at
-    /// `moment`. It is ignored if this host knows another term.
-    pub fn accept_group_proof(&self, group: &GroupName, term: Term, moment: Instant) {
-        let record = self.shared.record(group);
-        if record.is_some_and(|record| record.is_stable() && record.term == term) {
+    /// Records the proof of a peer that the members of a group confirmed the primary of
+    /// the record with `revision` at `moment`.
+    ///
+    /// It is ignored if this host knows another revision: an earlier one may have the same
+    /// primary, but not name the members that are excluded.
+    pub fn accept_group_proof(&self, group: &GroupName, revision: Revision, moment: Instant) {
+        if let Some((record, known)) = self.shared.record_and_revision(group)
+            && record.is_stable()
+            && known == revision
+        {
             let source = ProofSource::CoordinatorReplica;
             self.shared
-                .record_group_proof(group, term, moment, source, None);
+                .record_group_proof(group, &record, revision, moment, source, None);
         }
     }
 
@@ -196,6 +202,31 @@
         configuration.groups.keys().filter_map(held).collect()
     }
 
+    /// Returns the groups whose records exclude members, with the revisions of these
+    /// records. A member leaves the roster only after all hosts have reported this.
+    pub fn excluding(&self) -> Vec<(GroupName, Revision)> {
+        let Some(configuration) = self.shared.directory.configuration() else {
+            return Vec::new();
+        };
+        let revision = |group: &GroupName| {
+            let (record, revision) = self.shared.record_and_revision(group)?;
+            record.needs_receipts().then(|| (group.clone(), revision))
+        };
+        configuration.groups.keys().filter_map(revision).collect()
+    }
+
+    /// Returns the replicas of a group that can confirm the receipt of a commit, or `None`
+    /// if commits need no receipt. The list is empty if the group has no such replica.
+    pub fn confirming_replicas(&self, group: &GroupName) -> Option<Vec<Rc<Member>>> {
+        let record = self.shared.record(group)?;
+        if !record.needs_receipts() {
+            return None;
+        }
+        let mut members = self.shared.directory.members(group);
+        members.retain(|member| record.can_confirm(member));
+        Some(members)
+    }
+
     /// Sets since when this host has been registered, or `None` if it is not. Without a
     /// registration the coordinator does not know that the host may use a primary, so
     /// permissions have to be newer.
@@ -223,9 +254,13 @@
 
 impl Shared {
     pub(crate) fn record(&self, group: &GroupName) -> Option<GroupRecord> {
+        self.record_and_revision(group).map(|(record, _)| record)
+    }
+
+    pub(crate) fn record_and_revision(&self, group: &GroupName) -> Option<(GroupRecord, Revision)> {
         let entry = self.directory.record(&keys::group(group))?;
         match GroupRecord::read(&entry.value) {
-            Ok(record) => Some(record),
+            Ok(record) => Some((record, entry.revision)),
             Err(error) => {
                 warn!(%group, ?error, "group record unreadable");
                 None
@@ -261,7 +296,8 @@
     pub(crate) fn record_group_proof(
         &self,
         group: &GroupName,
-        term: Term,
+        record: &GroupRecord,
+        revision: Revision,
         moment: Instant,
         source: ProofSource,
         status: Option<&MemberStatus>,
@@ -271,12 +307,12 @@
         let mut proofs = self.group_proofs.borrow_mut();
         let known = proofs
             .entry(group.clone())
-            .or_insert_with(|| (term, proof.clone()));
+            .or_insert_with(|| (revision, proof.clone()));
         if known.1.at < moment {
-            *known = (term, proof);
+            *known = (revision, proof);
         }
         drop(proofs);
-        self.log_replica_proof(group, term, status);
+        self.log_replica_proof(group, record.term, status);
     }
 
     /// Logs the transition of a group to a proof based on a replica.
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -84,11 +84,11 @@
             .held
             .map_or(record.term, |held| held.max(record.term))
             .next();
-        let record = GroupRecord {
+        let mut record = GroupRecord {
             held: Some(held),
-            roster: merge(&record.roster, &self.directory.members(group)),
             ..record
         };
+        record.join(&self.directory.members(group));
         let revision = self.write(group, &record, entry.revision).await?;
         self.withdraw_permissions().await?;
         let fenced = now();
@@ -96,13 +96,14 @@
         let chosen = choice.member;
         let term = self.order_promotion(group, &chosen, record.term).await?;
         self.wait_until_withdrawn(group, held, choice.expiry).await;
-        let record = GroupRecord {
+        let mut record = GroupRecord {
             primary: chosen.name.clone(),
             address: chosen.address,
             term,
-            roster: merge(&record.roster, &self.directory.members(group)),
             held: None,
+            ..record
         };
+        record.join(&self.directory.members(group));
         self.write(group, &record, revision).await?;
         self.withdrawals.borrow_mut().finish(group);
         info!(
@@ -140,6 +141,7 @@
             address: member.address,
             term: status.term,
             roster: merge(&[], &members),
+            excluded: Vec::new(),
             held: None,
         };
         self.write(group, &record, Revision(0)).await?;
@@ -163,7 +165,7 @@
         self.replace_fence().await
     }
 
-    async fn withdraw_permissions(&self) -> Result<()> {
+    pub(crate) async fn withdraw_permissions(&self) -> Result<()> {
         let store = self.directory.store();
         if let Some(entry) = self.directory.record(keys::FENCE) {
             with_timeout(
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -1,6 +1,7 @@
 //! The records that the hosts keep in the store.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use burdockslip_directory::Member;
 use burdockslip_types::{ErrorKind, MemberName, Result, Term, Zone, domain};
@@ -8,6 +9,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::roster;
+
 /// The maximum size of a decoded record, in bytes, the limit of the store's values.
 const RECORD_LIMIT: usize = 1 << 20;
 
@@ -44,6 +47,10 @@
         /// The members whose logs may contain acknowledged commits, including the
         /// primary and members that are currently not registered.
         pub roster: Vec<Member>,
+        /// The members that a change of primary does not wait for although they may
+        /// still receive commits, and those that are about to become such members. See
+        /// `docs/platform.md`, "Members that are gone".
+        pub excluded: Vec<Member>,
         /// The term at which replicas are stopped while the primary is being
         /// replaced; `None` while no change of primary is in progress.
         pub held: Option<Term>,
@@ -93,6 +100,35 @@
         member.name == self.primary || member.address == self.address
     }
 
+    /// Returns whether the primary may count members as receivers of a commit that no
+    /// change of primary waits for. Commits then need a receipt from another member; see
+    /// [`can_confirm`](Self::can_confirm).
+    pub const fn needs_receipts(&self) -> bool {
+        !self.excluded.is_empty()
+    }
+
+    /// Returns whether every change of primary waits for the log of this run of a
+    /// replica, so that a commit which it holds is kept.
+    pub fn can_confirm(&self, member: &Member) -> bool {
+        let is_listed = self.roster.iter().any(|known| known.is_same_run(member));
+        is_listed && !self.excludes(member) && !self.is_primary(member)
+    }
+
+    /// Returns whether this run of a member is excluded.
+    pub(crate) fn excludes(&self, member: &Member) -> bool {
+        self.excluded.iter().any(|known| known.is_same_run(member))
+    }
+
+    /// Adds registered members to the roster, which are no longer excluded then.
+    pub(crate) fn join(&mut self, registered: &[Rc<Member>]) {
+        self.roster = roster::merge(&self.roster, registered);
+        self.excluded.retain(|member| {
+            !registered
+                .iter()
+                .any(|other| roster::succeeds(other, member))
+        });
+    }
+
     /// Returns whether no change of primary is in progress.
     pub const fn is_stable(&self) -> bool {
         self.held.is_none()
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -9,7 +9,7 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
 use burdockslip_store::Entry;
-use burdockslip_types::{GroupName, HostId, MemberName, Result, Term};
+use burdockslip_types::{GroupName, HostId, MemberName, Result, Revision, Term};
 use burdockslip_upstream::Pools;
 use tracing::{debug, info, warn};
 
@@ -78,16 +78,18 @@
         }
     }
 
-    /// Records which members a host cannot reach, and of which groups it knows that the
-    /// primary is being replaced.
+    /// Records which members a host cannot reach, of which groups it knows that the
+    /// primary is being replaced, and which records it knows that exclude members.
     pub fn report(
         &self,
         host: HostId,
         suspects: Vec<MemberName>,
         changing: Vec<(GroupName, Term)>,
+        excluding: Vec<(GroupName, Revision)>,
     ) {
         let mut withdrawals = self.shared.promotion.withdrawals.borrow_mut();
         withdrawals.record_report(&host, changing);
+        withdrawals.record_known(&host, excluding);
         self.shared.votes.borrow_mut().record(host, suspects);
     }
 
@@ -183,7 +185,7 @@
             self.start_change(group, Some(entry), reason);
             return;
         }
-        let is_current = roster::is_current(&record.roster, &self.promotion.present(group));
+        let is_current = roster::is_current(&record, &self.promotion.present(group));
         if !is_current || !self.receiving.borrow().contains(group) {
             self.start_update(group, entry);
         }
--- a/crates/burdockslip_failover/src/withdrawals.rs
+++ b/crates/burdockslip_failover/src/withdrawals.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_runtime::{Instant, now};
-use burdockslip_types::{GroupName, HostId, Term};
+use burdockslip_types::{GroupName, HostId, Revision, Term};
 
 /// How long after it was last registered, or last reported, a host may still use a
 /// primary. A host whose registration was removed learns of it within 5 s and stops.
@@ -24,12 +24,16 @@
     /// When each host was last registered or reported.
     hosts: HashMap<HostId, Instant>,
     confirmed: HashMap<(GroupName, Term), HashSet<HostId>>,
+    /// The newest revision of each group's record that hosts have reported to know, if
+    /// it excludes members.
+    known: HashMap<(GroupName, HostId), Revision>,
 }
 
 impl Withdrawals {
     /// Forgets what hosts have reported, at the end of a tenure.
     pub fn end_tenure(&mut self) {
         self.confirmed.clear();
+        self.known.clear();
     }
 
     /// Records the hosts that are registered. Has to be called regularly.
@@ -39,6 +43,8 @@
         self.hosts
             .extend(hosts.into_iter().map(|host| (host, moment)));
         self.hosts.retain(|_, seen| seen.elapsed() < HOST_SPAN);
+        let hosts = &self.hosts;
+        self.known.retain(|(_, host), _| hosts.contains_key(host));
     }
 
     /// Records the report of a host, with the groups of which it knows that their primary
@@ -51,11 +57,41 @@
         }
     }
 
+    /// Records the groups whose records exclude members, with the revisions that a host
+    /// has reported to know.
+    pub fn record_known(&mut self, host: &HostId, excluding: Vec<(GroupName, Revision)>) {
+        for (group, revision) in excluding {
+            let known = self.known.entry((group, host.clone())).or_default();
+            *known = revision.max(*known);
+        }
+    }
+
+    /// Returns whether every host that may have a permission knows the record of a group
+    /// at `revision`, or a newer one.
+    pub fn know_record(&self, group: &GroupName, revision: Revision) -> bool {
+        self.is_followed() && self.lacking_record(group, revision).is_empty()
+    }
+
+    /// Returns the hosts that have not reported that they know the record of a group at
+    /// `revision`, or a newer one.
+    pub fn lacking_record(&self, group: &GroupName, revision: Revision) -> Vec<HostId> {
+        let lacks = |host: &&HostId| {
+            let known = self.known.get(&(group.clone(), HostId::clone(host)));
+            known.is_none_or(|known| *known < revision)
+        };
+        self.hosts.keys().filter(lacks).cloned().collect()
+    }
+
     /// Returns whether no host uses the old primary of a group whose members are being
     /// stopped at `held`.
     pub fn is_complete(&self, group: &GroupName, held: Term) -> bool {
-        let is_followed = self.since.is_some_and(|since| since.elapsed() >= HOST_SPAN);
-        is_followed && self.unconfirmed(group, held).is_empty()
+        self.is_followed() && self.unconfirmed(group, held).is_empty()
+    }
+
+    /// Returns whether hosts whose registrations ended earlier can no longer have a
+    /// permission.
+    fn is_followed(&self) -> bool {
+        self.since.is_some_and(|since| since.elapsed() >= HOST_SPAN)
     }
 
     /// Returns the hosts that have not reported that they know of a change.
--- a/crates/burdockslip_failover/src/witness.rs
+++ b/crates/burdockslip_failover/src/witness.rs
@@ -15,7 +15,7 @@
 use burdockslip_directory::{Member, Role};
 use burdockslip_runtime::{now, random_range, sleep, spawn, timeout};
 use burdockslip_statement::{Command, MemberStatus};
-use burdockslip_types::{GroupName, MemberName, Term};
+use burdockslip_types::{GroupName, Revision, Term};
 use burdockslip_upstream::PooledConnection;
 use futures::future::try_join;
 use tracing::info;
@@ -55,8 +55,9 @@
         };
         is_complete = true;
         for group in configuration.groups.keys() {
-            let record = shared.record(group).filter(GroupRecord::is_stable);
-            let Some(record) = record else {
+            let known = shared.record_and_revision(group);
+            let known = known.filter(|(record, _)| record.is_stable());
+            let Some((record, revision)) = known else {
                 is_complete = false;
                 continue;
             };
@@ -64,17 +65,18 @@
             let proof = shared.proof(group);
             let is_old = proof.is_some_and(|proof| proof.age() >= limit);
             if is_old && !has_lease_proof && shared.directory.is_configuration_current() {
-                start_check(&shared, group, &record);
+                start_check(&shared, group, record, revision);
             }
         }
     }
 }
 
-/// Returns the replicas that may be queried, in random order.
-fn replicas(shared: &Shared, group: &GroupName, primary: &MemberName) -> Vec<Rc<Member>> {
+/// Returns the replicas that may be queried, in random order: those that every promotion
+/// has to stop.
+fn replicas(shared: &Shared, group: &GroupName, record: &GroupRecord) -> Vec<Rc<Member>> {
     let mut replicas = shared.directory.members(group);
     replicas.retain(|member| {
-        member.name != *primary
+        record.can_confirm(member)
             && member.role == Role::Replica
             && !shared.pools.pool(member).health.is_suspected()
     });
@@ -95,7 +97,7 @@
     if shared.member_tasks.borrow().contains_key(group) {
         return false;
     }
-    let replicas = replicas(shared, group, &record.primary);
+    let replicas = replicas(shared, group, record);
     let pools = || replicas.iter().map(|member| shared.pools.pool(member));
     if pools().any(|pool| pool.is_open()) {
         return true;
@@ -124,16 +126,16 @@
     false
 }
 
-fn start_check(shared: &Rc<Shared>, group: &GroupName, record: &GroupRecord) {
+fn start_check(shared: &Rc<Shared>, group: &GroupName, record: GroupRecord, revision: Revision) {
     if shared.member_tasks.borrow().contains_key(group) {
         return;
     }
     let Some(primary) = shared.directory.member(&record.primary) else {
         return;
     };
-    let (task_shared, task_group, term) = (Rc::clone(shared), group.clone(), record.term);
+    let (task_shared, task_group) = (Rc::clone(shared), group.clone());
     let task = spawn(async move {
-        check(&task_shared, &task_group, primary, term).await;
+        check(&task_shared, &task_group, primary, &record, revision).await;
         task_shared.member_tasks.borrow_mut().remove(&task_group);
     });
     let mut tasks = shared.member_tasks.borrow_mut();
@@ -144,8 +146,15 @@
 ///
 /// The proof is valid for the moment before both queries: a member that was stopped
 /// or had stepped down by then would still be so in this term when it answers.
-async fn check(shared: &Shared, group: &GroupName, primary: Rc<Member>, known: Term) {
-    let Some(connection) = proven_connection(shared, group, &primary.name).await else {
+async fn check(
+    shared: &Shared,
+    group: &GroupName,
+    primary: Rc<Member>,
+    record: &GroupRecord,
+    revision: Revision,
+) {
+    let known = record.term;
+    let Some(connection) = proven_connection(shared, group, record).await else {
         info!(%group, primary = %primary.name,
             "no connection to a replica since the last proof, not using the primary");
         return;
@@ -162,7 +171,8 @@
             let is_following = follows(&following, known);
             if is_leading && is_following {
                 let source = ProofSource::Replica(replica);
-                shared.record_group_proof(group, known, sent, source, Some(&following));
+                let status = Some(&following);
+                shared.record_group_proof(group, record, revision, sent, source, status);
             } else {
                 info!(
                     %group,
@@ -189,12 +199,12 @@
 async fn proven_connection(
     shared: &Shared,
     group: &GroupName,
-    primary: &MemberName,
+    record: &GroupRecord,
 ) -> Option<PooledConnection> {
     let proved = shared.proof(group)?.at;
     let until = now() + CONNECTION_TIMEOUT;
     loop {
-        let replicas = replicas(shared, group, primary);
+        let replicas = replicas(shared, group, record);
         let mut pools = replicas.iter().map(|member| shared.pools.pool(member));
         let connection = pools.find_map(|pool| pool.take_open_since(proved));
         if connection.is_some() || until.is_past() {
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use burdockslip_directory::{Configuration, Directory, GroupConfig, Schema};
+use burdockslip_directory::{Configuration, Directory, GroupConfig, Member, Role, Schema};
 use burdockslip_failover::{GroupRecord, Permission};
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_statement::Codec;
 use burdockslip_store::{Faults, MemoryStore};
 use burdockslip_telemetry::Metrics;
-use burdockslip_types::{ErrorKind, GroupName, MemberName, Term};
+use burdockslip_types::{ErrorKind, GroupName, MemberName, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
 use serde::Serialize;
@@ -54,6 +54,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         term: Term(1),
         roster: Vec::new(),
+        excluded: Vec::new(),
         held: None,
     };
     let client = store.client("test");
@@ -97,3 +98,69 @@
         assert_eq!(primary(), None);
     });
 }
+
+/// Guards against a host that uses a primary on the proof of a coordinator which knows an
+/// earlier record: a member that has been excluded since may be the replica behind it.
+#[test]
+fn proof_for_another_record_is_ignored() {
+    paused::run(1, async {
+        let store = store().await;
+        let directory = Directory::spawn(store.client("host"), SCHEMA);
+        let pools = Pools::spawn(CODEC, directory.clone());
+        let metrics = Metrics::new().expect("the metrics can be registered");
+        let permission = Permission::spawn(directory.clone(), pools, metrics);
+        sleep(Duration::from_secs(1)).await;
+        let entry = directory.record("burdockslip/groups/ledger");
+        let Revision(known) = entry.expect("the record is known").revision;
+        store.set_faults(Faults {
+            is_down: true,
+            ..Faults::default()
+        });
+        sleep(Duration::from_secs(2)).await;
+        permission.set_registered(Some(now()));
+        for revision in [known - 1, known + 1] {
+            permission.accept_group_proof(&group(), Revision(revision), now());
+            assert_eq!(permission.primary(&group()), None);
+        }
+        permission.accept_group_proof(&group(), Revision(known), now());
+        assert_eq!(permission.primary(&group()), Some(MemberName::from("i-1")));
+    });
+}
+
+fn member(name: &str, born: u64) -> Member {
+    Member {
+        name: MemberName::from(name),
+        group: group(),
+        address: ([127, 0, 0, 1], u16::from(name.as_bytes()[2] - b'0')).into(),
+        zone: "tll-a".into(),
+        slots: 3,
+        is_draining: false,
+        role: Role::Replica,
+        born,
+    }
+}
+
+/// Guards against commits that are passed on because a replica holds them for which no
+/// promotion waits: one that is excluded, or not on the roster in its present run.
+#[test]
+fn only_replicas_on_the_roster_confirm_commits() {
+    let mut record = GroupRecord {
+        primary: MemberName::from("i-1"),
+        address: ([127, 0, 0, 1], 1).into(),
+        term: Term(1),
+        roster: vec![member("i-1", 1), member("i-2", 1), member("i-3", 1)],
+        excluded: Vec::new(),
+        held: None,
+    };
+    assert!(!record.needs_receipts());
+    record.excluded = vec![member("i-3", 1), member("i-4", 1)];
+    assert!(record.needs_receipts());
+    assert!(record.can_confirm(&member("i-2", 1)));
+    let others = [("i-1", 1), ("i-2", 2), ("i-3", 1), ("i-4", 1), ("i-5", 1)];
+    for (name, born) in others {
+        assert!(
+            !record.can_confirm(&member(name, born)),
+            "{name} born {born}"
+        );
+    }
+}
--- a/crates/burdockslip_failover/tests/withdrawals.rs
+++ b/crates/burdockslip_failover/tests/withdrawals.rs
@@ -4,7 +4,7 @@
 
 use burdockslip_failover::Withdrawals;
 use burdockslip_runtime::{paused, sleep};
-use burdockslip_types::{GroupName, HostId, Term};
+use burdockslip_types::{GroupName, HostId, Revision, Term};
 
 fn host(name: &str) -> HostId {
     HostId::from(name)
@@ -88,3 +88,46 @@
         assert!(withdrawals.is_complete(&group(), Term(8)));
     });
 }
+
+fn known(revision: u64) -> Vec<(GroupName, Revision)> {
+    vec![(group(), Revision(revision))]
+}
+
+/// Guards against a member that leaves the roster while a host does not know of it, or
+/// while a new coordinator has not heard of it from the hosts.
+#[test]
+fn every_host_has_to_know_of_an_exclusion() {
+    paused::run(1, async {
+        let mut withdrawals = start().await;
+        withdrawals.record_known(&host("a"), known(5));
+        withdrawals.record_known(&host("b"), known(4));
+        assert!(!withdrawals.know_record(&group(), Revision(5)));
+        withdrawals.record_known(&host("b"), known(6));
+        withdrawals.record_known(&host("b"), known(4));
+        assert!(withdrawals.know_record(&group(), Revision(5)));
+        withdrawals.record_registered([host("c")]);
+        assert_eq!(
+            withdrawals.lacking_record(&group(), Revision(5)),
+            [host("c")]
+        );
+        withdrawals.record_known(&host("c"), known(5));
+        assert!(withdrawals.know_record(&group(), Revision(5)));
+        withdrawals.end_tenure();
+        assert!(!withdrawals.know_record(&group(), Revision(5)));
+    });
+}
+
+/// Guards against a coordinator that has just started and does not know of hosts whose
+/// registrations have just ended.
+#[test]
+fn exclusion_waits_until_earlier_registrations_have_ended() {
+    paused::run(1, async {
+        let mut withdrawals = Withdrawals::default();
+        withdrawals.record_registered([host("a")]);
+        withdrawals.record_known(&host("a"), known(5));
+        assert!(!withdrawals.know_record(&group(), Revision(5)));
+        sleep(Duration::from_secs(7)).await;
+        withdrawals.record_registered([host("a")]);
+        assert!(withdrawals.know_record(&group(), Revision(5)));
+    });
+}
--- a/crates/burdockslip_session/src/acknowledge.rs
+++ b/crates/burdockslip_session/src/acknowledge.rs
@@ -1,5 +1,6 @@
 //! Passes the acknowledgements of commits on to clients.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use burdockslip_runtime::{now, sleep};
@@ -7,24 +8,46 @@
 use tracing::info;
 
 use crate::context::Context;
-use crate::outcome::Job;
+use crate::outcome::{Job, ServedReply};
+use crate::receipt;
 
 /// The pause between checks of the permission.
 const CHECK_PAUSE: Duration = Duration::from_millis(10);
 
-/// Waits until a commit that `member` has acknowledged can be acknowledged to the client.
+/// Waits until a commit that a primary has acknowledged can be acknowledged to the client.
 ///
 /// A promotion is ordered only after all permissions to use the old primary have expired,
 /// and then of a member whose log holds what was acknowledged until then. So the
 /// permission has to be valid after the acknowledgement of the member: a member that
 /// restarts or joins during the promotion may let the old primary acknowledge commits
-/// which its successor lacks. See `docs/platform.md`, "The old primary".
+/// which its successor lacks. See `docs/platform.md`, "The old primary". A group with
+/// excluded members also needs the receipt of a replica that is not excluded, and the
+/// permission after that.
 ///
 /// # Errors
 ///
 /// Returns `OutcomeUnknown` if the primary is being replaced, or if the permission is not
-/// renewed before the statement times out.
-pub(crate) async fn confirm(cx: &Context, job: &Job, member: &MemberName) -> Result<(), ErrorKind> {
+/// renewed or the receipt not confirmed before the statement times out.
+pub(crate) async fn confirm(
+    cx: &Rc<Context>,
+    job: &Job,
+    served: &ServedReply,
+) -> Result<(), ErrorKind> {
+    let (group, member) = (&job.route.group, &served.member);
+    wait_for_permission(cx, job, member).await?;
+    if cx.permission.confirming_replicas(group).is_some() {
+        receipt::wait(cx, job, member, served.reply.position).await?;
+        wait_for_permission(cx, job, member).await?;
+    }
+    Ok(())
+}
+
+/// Waits until this host may use `member` as the primary.
+async fn wait_for_permission(
+    cx: &Context,
+    job: &Job,
+    member: &MemberName,
+) -> Result<(), ErrorKind> {
     let group = &job.route.group;
     let acknowledged = now();
     while cx.permission.primary(group).as_ref() != Some(member) {
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -18,6 +18,7 @@
 use tracing::info;
 
 use crate::freshness::PositionHistory;
+use crate::receipt::Receipts;
 
 /// How long an operation may wait for a token. The coordinator replies within a few
 /// milliseconds.
@@ -66,6 +67,8 @@
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
     authority: RefCell<Option<Authority>>,
+    /// What replicas have shown to hold, for groups with excluded members.
+    pub(crate) receipts: Receipts,
     /// The running position queries, at most one for each group.
     pub(crate) refresh_tasks: RefCell<HashMap<GroupName, Task<()>>>,
 }
@@ -95,6 +98,7 @@
             zone,
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
+            receipts: Receipts::default(),
             refresh_tasks: RefCell::default(),
         }
     }
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -10,6 +10,7 @@
 mod place;
 mod position;
 mod read;
+mod receipt;
 mod serve;
 mod session;
 mod stop;
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::context::{Context, wait_limit};
 use crate::outcome::Job;
-use crate::position;
+use crate::{position, receipt};
 
 /// The factor on the cost of the primary for reads that a replica can also serve,
 /// because only the primary can serve writes.
@@ -81,7 +81,7 @@
     started: Instant,
 ) -> Result<(), ErrorKind> {
     let until = started + wait_limit(route);
-    while needs_primary(route, access) && !has_usable_primary(cx, route) {
+    while needs_primary(route, access) && !has_usable_primary(cx, route, access) {
         if until.is_past() {
             return Err(ErrorKind::NoPrimary);
         }
@@ -94,8 +94,9 @@
     matches!(access, Access::Write) || matches!(route.consistency, Consistency::Strong)
 }
 
-fn has_usable_primary(cx: &Context, route: &Route) -> bool {
-    primary(cx, route).is_some_and(|target| !target.pool.health.is_suspected())
+fn has_usable_primary(cx: &Context, route: &Route, access: Access) -> bool {
+    let is_stalled = access == Access::Write && receipt::is_stalled(cx, &route.group);
+    !is_stalled && primary(cx, route).is_some_and(|target| !target.pool.health.is_suspected())
 }
 
 /// Chooses the member with the lowest cost for a read, except for those in `tried`.
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -114,7 +114,7 @@
                 let served = self.served(&connection, reply);
                 outcome::return_if_idle(connection, &served.reply);
                 if self.has_written && served.reply.result.is_ok() {
-                    acknowledge::confirm(cx, job, &served.member).await?;
+                    acknowledge::confirm(cx, job, &served).await?;
                 }
                 Ok(served)
             }
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -29,7 +29,7 @@
                 Err(error) if error.did_not_run() => outcome::error_kind(error),
                 Err(_) => return Ok(served),
                 Ok(_) => {
-                    acknowledge::confirm(cx, job, &served.member).await?;
+                    acknowledge::confirm(cx, job, &served).await?;
                     return Ok(served);
                 }
             },
