failover: tell the runs of members apart, and keep lost logs on record

Cause: the roster took over the entry of a member for any later run with the same name, so the answers of an empty log counted as those of the log that it had replaced.

Change: the record keeps runs whose members have started again under their names, until a replica on the roster holds all that the primary holds. A change of primary does not accept the new run's answers for the earlier one unless it shows as much as is known of the log. Hosts do not use a primary of which a newer run is known, or whose position has fallen, and report the last commit that they have acknowledged; nobody who holds less is promoted. Records of groups are decoded once for each revision.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -234,6 +234,12 @@
         self.shared.entries.borrow().get(key).cloned()
     }
 
+    /// Returns the revision of the record under `key`, if it is in the local copy.
+    pub fn revision(&self, key: &str) -> Option<Revision> {
+        let entries = self.shared.entries.borrow();
+        Some(entries.get(key)?.revision)
+    }
+
     /// Returns the records whose keys start with `prefix`, sorted by key.
     pub fn records(&self, prefix: &str) -> Vec<Entry> {
         let entries = self.shared.entries.borrow();
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -179,14 +179,11 @@
             );
         }
         let HostReport {
-            suspects,
-            changing,
-            excluding,
+            groups,
             demands,
             wants_positions,
         } = report;
-        self.supervisor
-            .report(host.clone(), suspects, changing, excluding);
+        self.supervisor.report(host.clone(), groups);
         self.last_reports.record(host);
         let view = self.fleet_view();
         let mut allocator_slot = self.allocator.borrow_mut();
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -3,24 +3,17 @@
 use std::time::Duration;
 
 use burdockslip_directory::Changes;
+use burdockslip_failover::GroupReport;
 use burdockslip_shares::{Demand, Grant};
 use burdockslip_store::{Entry, LeaseId};
-use burdockslip_types::{
-    Exchange, GroupName, LogPosition, MemberName, Organisation, Revision, Term,
-};
+use burdockslip_types::{Exchange, GroupName, LogPosition, MemberName, Organisation, Revision};
 use serde::{Deserialize, Serialize};
 
 /// A report of a host to the coordinator.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HostReport {
-    /// The members that the host suspects to be lost.
-    pub suspects: Vec<MemberName>,
-    /// The groups of which the host knows that their primary is being replaced, with the
-    /// terms at which their members are stopped.
-    pub changing: Vec<(GroupName, Term)>,
-    /// The groups of which the host knows that members are excluded, with the revisions
-    /// of their records.
-    pub excluding: Vec<(GroupName, Revision)>,
+    /// The state of the host that concerns primaries and their replacement.
+    pub groups: GroupReport,
     /// The demand of the host for operations of each organisation.
     pub demands: Vec<Demand>,
     /// Whether the host requests the log positions of primaries.
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Directory;
-use burdockslip_failover::keys;
+use burdockslip_failover::{GroupReport, keys};
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{Instant, now, random_range, sleep, sleep_until, timeout};
 use burdockslip_session::Context;
@@ -100,9 +100,12 @@
             (true, false) => DemandScope::Urgent,
         };
         let report = HostReport {
-            suspects,
-            changing,
-            excluding: cx.permission.excluding(),
+            groups: GroupReport {
+                suspects,
+                changing,
+                excluding: cx.permission.excluding(),
+                acknowledged: cx.acknowledged.latest(),
+            },
             demands: cx.limiter.borrow_mut().demands(scope),
             wants_positions: is_full,
         };
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -16,14 +16,14 @@
 use burdockslip_runtime::{Instant, now, sleep};
 use burdockslip_statement::{Command, MemberStatus};
 use burdockslip_store::with_timeout;
-use burdockslip_types::{GroupName, MemberName, Result, Term};
+use burdockslip_types::{GroupName, LogPosition, MemberName, Result, Revision, Term};
 use futures::future::{Either, join, select};
 use tracing::{info, warn};
 
-use crate::OrderGate;
 use crate::promotion::{Promotion, STORE_TIMEOUT};
 use crate::records::GroupRecord;
 use crate::roster::join as join_names;
+use crate::{AcknowledgedCommit, OrderGate};
 
 /// How long a change of primary waits for members before it logs a warning.
 const WAIT_WARNING: Duration = Duration::from_secs(5);
@@ -60,6 +60,11 @@
     replicas: Vec<Rc<Member>>,
     statuses: HashMap<MemberName, MemberStatus>,
     held: Term,
+    /// Whether a replica has lost its log, which may have held commits that only the old
+    /// primary has as well.
+    is_log_lost: bool,
+    /// The position of a commit that a client was told is kept.
+    acknowledged: Option<LogPosition>,
     ended: Instant,
 }
 
@@ -72,7 +77,8 @@
     pub(crate) async fn choose_member(
         &self,
         group: &GroupName,
-        record: &GroupRecord,
+        record: &mut GroupRecord,
+        revision: &mut Revision,
         held: Term,
         fenced: Instant,
     ) -> Result<Choice> {
@@ -83,12 +89,13 @@
         loop {
             self.tenure()?;
             let began = now();
+            self.record_lost_logs(group, record, revision).await?;
             let roster = self.roster(record, group);
             gate.check_roster(&roster);
             let has_expired = gate.has_expired();
             let needs_reload = gate.needs_reload();
             let reload = async { needs_reload && self.reload_members().await };
-            let round = self.run_round(record, &roster, held, contact);
+            let round = self.run_round(group, record, &roster, held, contact);
             let (round, is_reloaded) = join(round, reload).await;
             if is_reloaded {
                 gate.record_reload(began);
@@ -102,6 +109,7 @@
             let is_unchanged = self.roster(record, group) == roster;
             if let Some(member) = round.heir()
                 && is_unchanged
+                && round.holds_acknowledged(group, &member)
                 && self
                     .are_still_stopped(&round.primary, Term::default())
                     .await
@@ -116,7 +124,13 @@
                     && let Some(member) = best(&round.replicas, &round.statuses)
                     && self.are_still_stopped(&round.replicas, held).await
                 {
-                    return Ok(Choice { member, expiry });
+                    if round.holds_acknowledged(group, &member) {
+                        return Ok(Choice { member, expiry });
+                    }
+                    // The old primary may still return with its log.
+                    contact = Contact::All;
+                    sleep(ROUND_PAUSE).await;
+                    continue;
                 }
                 contact = self.wait_for_expiry(group, &round, &mut gate, expiry).await;
                 continue;
@@ -126,12 +140,32 @@
                 has_warned = true;
                 warn!(%group, primary = %record.primary,
                     missing = %join_names(round.missing()),
+                    lost = %join_names(record.lost.iter().map(|member| &member.name)),
                     "promotion waits until the primary or the missing members answer");
             }
             sleep(ROUND_PAUSE).await;
         }
     }
 
+    /// Writes the record of the change again if a member has started again without its
+    /// log, so that the next coordinator does not take the empty log for a whole one.
+    async fn record_lost_logs(
+        &self,
+        group: &GroupName,
+        record: &mut GroupRecord,
+        revision: &mut Revision,
+    ) -> Result<()> {
+        let mut next = record.clone();
+        next.join(&self.directory.members(group));
+        if next.lost != record.lost {
+            *revision = self.write(group, &next, *revision).await?;
+            let names = next.lost.iter().map(|member| &member.name);
+            warn!(%group, lost = %join_names(names), "member has started again without its log");
+            *record = next;
+        }
+        Ok(())
+    }
+
     /// Waits until no host uses the old primary, or until it has stepped down; returns the
     /// members to contact next.
     async fn wait_for_expiry(
@@ -199,6 +233,7 @@
     /// Demotes the old primary and stops the replicas, as far as `contact` includes them.
     async fn run_round(
         &self,
+        group: &GroupName,
         record: &GroupRecord,
         roster: &[Rc<Member>],
         held: Term,
@@ -207,7 +242,7 @@
         let (primary, replicas): (Vec<_>, Vec<_>) = roster
             .iter()
             .cloned()
-            .partition(|member| record.is_primary(member));
+            .partition(|member| record.has_primary_log(member));
         let command = Command::Suspend(held);
         let is_suspected = |member: &Rc<Member>| self.pools.pool(member).health.is_suspected();
         let (mut statuses, stopped) = match contact {
@@ -235,7 +270,16 @@
         let outdated: Vec<_> = replicas.iter().filter(is_outdated).cloned().collect();
         self.control_all(&outdated, &Command::Demote(held)).await;
         statuses.extend(stopped);
+        let acknowledged = self.acknowledged.borrow().get(group).copied();
+        let unproven = unproven(record, &statuses, acknowledged);
+        let is_unproven = |member: &Member| unproven.iter().any(|run| run.name == member.name);
+        let (primary, replicas): (Vec<_>, Vec<_>) = roster
+            .iter()
+            .cloned()
+            .partition(|member| record.is_primary(member) && !is_unproven(member));
         Round {
+            is_log_lost: unproven.iter().any(|run| !record.is_primary(run)),
+            acknowledged: acknowledged.map(|commit| commit.lowest),
             primary,
             replicas,
             statuses,
@@ -265,9 +309,10 @@
         missing.map(|member| &member.name)
     }
 
-    /// Returns whether all replicas have reported that they are stopped.
+    /// Returns whether all replicas have reported that they are stopped, and none has lost
+    /// its log.
     fn is_whole(&self) -> bool {
-        !self.replicas.is_empty() && self.missing().next().is_none()
+        !self.replicas.is_empty() && !self.is_log_lost && self.missing().next().is_none()
     }
 
     /// Returns whether the old primary has stepped down with a log at least as new as
@@ -284,22 +329,42 @@
     /// Returns a member that has the whole log of the old primary, which has stepped
     /// down.
     ///
-    /// While all replicas reply, the old primary itself is no candidate: it may be about
-    /// to leave.
+    /// While all replicas reply and one of them holds the commits known to be acknowledged,
+    /// the old primary itself is no candidate: it may be about to leave.
     fn heir(&self) -> Option<Rc<Member>> {
         if !self.has_stepped_down() {
             return None;
         }
         let newest = self.statuses.values().map(|status| status.received).max();
         let all = [self.primary.clone(), self.replicas.clone()].concat();
-        let candidates = if self.is_whole() {
+        let best_replica = best(&self.replicas, &self.statuses);
+        let is_enough =
+            best_replica.is_some_and(|member| self.received(&member) >= self.acknowledged);
+        let candidates = if self.is_whole() && is_enough {
             &self.replicas
         } else {
             &all
         };
         let heir = best(candidates, &self.statuses)?;
-        let status = self.statuses.get(&heir.name);
-        (status.map(|status| status.received) == newest).then_some(heir)
+        (self.received(&heir) == newest).then_some(heir)
+    }
+
+    /// Returns whether a member holds the commits that are known to be acknowledged. If it
+    /// does not, some log is not whole although its member is taken for one that kept it.
+    fn holds_acknowledged(&self, group: &GroupName, member: &Member) -> bool {
+        let received = self.received(member);
+        let holds_all = received >= self.acknowledged;
+        if !holds_all {
+            info!(%group, member = %member.name, ?received, acknowledged = ?self.acknowledged,
+                "best member lacks acknowledged commits, not promoted");
+        }
+        holds_all
+    }
+
+    /// Returns the position that a member has reported in this round.
+    fn received(&self, member: &Member) -> Option<LogPosition> {
+        let status = self.statuses.get(&member.name);
+        status.map(|status| status.received)
     }
 
     /// Returns the replica that an earlier order has promoted to a term after `old`, if
@@ -329,6 +394,28 @@
     }
 }
 
+/// Returns the runs that ended and whose next runs have not shown that they hold the log.
+///
+/// A member that starts again under its name usually holds nothing. One that holds as much
+/// as any other member, and as much as the primary had reported with the last acknowledged
+/// commit, has kept its log or received it since. If neither is known, nothing shows it.
+fn unproven(
+    record: &GroupRecord,
+    statuses: &HashMap<MemberName, MemberStatus>,
+    acknowledged: Option<AcknowledgedCommit>,
+) -> Vec<Member> {
+    let is_lost = |name: &MemberName| record.lost.iter().any(|run| run.name == *name);
+    let others = statuses.iter().filter(|(name, _)| !is_lost(name));
+    let newest = others.map(|(_, status)| status.received).max();
+    let known = newest.max(acknowledged.map(|commit| commit.highest));
+    let is_proven = |run: &Member| {
+        let status = statuses.get(&run.name);
+        known.is_some() && status.map(|status| status.received) >= known
+    };
+    let unproven = record.lost.iter().filter(|run| !is_proven(run));
+    unproven.cloned().collect()
+}
+
 /// Returns whether a member reported that it is a replica and that it receives from
 /// no primary with a term below `held`.
 fn is_stopped(member: &Member, statuses: &HashMap<MemberName, MemberStatus>, held: Term) -> bool {
--- a/crates/burdockslip_failover/src/exclusion.rs
+++ b/crates/burdockslip_failover/src/exclusion.rs
@@ -59,8 +59,12 @@
         let gone = self.find_unresponsive(&record, &absent).await;
         next.exclude_only(&gone);
         let is_new = |member: &Member| !record.excludes(member);
-        if next.excluded.iter().any(is_new) && !self.is_log_held(&next, &present).await {
-            next.excluded.retain(|member| record.excludes(member));
+        if !next.lost.is_empty() || next.excluded.iter().any(is_new) {
+            if self.is_log_held(&next, &present).await {
+                next.lost.clear();
+            } else {
+                next.excluded.retain(|member| record.excludes(member));
+            }
         }
         let mut revision = entry.revision;
         if next != record {
@@ -79,9 +83,10 @@
                 next.log(group, "roster changed", &leaving);
             }
         }
-        let mut kept = absent;
-        kept.retain(|member| next.roster.iter().any(|known| known.name == member.name));
-        Ok(kept.iter().map(|member| member.name.clone()).collect())
+        let is_kept = |member: &&Rc<Member>| next.roster.iter().any(|k| k.name == member.name);
+        let kept = absent.iter().filter(is_kept).map(|member| &member.name);
+        let lost = next.lost.iter().map(|member| &member.name);
+        Ok(kept.chain(lost).cloned().collect())
     }
 
     /// Returns the members that leave several queries unanswered. Those that are about to
@@ -133,7 +138,7 @@
         let (primary, mut replicas): (Vec<_>, Vec<_>) = present
             .iter()
             .cloned()
-            .partition(|member| record.is_primary(member));
+            .partition(|member| record.has_primary_log(member));
         replicas.retain(|member| record.can_confirm(member));
         let leads = |status: &&MemberStatus| status.is_primary && status.term == record.term;
         let primary = self.control_all(&primary, &Command::Status).await;
@@ -212,7 +217,8 @@
     fn log(&self, group: &GroupName, event: &str, gone: &[MemberName]) {
         let roster = self.roster.iter().map(|member| &member.name);
         let excluded = self.excluded.iter().map(|member| &member.name);
+        let lost = self.lost.iter().map(|member| &member.name);
         info!(%group, roster = %join_names(roster), excluded = %join_names(excluded),
-            gone = %join_names(gone), "{event}");
+            lost = %join_names(lost), gone = %join_names(gone), "{event}");
     }
 }
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -54,6 +54,8 @@
     pub(crate) directory: Directory,
     pub(crate) pools: Pools,
     metrics: Metrics,
+    /// The decoded records of groups with their revisions.
+    records: RefCell<HashMap<GroupName, (Revision, Rc<GroupRecord>)>>,
     /// The newest proof that the lease behind all permissions was alive.
     lease_proof: RefCell<Option<Proof>>,
     /// The newest proof of each group from its members, with the revision of the record
@@ -87,6 +89,7 @@
             directory,
             pools,
             metrics,
+            records: RefCell::default(),
             lease_proof: RefCell::default(),
             group_proofs: RefCell::default(),
             on_replicas: RefCell::default(),
@@ -107,15 +110,24 @@
     /// Returns the primary of a group if this host may currently use it.
     pub fn primary(&self, group: &GroupName) -> Option<MemberName> {
         let record = self.shared.record(group)?;
-        let is_usable = record.is_stable() && self.is_proved(group);
-        is_usable.then_some(record.primary)
+        let member = self.shared.directory.member(&record.primary);
+        let is_emptied = member.is_some_and(|member| record.is_emptied(&member));
+        let is_usable = record.is_stable() && !is_emptied && self.is_proved(group);
+        is_usable.then(|| record.primary.clone())
     }
 
     /// Returns the primary of a group according to its record, whether or not this host
     /// may currently use it; `None` while it is being replaced.
     pub fn recorded_primary(&self, group: &GroupName) -> Option<MemberName> {
         let record = self.shared.record(group)?;
-        record.is_stable().then_some(record.primary)
+        record.is_stable().then(|| record.primary.clone())
+    }
+
+    /// Returns the term in which a member leads according to the group's record, or `None`
+    /// if it is not the primary, or is being replaced.
+    pub fn recorded_term(&self, group: &GroupName, member: &MemberName) -> Option<Term> {
+        let record = self.shared.record(group)?;
+        (record.is_stable() && record.primary == *member).then_some(record.term)
     }
 
     /// Returns the newest proof for a group.
@@ -253,14 +265,31 @@
 }
 
 impl Shared {
-    pub(crate) fn record(&self, group: &GroupName) -> Option<GroupRecord> {
+    pub(crate) fn record(&self, group: &GroupName) -> Option<Rc<GroupRecord>> {
         self.record_and_revision(group).map(|(record, _)| record)
     }
 
-    pub(crate) fn record_and_revision(&self, group: &GroupName) -> Option<(GroupRecord, Revision)> {
-        let entry = self.directory.record(&keys::group(group))?;
+    /// Returns the record of a group, decoded once for each revision: every statement needs
+    /// it several times.
+    pub(crate) fn record_and_revision(
+        &self,
+        group: &GroupName,
+    ) -> Option<(Rc<GroupRecord>, Revision)> {
+        let key = keys::group(group);
+        let revision = self.directory.revision(&key)?;
+        if let Some((known, record)) = self.records.borrow().get(group)
+            && *known == revision
+        {
+            return Some((Rc::clone(record), revision));
+        }
+        let entry = self.directory.record(&key)?;
         match GroupRecord::read(&entry.value) {
-            Ok(record) => Some((record, entry.revision)),
+            Ok(record) => {
+                let record = Rc::new(record);
+                let cached = (entry.revision, Rc::clone(&record));
+                self.records.borrow_mut().insert(group.clone(), cached);
+                Some((record, entry.revision))
+            }
             Err(error) => {
                 warn!(%group, ?error, "group record unreadable");
                 None
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -17,7 +17,7 @@
 
 use crate::records::{self, GroupRecord, keys};
 use crate::roster::merge;
-use crate::{Duty, Tenure, Withdrawals};
+use crate::{AcknowledgedCommit, Duty, Tenure, Withdrawals};
 
 /// The timeout of a control command to a member.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -70,6 +70,8 @@
     pub(crate) failed_orders: Rc<Cell<u32>>,
     /// Which hosts know of the changes in progress.
     pub(crate) withdrawals: Rc<RefCell<Withdrawals>>,
+    /// The last commit of each group that hosts have reported to have acknowledged.
+    pub(crate) acknowledged: Rc<RefCell<HashMap<GroupName, AcknowledgedCommit>>>,
 }
 
 impl Promotion {
@@ -89,10 +91,12 @@
             ..record
         };
         record.join(&self.directory.members(group));
-        let revision = self.write(group, &record, entry.revision).await?;
+        let mut revision = self.write(group, &record, entry.revision).await?;
         self.withdraw_permissions().await?;
         let fenced = now();
-        let choice = self.choose_member(group, &record, held, fenced).await?;
+        let choice = self
+            .choose_member(group, &mut record, &mut revision, held, fenced)
+            .await?;
         let chosen = choice.member;
         let term = self.order_promotion(group, &chosen, record.term).await?;
         self.wait_until_withdrawn(group, held, choice.expiry).await;
@@ -101,6 +105,7 @@
             address: chosen.address,
             term,
             held: None,
+            lost: Vec::new(),
             ..record
         };
         record.join(&self.directory.members(group));
@@ -142,6 +147,7 @@
             term: status.term,
             roster: merge(&[], &members),
             excluded: Vec::new(),
+            lost: Vec::new(),
             held: None,
         };
         self.write(group, &record, Revision(0)).await?;
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -51,6 +51,10 @@
         /// still receive commits, and those that are about to become such members. See
         /// `docs/platform.md`, "Members that are gone".
         pub excluded: Vec<Member>,
+        /// The runs of members that ended without leaving their logs to the next run,
+        /// while their logs may have held commits that only the primary has as well. See
+        /// `docs/platform.md`, "Members that come back empty".
+        pub lost: Vec<Member>,
         /// The term at which replicas are stopped while the primary is being
         /// replaced; `None` while no change of primary is in progress.
         pub held: Option<Term>,
@@ -119,8 +123,33 @@
         self.excluded.iter().any(|known| known.is_same_run(member))
     }
 
-    /// Adds registered members to the roster, which are no longer excluded then.
+    /// Returns whether the primary has started again without its log, so that its answers
+    /// say nothing about what it had acknowledged.
+    pub(crate) fn has_lost_primary(&self) -> bool {
+        self.lost.iter().any(|member| self.is_primary(member))
+    }
+
+    /// Returns whether a member is the primary or a later run of it with its log.
+    pub(crate) fn has_primary_log(&self, member: &Member) -> bool {
+        self.is_primary(member) && !self.has_lost_primary()
+    }
+
+    /// Returns whether a member is an empty run of a member on the roster: it has started
+    /// again under the same name.
+    pub(crate) fn is_emptied(&self, member: &Member) -> bool {
+        let mut known = self.roster.iter();
+        known.any(|known| known.name == member.name && known.born < member.born)
+    }
+
+    /// Adds registered members to the roster, which are no longer excluded then, and
+    /// records the logs that they have lost.
     pub(crate) fn join(&mut self, registered: &[Rc<Member>]) {
+        let has_lost_log = |known: &&Member| {
+            let mut runs = registered.iter();
+            runs.any(|member| known.name == member.name && known.born < member.born)
+        };
+        let lost = self.roster.iter().filter(has_lost_log).cloned();
+        self.lost.extend(lost);
         self.roster = roster::merge(&self.roster, registered);
         self.excluded.retain(|member| {
             !registered
--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -46,6 +46,7 @@
             .iter()
             .all(|member| is_registered(member, registered))
         && !record.excluded.iter().any(is_back)
+        && record.lost.is_empty()
 }
 
 fn has_same_log(known: &Member, member: &Member) -> bool {
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -9,13 +9,13 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
 use burdockslip_store::Entry;
-use burdockslip_types::{GroupName, HostId, MemberName, Result, Revision, Term};
+use burdockslip_types::{GroupName, HostId, MemberName, Result};
 use burdockslip_upstream::Pools;
 use tracing::{debug, info, warn};
 
 use crate::promotion::{PromoteFn, Promotion};
 use crate::records::{GroupRecord, keys};
-use crate::{Duty, Votes, roster};
+use crate::{Duty, GroupReport, Votes, roster};
 
 /// How often the groups are checked.
 const TICK: Duration = Duration::from_millis(60);
@@ -66,6 +66,7 @@
                 promote,
                 failed_orders: Rc::default(),
                 withdrawals: Rc::default(),
+                acknowledged: Rc::default(),
             },
             votes: RefCell::default(),
             changes: RefCell::default(),
@@ -78,19 +79,18 @@
         }
     }
 
-    /// Records which members a host cannot reach, of which groups it knows that the
-    /// primary is being replaced, and which records it knows that exclude members.
-    pub fn report(
-        &self,
-        host: HostId,
-        suspects: Vec<MemberName>,
-        changing: Vec<(GroupName, Term)>,
-        excluding: Vec<(GroupName, Revision)>,
-    ) {
-        let mut withdrawals = self.shared.promotion.withdrawals.borrow_mut();
-        withdrawals.record_report(&host, changing);
-        withdrawals.record_known(&host, excluding);
-        self.shared.votes.borrow_mut().record(host, suspects);
+    /// Records what a host has reported.
+    pub fn report(&self, host: HostId, report: GroupReport) {
+        let promotion = &self.shared.promotion;
+        let mut withdrawals = promotion.withdrawals.borrow_mut();
+        withdrawals.record_report(&host, report.changing);
+        withdrawals.record_known(&host, report.excluding);
+        let mut acknowledged = promotion.acknowledged.borrow_mut();
+        for (group, commit) in report.acknowledged {
+            let known = acknowledged.entry(group).or_insert(commit);
+            *known = commit.max(*known);
+        }
+        self.shared.votes.borrow_mut().record(host, report.suspects);
     }
 
     /// Returns the members that some hosts cannot reach, and that the others should
@@ -234,6 +234,9 @@
         let Some(primary) = self.promotion.directory.member(&record.primary) else {
             return Some("primary gone");
         };
+        if record.has_lost_primary() || record.is_emptied(&primary) {
+            return Some("primary started again without its log");
+        }
         if primary.is_draining {
             return Some("primary leaves");
         }
--- a/crates/burdockslip_failover/src/witness.rs
+++ b/crates/burdockslip_failover/src/witness.rs
@@ -126,7 +126,12 @@
     false
 }
 
-fn start_check(shared: &Rc<Shared>, group: &GroupName, record: GroupRecord, revision: Revision) {
+fn start_check(
+    shared: &Rc<Shared>,
+    group: &GroupName,
+    record: Rc<GroupRecord>,
+    revision: Revision,
+) {
     if shared.member_tasks.borrow().contains_key(group) {
         return;
     }
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -28,6 +28,16 @@
     read_member: |_, _| Err(Report::new(ErrorKind::InvalidInput)),
 };
 
+const SCHEMA_WITH_MEMBERS: Schema = Schema {
+    read_member: |_, bytes| {
+        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+        decoded
+            .map(|(member, _)| member)
+            .map_err(|error| Report::new(error).change_context(ErrorKind::InvalidInput))
+    },
+    ..SCHEMA
+};
+
 /// No member is contacted.
 const CODEC: Codec = Codec {
     read_client: |_| Ok(None),
@@ -46,17 +56,22 @@
     bincode::serde::encode_to_vec(record, bincode::config::standard()).expect("it can be encoded")
 }
 
-/// Returns a store with a group whose primary is `i-1`, and with a fence.
-async fn store() -> MemoryStore {
-    let store = MemoryStore::new();
-    let record = GroupRecord {
+fn group_record() -> GroupRecord {
+    GroupRecord {
         primary: MemberName::from("i-1"),
         address: ([127, 0, 0, 1], 1).into(),
         term: Term(1),
         roster: Vec::new(),
         excluded: Vec::new(),
+        lost: Vec::new(),
         held: None,
-    };
+    }
+}
+
+/// Returns a store with a group whose primary is `i-1`, and with a fence.
+async fn store() -> MemoryStore {
+    let store = MemoryStore::new();
+    let record = group_record();
     let client = store.client("test");
     let lease = client.grant_lease(Duration::from_mins(10)).await;
     let lease = lease.expect("the store answers");
@@ -145,12 +160,8 @@
 #[test]
 fn only_replicas_on_the_roster_confirm_commits() {
     let mut record = GroupRecord {
-        primary: MemberName::from("i-1"),
-        address: ([127, 0, 0, 1], 1).into(),
-        term: Term(1),
         roster: vec![member("i-1", 1), member("i-2", 1), member("i-3", 1)],
-        excluded: Vec::new(),
-        held: None,
+        ..group_record()
     };
     assert!(!record.needs_receipts());
     record.excluded = vec![member("i-3", 1), member("i-4", 1)];
@@ -164,3 +175,28 @@
         );
     }
 }
+
+/// Guards against the use of a primary that has started again under its name, and holds
+/// nothing.
+#[test]
+fn emptied_primary_is_not_used() {
+    paused::run(1, async {
+        let store = store().await;
+        let directory = Directory::spawn(store.client("host"), SCHEMA_WITH_MEMBERS);
+        let record = GroupRecord {
+            roster: vec![member("i-1", 1)],
+            ..group_record()
+        };
+        store.put("burdockslip/groups/ledger", &encode(&record));
+        store.put("members/i-1", &encode(&member("i-1", 1)));
+        let pools = Pools::spawn(CODEC, directory.clone());
+        let metrics = Metrics::new().expect("the metrics can be registered");
+        let permission = Permission::spawn(directory, pools, metrics);
+        permission.set_registered(Some(now()));
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(permission.primary(&group()), Some(MemberName::from("i-1")));
+        store.put("members/i-1", &encode(&member("i-1", 2)));
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(permission.primary(&group()), None);
+    });
+}
--- a/crates/burdockslip_session/src/acknowledge.rs
+++ b/crates/burdockslip_session/src/acknowledge.rs
@@ -35,10 +35,14 @@
 ) -> Result<(), ErrorKind> {
     let (group, member) = (&job.route.group, &served.member);
     wait_for_permission(cx, job, member).await?;
+    let position = served.reply.position;
     if cx.permission.confirming_replicas(group).is_some() {
-        receipt::wait(cx, job, member, served.reply.position).await?;
+        receipt::wait(cx, job, member, position).await?;
         wait_for_permission(cx, job, member).await?;
     }
+    if let (Some(preceding), Some(position)) = (served.preceding, position) {
+        cx.acknowledged.record(group, preceding, position);
+    }
     Ok(())
 }
 
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -17,6 +17,7 @@
 use futures::future::LocalBoxFuture;
 use tracing::info;
 
+use crate::Acknowledged;
 use crate::freshness::PositionHistory;
 use crate::receipt::Receipts;
 
@@ -67,6 +68,8 @@
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
     authority: RefCell<Option<Authority>>,
+    /// The positions of commits that were acknowledged to clients.
+    pub acknowledged: Acknowledged,
     /// What replicas have shown to hold, for groups with excluded members.
     pub(crate) receipts: Receipts,
     /// The running position queries, at most one for each group.
@@ -98,6 +101,7 @@
             zone,
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
+            acknowledged: Acknowledged::default(),
             receipts: Receipts::default(),
             refresh_tasks: RefCell::default(),
         }
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -3,6 +3,7 @@
 //! See `docs/platform.md`, "A statement's way".
 
 mod acknowledge;
+mod acknowledged;
 mod begin;
 mod context;
 mod freshness;
@@ -17,6 +18,7 @@
 mod transaction;
 mod write;
 
+pub use acknowledged::Acknowledged;
 pub use context::{Authority, Context, Limits};
 pub use freshness::PositionHistory;
 pub use serve::Listener;
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -11,7 +11,7 @@
     Connection, MemberPool, PooledConnection, PreparedStatement, SessionState,
 };
 use bytes::Bytes;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 use crate::context::{Context, wait_limit};
 
@@ -55,6 +55,8 @@
     pub(crate) member: MemberName,
     /// The position that the member's log had to have reached; `None` at the primary.
     pub(crate) floor: Option<LogPosition>,
+    /// For a commit that wrote, the last position that the member had reported before.
+    pub(crate) preceding: Option<LogPosition>,
 }
 
 /// Why there is no reply to a statement.
@@ -229,11 +231,16 @@
 ) -> Result<MemberReply, SendError> {
     let pool = Rc::clone(connection.pool());
     let sent = now();
+    let known = pool.health.position();
     pool.health.record_sent(is_commit);
     let outcome = timeout_at(until, connection.call(command)).await;
     pool.health
         .record_ended(is_commit, matches!(outcome, Ok(Ok(_))));
     let error = match outcome {
+        Ok(Ok(reply)) if is_emptied_primary(cx, job, &pool, known, &reply) => {
+            pool.health.mark_suspected();
+            SendError::Broken
+        }
         Ok(Ok(reply)) => {
             pool.health.record_answer(reply.position);
             record_reply(cx, &pool, job, sent, &reply);
@@ -247,6 +254,27 @@
     Err(error)
 }
 
+/// Returns whether the primary holds less than it had reported before the command was sent.
+/// It has started again without its log, and what it answers may lack commits.
+fn is_emptied_primary(
+    cx: &Context,
+    job: &Job,
+    pool: &MemberPool,
+    known: Option<LogPosition>,
+    reply: &MemberReply,
+) -> bool {
+    let member = &pool.member().name;
+    let term = cx.permission.recorded_term(&job.route.group, member);
+    // Positions of earlier terms may have been rolled back by another primary.
+    let known = known.filter(|known| Some(known.term) == term);
+    let has_shrunk = reply.position.is_some() && reply.position < known;
+    if has_shrunk {
+        warn!(id = job.id(), %member, ?known, position = ?reply.position,
+            "primary holds less than before, its answer is not used");
+    }
+    has_shrunk
+}
+
 fn record_reply(cx: &Context, pool: &MemberPool, job: &Job, sent: Instant, reply: &MemberReply) {
     match reply.result {
         Ok(_) => pool.health.record_latency(sent.elapsed()),
--- a/crates/burdockslip_session/src/read.rs
+++ b/crates/burdockslip_session/src/read.rs
@@ -122,6 +122,7 @@
                     reply,
                     member: attempt.member,
                     floor: attempt.floor,
+                    preceding: None,
                 });
             }
             Err(error) => error_kind(error),
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -358,6 +358,7 @@
                 reply,
                 member,
                 floor,
+                preceding: _,
             }) => {
                 self.last_reply = Some((member, floor));
                 ClientResponse {
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -29,6 +29,8 @@
     floor: Option<LogPosition>,
     /// Whether a write was sent.
     has_written: bool,
+    /// Whether a write succeeded, so that the commit has a position of its own.
+    has_changed: bool,
     /// When the last statement started or ended.
     pub(crate) last_used: Instant,
 }
@@ -43,6 +45,7 @@
             connection: None,
             floor: None,
             has_written: false,
+            has_changed: false,
             last_used: now(),
         }
     }
@@ -70,6 +73,7 @@
             }
         };
         self.last_used = now();
+        self.has_changed |= job.access == Access::Write && reply.result.is_ok();
         let served = self.served(&connection, reply);
         self.connection = Some(connection);
         Ok(served)
@@ -108,10 +112,12 @@
             text: job.text(),
             floor: None,
         };
+        let position = connection.pool().health.position();
         let reply = outcome::send(cx, &mut connection, job, command, self.has_written).await;
         match reply {
             Ok(reply) => {
-                let served = self.served(&connection, reply);
+                let mut served = self.served(&connection, reply);
+                served.preceding = position.filter(|_| self.has_changed);
                 outcome::return_if_idle(connection, &served.reply);
                 if self.has_written && served.reply.result.is_ok() {
                     acknowledge::confirm(cx, job, &served).await?;
@@ -128,6 +134,7 @@
             reply,
             member: connection.member().name.clone(),
             floor: self.floor,
+            preceding: None,
         }
     }
 
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -53,11 +53,13 @@
         return Err(SendError::NotSent(ErrorKind::NoPrimary));
     }
     let mut connection = outcome::acquire(&target.pool, job).await?;
+    let preceding = target.pool.health.position();
     let reply = outcome::run(cx, &mut connection, job, None).await?;
     outcome::return_if_idle(connection, &reply);
     Ok(ServedReply {
         reply,
         member: target.pool.member().name.clone(),
         floor: None,
+        preceding,
     })
 }
