shares: wait for the next token of the host's fraction instead of refusing

Cause: before the coordinator's first answer a host has one token and then those of its fraction.

Change: such an operation waits if its token comes within 40 ms, the limit for the coordinator's tokens; operations that have to wait for longer are refused at once, as before.

--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -25,6 +25,9 @@
 /// milliseconds.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// The shortest wait for a token of the host's own fraction.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
 /// Admits an operation of an organisation at another host, which holds the tokens of
 /// the availability zone. Resolves to `None` if there is no such host, or if it does
 /// not answer.
@@ -203,7 +206,9 @@
             if refusal.is_some() || deadline.is_past() {
                 return Err(refusal);
             }
-            self.wait_for_tokens(&config.name, seen, deadline).await;
+            let next = self.limiter.borrow_mut().next_token(config);
+            let until = next.map_or(deadline, |span| deadline.min(now() + span.max(MIN_WAIT)));
+            self.wait_for_tokens(&config.name, seen, until).await;
         }
     }
 
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -47,6 +47,9 @@
 /// The fraction of the burst that is available to hosts in fallback.
 const FALLBACK_BURST_FRACTION: f64 = 0.6;
 
+/// How long an operation may wait for the next token of the host's own fraction.
+const ACCRUAL_LIMIT: Duration = Duration::from_millis(40);
+
 /// The resolution of the random draw for an initial token.
 const DRAW_STEPS: u32 = 10_000;
 
@@ -76,7 +79,8 @@
 pub enum Admission {
     /// The operation may run and has used a token.
     Granted,
-    /// No token is left; the coordinator may grant one.
+    /// No token is left, but one may be soon: the coordinator may grant it, or the host's
+    /// own fraction yields it.
     Wait,
     /// The operation exceeds the rate.
     Refused(Refusal),
@@ -160,11 +164,13 @@
 
     /// Decides whether an operation may run, and takes a token for it if so.
     ///
-    /// An operation without a token is refused in fallback, and shortly after
-    /// the coordinator had no token to grant.
+    /// An operation without a token is refused in fallback unless the fraction yields the
+    /// next one shortly, and after the coordinator had no token to grant. A host that has
+    /// just started waits for the coordinator's first answer.
     pub fn admit(&mut self, config: &OrganisationConfig) -> Admission {
         let age = self.last_answer.map(Instant::elapsed);
         let is_fallback = self.is_fallback();
+        let is_starting = age.is_none() && !self.is_disconnected;
         let slack = self.slack;
         let bucket = self.bucket(&config.name);
         if std::mem::take(&mut bucket.is_new) {
@@ -176,7 +182,8 @@
             return Admission::Granted;
         }
         let is_denied = bucket.denied_until.is_some_and(|until| !until.is_past());
-        if is_fallback || is_denied {
+        let is_hopeless = is_fallback && !is_starting && bucket.next_token(config) > ACCRUAL_LIMIT;
+        if is_hopeless || is_denied {
             return Admission::Refused(Refusal {
                 fraction: bucket.fraction,
                 age,
@@ -185,6 +192,14 @@
         Admission::Wait
     }
 
+    /// Returns the time until the host's own fraction yields the next token, or `None`
+    /// while the coordinator grants tokens.
+    pub fn next_token(&mut self, config: &OrganisationConfig) -> Option<Duration> {
+        let is_fallback = self.is_fallback();
+        let bucket = self.bucket(&config.name);
+        is_fallback.then(|| bucket.next_token(config))
+    }
+
     /// Returns whether the host uses its fractions, because the coordinator does not
     /// answer.
     fn is_fallback(&self) -> bool {
@@ -311,6 +326,15 @@
         }
     }
 
+    /// Returns the time from the last refill until the fraction yields a token for another
+    /// operation than those that wait.
+    fn next_token(&self, config: &OrganisationConfig) -> Duration {
+        let waiting = u32::try_from(self.waiting).map_or(0.0, f64::from);
+        let missing = (1.0 + waiting - self.tokens).max(0.0);
+        let seconds = missing / (self.fraction * config.rate);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
     /// Returns the moving average of the demand, decayed to the present.
     fn current_demand(&self) -> f64 {
         let windows = self.measured_at.elapsed().as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
--- a/crates/burdockslip_shares/tests/rates.rs
+++ b/crates/burdockslip_shares/tests/rates.rs
@@ -557,3 +557,52 @@
     assert!((150..=240).contains(&whole), "{whole}");
     assert!((60..=120).contains(&half), "{half}");
 }
+
+/// Guards against operations of a host that has just started which are refused although
+/// its own fraction of the rate yields the next token in a millisecond.
+#[test]
+fn first_operations_of_a_host_wait_for_the_next_token() {
+    paused::run(15, async {
+        let limits = config(Limits {
+            rate: 2_000.0,
+            burst: 2_000.0,
+        });
+        let mut limiter = LocalLimiter::new(SLACK);
+        limiter.set_host_count(1);
+        limiter.mark_disconnected();
+        for _ in 0..100 {
+            limiter.record_demand(&organisation());
+            let admission = limiter.admit(&limits);
+            if admission == Admission::Wait {
+                let pause = limiter.next_token(&limits).expect("no coordinator answers");
+                assert!(pause < Duration::from_millis(2), "{pause:?}");
+                sleep(pause + Duration::from_micros(1)).await;
+                assert_eq!(limiter.admit(&limits), Admission::Granted);
+            } else {
+                assert_eq!(admission, Admission::Granted);
+            }
+        }
+    });
+}
+
+/// Guards against operations that wait for a token which the host's fraction does not yield
+/// in time, and that are refused only then.
+#[test]
+fn operations_far_above_the_fraction_are_refused_at_once() {
+    paused::run(16, async {
+        let limits = config(LARGE_LIMITS);
+        let mut limiter = LocalLimiter::new(SLACK);
+        limiter.set_host_count(2);
+        limiter.mark_disconnected();
+        let mut refused = 0;
+        for _ in 0..20 {
+            limiter.record_demand(&organisation());
+            match limiter.admit(&limits) {
+                Admission::Granted => {}
+                Admission::Wait => limiter.begin_wait(&organisation()),
+                Admission::Refused(_) => refused += 1,
+            }
+        }
+        assert!(refused >= 17, "{refused}");
+    });
+}
