session: pause sessions that never wait, and bound the notice at their end

Cause: sessions share a thread, and the loop of a session is left only when something in it has to wait. With the next message always there nothing did. The notice at the end of a session was repeated for each query that crossed it, without an end.

Failed tries: a pause after each read of discarded data (path::answer_to_a_message_that_is_far_too_large_arrives failed); a pace without boxing the turn (17.8 kB for each client's future).

--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -8,6 +8,7 @@
 mod context;
 mod freshness;
 mod outcome;
+mod pace;
 mod place;
 mod position;
 mod read;
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -15,6 +15,7 @@
 use tracing::{info, warn};
 
 use crate::Context;
+use crate::pace::Pace;
 use crate::session::{Handled, Session, id_text};
 use crate::stop::{Level, StopSignal};
 
@@ -28,6 +29,10 @@
 /// its session.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The number of queries that may cross the notice of the end of a session. A client that
+/// waits for each answer sends one.
+const MAX_REFUSALS: usize = 8;
+
 /// How long further data is discarded after an invalid message before the connection
 /// is closed.
 const FINISH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -153,25 +158,38 @@
     framed: &mut Framed,
     session: &mut Session,
 ) {
-    loop {
-        let query = match receive(cx, stop, framed, session).await {
-            Received::Query(query) => query,
-            Received::Unusable(kind) => {
-                let response = ClientResponse::failed(kind, session.transaction_status());
-                if send(cx, framed, &response, false).await {
-                    // The timeout closes the connection if the client keeps sending.
-                    let _ = timeout(FINISH_TIMEOUT, framed.finish()).await;
-                }
-                return;
+    let mut pace = Pace::default();
+    while pace
+        .run(Box::pin(take_turn(cx, stop, framed, session)))
+        .await
+    {}
+}
+
+/// Handles the next message of a client; returns whether the session goes on.
+async fn take_turn(
+    cx: &Rc<Context>,
+    stop: &StopSignal,
+    framed: &mut Framed,
+    session: &mut Session,
+) -> bool {
+    let query = match receive(cx, stop, framed, session).await {
+        Received::Query(query) => query,
+        Received::Unusable(kind) => {
+            let response = ClientResponse::failed(kind, session.transaction_status());
+            if send(cx, framed, &response, false).await {
+                // The timeout closes the connection if the client keeps sending.
+                let _ = timeout(FINISH_TIMEOUT, framed.finish()).await;
             }
-            Received::HostStops => return end_idle(cx, framed, stop.reason()).await,
-            Received::Closed => return,
-        };
-        let handled = run(stop, session, query).await;
-        if !send(cx, framed, &handled.response, false).await || handled.ends_session {
-            return;
+            return false;
         }
-    }
+        Received::HostStops => {
+            end_idle(cx, framed, stop.reason()).await;
+            return false;
+        }
+        Received::Closed => return false,
+    };
+    let handled = run(stop, session, query).await;
+    send(cx, framed, &handled.response, false).await && !handled.ends_session
 }
 
 /// Runs a statement, and abandons it when the process is about to exit.
@@ -195,20 +213,28 @@
 /// to complete the response.
 async fn end_idle(cx: &Context, framed: &mut Framed, reason: ErrorKind) {
     let until = now() + CLOSE_TIMEOUT;
-    let notice = ClientResponse::failed(reason, TransactionStatus::Idle);
-    while send(cx, framed, &notice, true).await {
-        match timeout_at(until, framed.next(cx.codec.read_client)).await {
-            Ok(Ok(ClientMessage::Query(query))) => {
-                info!(id = id_text(&query.id), outcome = ?reason, "statement refused, session ends");
-                if !send(cx, framed, &idle_response(), true).await {
-                    return;
-                }
-            }
-            _ => return,
+    for _ in 0..MAX_REFUSALS {
+        if !refuse_next(cx, framed, reason, until).await {
+            return;
         }
     }
 }
 
+/// Notifies the client of the end of its session, and waits until `until` for a query that
+/// crosses the notice; returns whether there was one.
+async fn refuse_next(cx: &Context, framed: &mut Framed, reason: ErrorKind, until: Instant) -> bool {
+    let notice = ClientResponse::failed(reason, TransactionStatus::Idle);
+    if !send(cx, framed, &notice, true).await {
+        return false;
+    }
+    let message = timeout_at(until, framed.next(cx.codec.read_client)).await;
+    let Ok(Ok(ClientMessage::Query(query))) = message else {
+        return false;
+    };
+    info!(id = id_text(&query.id), outcome = ?reason, "statement refused, session ends");
+    send(cx, framed, &idle_response(), true).await
+}
+
 /// The event that a session handles next.
 enum Received {
     Query(Query),
--- a/crates/burdockslip_upstream/src/framed.rs
+++ b/crates/burdockslip_upstream/src/framed.rs
@@ -1,8 +1,9 @@
 //! Reads and writes complete messages on a socket.
 
 use std::pin::pin;
+use std::time::Duration;
 
-use burdockslip_runtime::readable;
+use burdockslip_runtime::{readable, sleep};
 use burdockslip_types::{ErrorKind, Result};
 use bytes::BytesMut;
 use error_stack::{Report, bail};
@@ -13,6 +14,12 @@
 /// The maximum number of bytes per read; most messages are a few hundred bytes.
 const CHUNK: usize = 4096;
 
+/// The number of reads of data that is discarded between two pauses.
+const DISCARDED_READS: u32 = 64;
+
+/// The pause after that many reads.
+const DISCARD_PAUSE: Duration = Duration::from_millis(1);
+
 /// A socket that carries messages. It allocates no receive buffer while idle.
 #[derive(Debug)]
 pub struct Framed {
@@ -79,8 +86,14 @@
     /// last message.
     pub async fn finish(&mut self) {
         let mut outcome = self.stream.shutdown().await.map_err(|_| ());
+        let mut reads = 0_u32;
         while outcome.is_ok() {
             self.received.clear();
+            reads = reads.wrapping_add(1);
+            // A peer that sends without a break must not occupy the thread.
+            if reads.is_multiple_of(DISCARDED_READS) {
+                sleep(DISCARD_PAUSE).await;
+            }
             outcome = self.fill().await.map_err(|_| ());
         }
     }
