session: limit the memory of values and prepared statements

Cause: nothing limits what a session keeps, and connections to members keep it after the session.

Names and values are copied out of the buffers of their messages. Connections with much state are not returned to their pools.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -99,6 +99,7 @@
         let supervisor = Supervisor::spawn(directory.clone(), pools.clone(), duty.clone(), promote);
         let limits = Limits {
             sessions: settings.sessions,
+            state_bytes: settings.state_bytes,
             rate_slack: settings.rate_slack,
         };
         let cx = Rc::new(Context::new(
--- a/crates/burdockslip_entry/src/settings.rs
+++ b/crates/burdockslip_entry/src/settings.rs
@@ -22,6 +22,8 @@
     pub admin_address: SocketAddr,
     /// The maximum number of open client connections.
     pub sessions: usize,
+    /// The memory for the values and prepared statements of all sessions, in bytes.
+    pub state_bytes: usize,
     /// The processor time available to the host, in thousandths of a core.
     pub capacity: u32,
     /// The bandwidth of the host's link, in megabits per second.
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -17,9 +17,9 @@
 use futures::future::LocalBoxFuture;
 use tracing::info;
 
-use crate::Acknowledged;
 use crate::freshness::PositionHistory;
 use crate::receipt::Receipts;
+use crate::{Acknowledged, StateBudget};
 
 /// How long an operation may wait for a token. The coordinator replies within a few
 /// milliseconds.
@@ -38,6 +38,8 @@
 pub struct Limits {
     /// The maximum number of concurrent client connections.
     pub sessions: usize,
+    /// The memory for the values and prepared statements of all sessions, in bytes.
+    pub state_bytes: usize,
     /// The number of operations beyond rate and burst that all hosts together may
     /// admit for an organisation in a window.
     pub rate_slack: u32,
@@ -71,6 +73,8 @@
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
     authority: RefCell<Option<Authority>>,
+    /// The memory for the state of all sessions.
+    pub(crate) budget: Rc<StateBudget>,
     /// The positions of commits that were acknowledged to clients.
     pub acknowledged: Acknowledged,
     /// What replicas have shown to hold, for groups with excluded members.
@@ -104,6 +108,7 @@
             zone,
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
+            budget: Rc::new(StateBudget::new(limits.state_bytes)),
             acknowledged: Acknowledged::default(),
             receipts: Receipts::default(),
             refresh_tasks: RefCell::default(),
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -5,6 +5,7 @@
 mod acknowledge;
 mod acknowledged;
 mod begin;
+mod budget;
 mod context;
 mod freshness;
 mod outcome;
@@ -20,6 +21,7 @@
 mod write;
 
 pub use acknowledged::Acknowledged;
+pub use budget::StateBudget;
 pub use context::{Authority, Context, Limits};
 pub use freshness::PositionHistory;
 pub use serve::Listener;
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use tracing::info;
 
+use crate::budget::{self, StateCharge};
 use crate::context::Context;
 use crate::outcome::{Job, ServedReply, Work, error_kind};
 use crate::transaction::OpenTransaction;
@@ -27,6 +28,8 @@
     key: String,
     organisation: Organisation,
     state: Rc<SessionState>,
+    /// The memory that the state takes.
+    charge: StateCharge,
     /// The last commit of the session: its group and log position.
     last_commit: Option<(GroupName, LogPosition)>,
     transaction: Option<OpenTransaction>,
@@ -69,6 +72,7 @@
         let class = ClassName::from(route.name.as_str());
         Ok(Self {
             metrics: cx.metrics.request_metrics(&organisation, &class),
+            charge: StateCharge::new(Rc::clone(&cx.budget), organisation.clone()),
             cx,
             database,
             key,
@@ -234,24 +238,46 @@
                 self.execute(route, query.id, Work::Prepared(prepared, arguments), access)
                     .await
             }
-            Statement::Set { name, value } => {
-                Rc::make_mut(&mut self.state).values.insert(name, value);
-                ClientResponse::done(self.transaction_status())
-            }
-            Statement::Prepare { name, access, text } => {
-                let prepared = PreparedStatement { access, text };
-                Rc::make_mut(&mut self.state)
-                    .prepared
-                    .insert(name, prepared);
-                ClientResponse::done(self.transaction_status())
-            }
+            Statement::Set { name, value } => self.set(&name, &value),
+            Statement::Prepare { name, access, text } => self.prepare(&name, access, &text),
             Statement::Deallocate(name) => {
+                let freed = budget::prepared_bytes(&self.state, &name);
+                let _ = self.charge.replace(freed, 0);
                 Rc::make_mut(&mut self.state).prepared.remove(&name);
                 ClientResponse::done(self.transaction_status())
             }
         }
     }
 
+    /// Keeps a value of the session. Name and value are copied, because they are parts of a
+    /// larger buffer.
+    fn set(&mut self, name: &[u8], value: &[u8]) -> ClientResponse {
+        let old = budget::value_bytes(&self.state, name);
+        let new = budget::entry_bytes(name, value);
+        if let Err(kind) = self.charge.replace(old, new) {
+            return self.fail(kind);
+        }
+        let (name, value) = (Bytes::copy_from_slice(name), Bytes::copy_from_slice(value));
+        Rc::make_mut(&mut self.state).values.insert(name, value);
+        ClientResponse::done(self.transaction_status())
+    }
+
+    /// Keeps a prepared statement of the session.
+    fn prepare(&mut self, name: &[u8], access: Access, text: &[u8]) -> ClientResponse {
+        let old = budget::prepared_bytes(&self.state, name);
+        let new = budget::entry_bytes(name, text);
+        if let Err(kind) = self.charge.replace(old, new) {
+            return self.fail(kind);
+        }
+        let text = Bytes::copy_from_slice(text);
+        let prepared = PreparedStatement { access, text };
+        let name = Bytes::copy_from_slice(name);
+        Rc::make_mut(&mut self.state)
+            .prepared
+            .insert(name, prepared);
+        ClientResponse::done(self.transaction_status())
+    }
+
     async fn begin(&mut self, route: &Rc<Route>, access: Access, query: &Query) -> ClientResponse {
         if self.transaction.is_some() {
             return self.fail(ErrorKind::Protocol);
--- a/crates/burdockslip_upstream/src/connection.rs
+++ b/crates/burdockslip_upstream/src/connection.rs
@@ -18,6 +18,13 @@
 /// memory here and at the member.
 const MAX_PREPARED: usize = 64;
 
+/// The maximum size of the values and prepared statements of an idle connection, in bytes.
+const MAX_IDLE_BYTES: usize = 64 << 10;
+
+/// The maximum size of the statements that a transaction prepares, in bytes. Their names
+/// cannot be given up before it ends.
+const MAX_TRANSACTION_BYTES: usize = 2 << 20;
+
 /// A prepared statement, identified by its content and not by its name.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct PreparedStatement {
@@ -45,6 +52,8 @@
     organisation: Organisation,
     values: BTreeMap<Bytes, Bytes>,
     prepared: HashMap<PreparedStatement, Bytes>,
+    /// The size of the values, and that of the texts of prepared statements, in bytes.
+    held: (usize, usize),
     name_count: u64,
     in_transaction: bool,
     opened: Instant,
@@ -81,6 +90,7 @@
             organisation,
             values: BTreeMap::new(),
             prepared: HashMap::new(),
+            held: (0, 0),
             name_count: 0,
             in_transaction: false,
             opened: now(),
@@ -117,6 +127,12 @@
         self.values == state.values
     }
 
+    /// Returns whether the values and prepared statements of the connection take so much
+    /// memory that it should not be kept for other sessions.
+    pub(crate) const fn is_bulky(&self) -> bool {
+        self.held.0 + self.held.1 > MAX_IDLE_BYTES
+    }
+
     /// Returns since when the connection has been open. The member has not restarted
     /// since.
     pub const fn opened(&self) -> Instant {
@@ -161,6 +177,7 @@
             commands.push(Command::Reset);
             self.values.clear();
             self.prepared.clear();
+            self.held = (0, 0);
         }
         for (name, value) in &state.values {
             if self.values.get(name) != Some(value) {
@@ -170,8 +187,18 @@
                 });
             }
         }
-        self.values.clone_from(&state.values);
+        if !commands.is_empty() {
+            self.values.clone_from(&state.values);
+            let sizes = self
+                .values
+                .iter()
+                .map(|(name, value)| name.len() + value.len());
+            self.held.0 = sizes.sum();
+        }
         let name = statement.map(|statement| self.name_of(statement, &mut commands));
+        if self.in_transaction && self.held.1 > MAX_TRANSACTION_BYTES {
+            bail!(Report::new(ErrorKind::QueueFull).attach("too many prepared statements"));
+        }
         if commands.is_empty() {
             return Ok(name);
         }
@@ -198,6 +225,7 @@
             text: statement.text.clone(),
         });
         self.prepared.insert(statement.clone(), name.clone());
+        self.held.1 += statement.text.len();
         name
     }
 
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -316,8 +316,12 @@
         &self.guard.0
     }
 
-    /// Returns the connection to the pool for reuse. It must not be in a transaction.
+    /// Returns the connection to the pool for reuse, or closes it if it takes much memory.
+    /// It must not be in a transaction.
     pub fn return_to_pool(mut self) {
+        if self.is_bulky() {
+            return;
+        }
         let pool = Rc::clone(&self.guard.0);
         if let Some(connection) = self.connection.take() {
             pool.open_count.set(pool.open_count.get() + 1);
