session: count receipts as progress, report only new acknowledged commits

Cause, by reading: with receipts arriving but always another commit waiting, the time since the first wait grew without an end, and after 250 ms writes of a busy group with excluded members would have been refused. Besides, a member that cannot leave the roster yet kept replicas stopped that an interrupted change had left so, and each report named every group.

Change: the time counts from the last progress (ReceiptProgress); replicas are resumed whether or not the roster could be updated; reports name the groups with new commits. An exclusion is never taken as known by a coordinator that knows no host.

A test with processes and twelve writers (exclusion::writes_go_on_while_a_member_is_excluded) passes with and without this change: the loopback is too fast for it.

--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -99,12 +99,17 @@
             (true, true) => DemandScope::Changed,
             (true, false) => DemandScope::Urgent,
         };
+        let acknowledged = if scope == DemandScope::All || !changing.is_empty() {
+            cx.acknowledged.latest()
+        } else {
+            cx.acknowledged.take_changes()
+        };
         let report = HostReport {
             groups: GroupReport {
                 suspects,
                 changing,
                 excluding: cx.permission.excluding(),
-                acknowledged: cx.acknowledged.latest(),
+                acknowledged,
             },
             demands: cx.limiter.borrow_mut().demands(scope),
             wants_positions: is_full,
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -215,11 +215,13 @@
     /// Updates the roster and resumes stopped replicas once; returns whether nothing
     /// is left to do.
     async fn run_update(&self, group: &GroupName, entry: Entry) -> Result<bool> {
-        let kept = self.promotion.update_roster(group, entry).await?;
+        let updated = self.promotion.update_roster(group, entry).await;
+        // A member that cannot leave yet does not keep replicas stopped.
+        let is_receiving = self.promotion.resume_stopped(group).await?;
+        let kept = updated?;
         if !kept.is_empty() {
             debug!(%group, kept = %roster::join(&kept), "absent members stay on the roster");
         }
-        let is_receiving = self.promotion.resume_stopped(group).await?;
         if is_receiving {
             self.receiving.borrow_mut().insert(group.clone());
         }
--- a/crates/burdockslip_failover/src/withdrawals.rs
+++ b/crates/burdockslip_failover/src/withdrawals.rs
@@ -69,7 +69,9 @@
     /// Returns whether every host that may have a permission knows the record of a group
     /// at `revision`, or a newer one.
     pub fn know_record(&self, group: &GroupName, revision: Revision) -> bool {
-        self.is_followed() && self.lacking_record(group, revision).is_empty()
+        self.is_followed()
+            && !self.hosts.is_empty()
+            && self.lacking_record(group, revision).is_empty()
     }
 
     /// Returns the hosts that have not reported that they know the record of a group at
--- a/crates/burdockslip_session/src/acknowledged.rs
+++ b/crates/burdockslip_session/src/acknowledged.rs
@@ -1,7 +1,7 @@
 //! The positions of commits that were acknowledged to clients.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use burdockslip_failover::AcknowledgedCommit;
 use burdockslip_types::{GroupName, LogIndex, LogPosition};
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct Acknowledged {
     groups: RefCell<HashMap<GroupName, AcknowledgedCommit>>,
+    /// The groups with commits since they were last taken for a report.
+    changed: RefCell<HashSet<GroupName>>,
 }
 
 impl Acknowledged {
@@ -33,6 +35,16 @@
         let mut groups = self.groups.borrow_mut();
         let known = groups.entry(group.clone()).or_insert(commit);
         *known = commit.max(*known);
+        self.changed.borrow_mut().insert(group.clone());
+    }
+
+    /// Returns the last commit of each group that has changed since the last call.
+    pub fn take_changes(&self) -> Vec<(GroupName, AcknowledgedCommit)> {
+        let groups = self.groups.borrow();
+        let changed = self.changed.take().into_iter();
+        changed
+            .filter_map(|group| groups.get(&group).map(|commit| (group, *commit)))
+            .collect()
     }
 
     /// Returns the last commit of each group.
--- a/crates/burdockslip_session/src/receipt.rs
+++ b/crates/burdockslip_session/src/receipt.rs
@@ -10,13 +10,14 @@
 use std::time::Duration;
 
 use burdockslip_directory::Member;
-use burdockslip_runtime::{Instant, Signal, Task, now, sleep, spawn, timeout_at};
+use burdockslip_runtime::{Signal, Task, now, sleep, spawn, timeout_at};
 use burdockslip_types::{ErrorKind, GroupName, LogPosition, MemberName, Organisation, Result};
 use burdockslip_upstream::SessionState;
 use tracing::{debug, info, warn};
 
 use crate::context::Context;
 use crate::outcome::Job;
+use crate::progress::ReceiptProgress;
 
 /// The timeout of a status query, including the time until a connection is open.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -27,19 +28,10 @@
 /// The longest pause between two queries.
 const MAX_PAUSE: Duration = Duration::from_millis(40);
 
-/// How long a commit may wait for its receipt before further writes are refused. Replicas
-/// receive commits within some milliseconds.
-const STALL_LIMIT: Duration = Duration::from_millis(250);
-
-/// What is known of the receipts of a group's commits.
+/// The receipts of a group's commits.
 #[derive(Debug)]
 struct GroupReceipts {
-    /// The highest position that a replica has shown to hold.
-    received: LogPosition,
-    /// The highest position that a commit waits for.
-    wanted: LogPosition,
-    /// Since when commits have been waiting without a break.
-    waiting_since: Instant,
+    progress: ReceiptProgress,
     /// The task that queries replicas while commits wait.
     task: Option<Task<()>>,
 }
@@ -52,40 +44,31 @@
 }
 
 impl Receipts {
-    /// Returns whether a replica has shown that it holds `position` in its term.
+    /// Returns whether a replica has shown that it holds `position`.
     fn cover(&self, group: &GroupName, position: LogPosition) -> bool {
         let groups = self.groups.borrow();
-        let received = groups.get(group).map(|known| known.received);
-        received.is_some_and(|received| holds(received, position))
+        let known = groups.get(group);
+        known.is_some_and(|known| known.progress.covers(position))
     }
 
     fn wanted(&self, group: &GroupName) -> Option<LogPosition> {
-        let groups = self.groups.borrow();
-        let known = groups.get(group)?;
-        (!holds(known.received, known.wanted)).then_some(known.wanted)
+        self.groups.borrow().get(group)?.progress.wanted()
     }
 
     fn record(&self, group: &GroupName, received: LogPosition) {
         if let Some(known) = self.groups.borrow_mut().get_mut(group) {
-            known.received = known.received.max(received);
+            known.progress.record(received);
         }
         self.changed.notify();
     }
 }
 
-/// Returns whether a log that ends at `received` holds `position`. The log of a later term
-/// may have continued from an earlier position.
-fn holds(received: LogPosition, position: LogPosition) -> bool {
-    received.term == position.term && received >= position
-}
-
 /// Returns whether commits of a group do not get receipts, so that the outcome of further
 /// writes would be unknown to their clients.
 pub(crate) fn is_stalled(cx: &Context, group: &GroupName) -> bool {
     let groups = cx.receipts.groups.borrow();
-    groups
-        .get(group)
-        .is_some_and(|known| known.task.is_some() && known.waiting_since.elapsed() > STALL_LIMIT)
+    let known = groups.get(group);
+    known.is_some_and(|known| known.task.is_some() && known.progress.is_stalled())
 }
 
 /// Waits until a replica on the roster holds a commit, or the group needs no receipts.
@@ -136,14 +119,11 @@
     let known = groups
         .entry(group.clone())
         .or_insert_with(|| GroupReceipts {
-            received: LogPosition::default(),
-            wanted: position,
-            waiting_since: now(),
+            progress: ReceiptProgress::new(position),
             task: None,
         });
-    known.wanted = known.wanted.max(position);
-    if known.task.is_none() && !holds(known.received, known.wanted) {
-        known.waiting_since = now();
+    known.progress.want(position);
+    if known.task.is_none() && !known.progress.is_complete() {
         let task = ask_until_held(Rc::clone(cx), group.clone(), organisation.clone());
         known.task = Some(spawn(task));
     }
@@ -168,7 +148,7 @@
             if received.term > wanted.term {
                 break;
             }
-            if holds(received, wanted) {
+            if cx.receipts.wanted(&group) != Some(wanted) {
                 pause = MIN_PAUSE;
                 continue;
             }
