--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -100,6 +100,7 @@
         let limits = Limits {
             sessions: settings.sessions,
             state_bytes: settings.state_bytes,
+            message_bytes: settings.message_bytes,
             rate_slack: settings.rate_slack,
         };
         let cx = Rc::new(Context::new(
--- a/crates/burdockslip_entry/src/settings.rs
+++ b/crates/burdockslip_entry/src/settings.rs
@@ -24,6 +24,8 @@
     pub sessions: usize,
     /// The memory for the values and prepared statements of all sessions, in bytes.
     pub state_bytes: usize,
+    /// The memory for unfinished messages of all clients, in bytes.
+    pub message_bytes: usize,
     /// The processor time available to the host, in thousandths of a core.
     pub capacity: u32,
     /// The bandwidth of the host's link, in megabits per second.
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -13,7 +13,7 @@
 use burdockslip_statement::Codec;
 use burdockslip_telemetry::Metrics;
 use burdockslip_types::{ErrorKind, GroupName, Organisation, Zone};
-use burdockslip_upstream::Pools;
+use burdockslip_upstream::{Pools, ReceiveBudget};
 use futures::future::LocalBoxFuture;
 use tracing::info;
 
@@ -40,6 +40,8 @@
     pub sessions: usize,
     /// The memory for the values and prepared statements of all sessions, in bytes.
     pub state_bytes: usize,
+    /// The memory for unfinished messages of all clients, in bytes.
+    pub message_bytes: usize,
     /// The number of operations beyond rate and burst that all hosts together may
     /// admit for an organisation in a window.
     pub rate_slack: u32,
@@ -73,6 +75,8 @@
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
     authority: RefCell<Option<Authority>>,
+    /// The memory for unfinished messages of all clients.
+    pub(crate) receive_budget: Rc<ReceiveBudget>,
     /// The memory for the state of all sessions.
     pub(crate) budget: Rc<StateBudget>,
     /// The positions of commits that were acknowledged to clients.
@@ -108,6 +112,7 @@
             zone,
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
+            receive_budget: Rc::new(ReceiveBudget::new(limits.message_bytes)),
             budget: Rc::new(StateBudget::new(limits.state_bytes)),
             acknowledged: Acknowledged::default(),
             receipts: Receipts::default(),
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -102,7 +102,7 @@
 }
 
 async fn serve(cx: &Rc<Context>, stop: &StopSignal, stream: TcpStream) {
-    let mut framed = Framed::new(stream);
+    let mut framed = Framed::with_budget(stream, Rc::clone(&cx.receive_budget));
     let Ok(first) = timeout(CONNECT_TIMEOUT, framed.next(cx.codec.read_client)).await else {
         return;
     };
--- a/crates/burdockslip_upstream/src/framed.rs
+++ b/crates/burdockslip_upstream/src/framed.rs
@@ -1,9 +1,11 @@
 //! Reads and writes complete messages on a socket.
 
+use std::cell::Cell;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{readable, sleep};
+use burdockslip_runtime::{Instant, now, readable, sleep, timeout_at};
 use burdockslip_types::{ErrorKind, Result};
 use bytes::BytesMut;
 use error_stack::{Report, bail};
@@ -11,8 +13,13 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 
-/// The maximum number of bytes per read; most messages are a few hundred bytes.
-const CHUNK: usize = 4096;
+/// The maximum number of bytes of the first read of a message; most messages are a few
+/// hundred bytes.
+const CHUNK: usize = 4 << 10;
+
+/// The maximum number of bytes of later reads. The whole message is parsed again after each
+/// read, so that long messages need few of them.
+const MAX_CHUNK: usize = 64 << 10;
 
 /// The number of reads of data that is discarded between two pauses.
 const DISCARDED_READS: u32 = 64;
@@ -20,11 +27,40 @@
 /// The pause after that many reads.
 const DISCARD_PAUSE: Duration = Duration::from_millis(1);
 
+/// How long a message may take from its first bytes to its end.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The size up to which unfinished messages are not charged, in bytes.
+const FREE_BYTES: usize = 16 << 10;
+
+/// The memory for unfinished messages of many sockets.
+#[derive(Debug)]
+pub struct ReceiveBudget {
+    /// The limit for all sockets together, in bytes.
+    limit: usize,
+    used: Cell<usize>,
+}
+
+impl ReceiveBudget {
+    /// Creates a budget of `limit` bytes.
+    pub const fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            used: Cell::new(0),
+        }
+    }
+}
+
 /// A socket that carries messages. It allocates no receive buffer while idle.
 #[derive(Debug)]
 pub struct Framed {
     stream: TcpStream,
     received: BytesMut,
+    /// When the first bytes of an unfinished message were found.
+    started: Option<Instant>,
+    budget: Option<Rc<ReceiveBudget>>,
+    /// The part of the budget that this socket uses.
+    charged: usize,
 }
 
 impl Framed {
@@ -33,9 +69,20 @@
         Self {
             stream,
             received: BytesMut::new(),
+            started: None,
+            budget: None,
+            charged: 0,
         }
     }
 
+    /// Wraps the connected socket of a client, whose unfinished messages are charged to
+    /// `budget`.
+    pub fn with_budget(stream: TcpStream, budget: Rc<ReceiveBudget>) -> Self {
+        let mut framed = Self::new(stream);
+        framed.budget = Some(budget);
+        framed
+    }
+
     /// Waits for the next message.
     ///
     /// The future can be dropped without losing data: bytes are read from the
@@ -43,23 +90,53 @@
     ///
     /// # Errors
     ///
-    /// Returns `ConnectionLost` if the connection ends or fails, or the error of `read`.
+    /// Returns `ConnectionLost` if the connection ends or fails, `Protocol` if a message is
+    /// not complete within 10 s, `QueueFull` if there is no memory for it, or the error of
+    /// `read`.
     pub async fn next<T>(&mut self, read: fn(&mut BytesMut) -> Result<Option<T>>) -> Result<T> {
         loop {
             if let Some(message) = read(&mut self.received)? {
                 if self.received.is_empty() {
                     self.received = BytesMut::new();
                 }
+                self.started = None;
+                self.charge()?;
                 return Ok(message);
             }
-            self.fill().await?;
+            if self.received.is_empty() {
+                self.fill().await?;
+            } else {
+                let started = *self.started.get_or_insert_with(now);
+                let filled = timeout_at(started + MESSAGE_TIMEOUT, self.fill()).await;
+                filled.unwrap_or_else(|_| {
+                    bail!(Report::new(ErrorKind::Protocol).attach("message not completed"))
+                })?;
+            }
+            self.charge()?;
         }
     }
 
+    /// Charges the receive buffer to the budget.
+    fn charge(&mut self) -> Result<()> {
+        let Some(budget) = &self.budget else {
+            return Ok(());
+        };
+        let is_free = self.received.len() <= FREE_BYTES;
+        let needed = if is_free { 0 } else { self.received.capacity() };
+        let used = budget.used.get() - self.charged + needed;
+        if needed > self.charged && used > budget.limit {
+            bail!(Report::new(ErrorKind::QueueFull).attach("no memory for unfinished messages"));
+        }
+        budget.used.set(used);
+        self.charged = needed;
+        Ok(())
+    }
+
     async fn fill(&mut self) -> Result<()> {
         let lost = |error| Report::new(error).change_context(ErrorKind::ConnectionLost);
         readable(&self.stream).await.map_err(lost)?;
-        let (outcome, chunk) = self.stream.read(Vec::with_capacity(CHUNK)).await;
+        let size = self.received.len().clamp(CHUNK, MAX_CHUNK);
+        let (outcome, chunk) = self.stream.read(Vec::with_capacity(size)).await;
         if outcome.map_err(lost)? == 0 {
             bail!(Report::new(ErrorKind::ConnectionLost).attach("connection closed by peer"));
         }
@@ -88,7 +165,7 @@
         let mut outcome = self.stream.shutdown().await.map_err(|_| ());
         let mut reads = 0_u32;
         while outcome.is_ok() {
-            self.received.clear();
+            self.received = BytesMut::new();
             reads = reads.wrapping_add(1);
             // A peer that sends without a break must not occupy the thread.
             if reads.is_multiple_of(DISCARDED_READS) {
@@ -104,3 +181,11 @@
         self.received.is_empty() && pin!(readable(&self.stream)).now_or_never().is_none()
     }
 }
+
+impl Drop for Framed {
+    fn drop(&mut self) {
+        if let Some(budget) = &self.budget {
+            budget.used.set(budget.used.get() - self.charged);
+        }
+    }
+}
--- a/crates/burdockslip_upstream/src/lib.rs
+++ b/crates/burdockslip_upstream/src/lib.rs
@@ -13,7 +13,7 @@
 mod settings;
 
 pub use connection::{Connection, PreparedStatement, SessionState};
-pub use framed::Framed;
+pub use framed::{Framed, ReceiveBudget};
 pub use health::Health;
 pub use member_pool::{MemberPool, PooledConnection};
 pub use pacer::ConnectPacer;
