failover: add members to the roster while an exclusion waits

Cause, by reading: the update of a roster queries absent members for up to 3 s and waits for hosts for 3 s; members that registered meanwhile were added after it. They receive commits at once, and one whose record lapses in this time was on no roster.

Change: registered members are added by a task of their own, which cancels the update.

Measured: exclusion::member_that_joins_during_an_exclusion_is_listed_at_once failed before, passes; tests of exclusion, emptied and roster pass.

--- a/crates/burdockslip_failover/src/exclusion.rs
+++ b/crates/burdockslip_failover/src/exclusion.rs
@@ -15,7 +15,7 @@
 use burdockslip_runtime::{now, sleep};
 use burdockslip_statement::{Command, MemberStatus};
 use burdockslip_store::{Entry, with_timeout};
-use burdockslip_types::{ErrorKind, GroupName, MemberName, Result, Revision};
+use burdockslip_types::{ErrorKind, GroupName, HostId, MemberName, Result, Revision};
 use error_stack::{Report, bail};
 use futures::future::join_all;
 use tracing::info;
@@ -43,9 +43,21 @@
 const KNOWLEDGE_PAUSE: Duration = Duration::from_millis(50);
 
 impl Promotion {
-    /// Updates the roster of a group whose primary is not being replaced: adds members
-    /// that have registered and excludes members that are gone. Returns the absent members
-    /// that have to stay on the roster.
+    /// Adds the members that have registered to the roster of a group whose primary is not
+    /// being replaced.
+    pub(crate) async fn join_roster(&self, group: &GroupName, entry: Entry) -> Result<()> {
+        let record = GroupRecord::read(&entry.value)?;
+        let mut next = record.clone();
+        next.join(&self.present(group));
+        if next != record {
+            self.write(group, &next, entry.revision).await?;
+            next.log(group, &[]);
+        }
+        Ok(())
+    }
+
+    /// Excludes members that are gone from a group whose primary is not being replaced.
+    /// Returns the absent members that have to stay on the roster.
     pub(crate) async fn update_roster(
         &self,
         group: &GroupName,
@@ -69,7 +81,7 @@
         let mut revision = entry.revision;
         if next != record {
             revision = self.write(group, &next, revision).await?;
-            next.log(group, "roster changed", &[]);
+            next.log(group, &[]);
         }
         let leaving = next.leaving();
         if !leaving.is_empty() {
@@ -80,7 +92,7 @@
             if is_unchanged && self.is_log_held(&next, &present).await {
                 next.roster.retain(|member| !leaving.contains(&member.name));
                 self.write(group, &next, revision).await?;
-                next.log(group, "roster changed", &leaving);
+                next.log(group, &leaving);
             }
         }
         let is_kept = |member: &&Rc<Member>| next.roster.iter().any(|k| k.name == member.name);
@@ -177,10 +189,7 @@
             }
         }
         let missing = self.withdrawals.borrow().lacking_record(group, revision);
-        let names: Vec<_> = missing
-            .iter()
-            .map(burdockslip_types::HostId::as_str)
-            .collect();
+        let names: Vec<_> = missing.iter().map(HostId::as_str).collect();
         let text = format!(
             "hosts that do not know of the exclusion: {}",
             names.join(" ")
@@ -214,11 +223,11 @@
         leaving.map(|member| member.name.clone()).collect()
     }
 
-    fn log(&self, group: &GroupName, event: &str, gone: &[MemberName]) {
+    fn log(&self, group: &GroupName, gone: &[MemberName]) {
         let roster = self.roster.iter().map(|member| &member.name);
         let excluded = self.excluded.iter().map(|member| &member.name);
         let lost = self.lost.iter().map(|member| &member.name);
         info!(%group, roster = %join_names(roster), excluded = %join_names(excluded),
-            lost = %join_names(lost), gone = %join_names(gone), "{event}");
+            lost = %join_names(lost), gone = %join_names(gone), "roster changed");
     }
 }
--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -32,21 +32,22 @@
     merged
 }
 
-/// Returns whether a record names the newest run of every registered member, which is not
-/// excluded, and has no other members on its roster.
-pub(crate) fn is_current(record: &GroupRecord, registered: &[Rc<Member>]) -> bool {
+/// Returns whether a registered member is not on the roster of a record in its newest run,
+/// or is excluded.
+pub(crate) fn lacks(record: &GroupRecord, registered: &[Rc<Member>]) -> bool {
     let is_listed = |member: &Rc<Member>| {
         let mut runs = record.roster.iter();
         runs.any(|known| has_same_log(known, member) && !is_newer(member, known))
     };
     let is_back = |excluded: &Member| registered.iter().any(|member| succeeds(member, excluded));
-    registered.iter().all(is_listed)
-        && record
-            .roster
-            .iter()
-            .all(|member| is_registered(member, registered))
-        && !record.excluded.iter().any(is_back)
-        && record.lost.is_empty()
+    !registered.iter().all(is_listed) || record.excluded.iter().any(is_back)
+}
+
+/// Returns whether the roster of a record consists of the registered members, and no run
+/// of them is lost.
+pub(crate) fn is_current(record: &GroupRecord, registered: &[Rc<Member>]) -> bool {
+    let has_record = |member: &Member| is_registered(member, registered);
+    !lacks(record, registered) && record.roster.iter().all(has_record) && record.lost.is_empty()
 }
 
 fn has_same_log(known: &Member, member: &Member) -> bool {
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -42,7 +42,10 @@
     votes: RefCell<Votes>,
     /// The changes of primary in progress, with their start.
     changes: RefCell<HashMap<GroupName, (Instant, Task<()>)>>,
-    /// The roster updates in progress; a change of primary cancels that of its group.
+    /// The additions to rosters in progress; a change of primary cancels that of its group.
+    joins: RefCell<HashMap<GroupName, Task<()>>>,
+    /// The roster updates in progress; an addition or a change of primary cancels that of
+    /// its group.
     updates: RefCell<HashMap<GroupName, Task<()>>>,
     /// The groups whose replicas have all reported in this tenure that they receive.
     receiving: RefCell<HashSet<GroupName>>,
@@ -70,6 +73,7 @@
             },
             votes: RefCell::default(),
             changes: RefCell::default(),
+            joins: RefCell::default(),
             updates: RefCell::default(),
             receiving: RefCell::default(),
         });
@@ -117,6 +121,7 @@
         }
         if shared.promotion.duty.tenure().is_none() {
             shared.changes.borrow_mut().clear();
+            shared.joins.borrow_mut().clear();
             shared.updates.borrow_mut().clear();
             shared.receiving.borrow_mut().clear();
             shared.votes.borrow_mut().reset();
@@ -185,12 +190,35 @@
             self.start_change(group, Some(entry), reason);
             return;
         }
-        let is_current = roster::is_current(&record, &self.promotion.present(group));
+        let present = self.promotion.present(group);
+        if roster::lacks(&record, &present) {
+            self.start_join(group, entry);
+            return;
+        }
+        let is_current = roster::is_current(&record, &present);
         if !is_current || !self.receiving.borrow().contains(group) {
             self.start_update(group, entry);
         }
     }
 
+    /// Spawns a task that adds registered members to the roster, unless one is running for
+    /// the group. An update may take seconds, in which they already receive commits.
+    fn start_join(self: &Rc<Self>, group: &GroupName, entry: Entry) {
+        if self.joins.borrow().contains_key(group) {
+            return;
+        }
+        self.updates.borrow_mut().remove(group);
+        let (shared, name) = (Rc::clone(self), group.clone());
+        let task = spawn(async move {
+            if let Err(error) = shared.promotion.join_roster(&name, entry).await {
+                info!(group = %name, ?error, "members not added to the roster");
+                sleep(RETRY_PAUSE).await;
+            }
+            shared.joins.borrow_mut().remove(&name);
+        });
+        self.joins.borrow_mut().insert(group.clone(), task);
+    }
+
     /// Spawns a task that updates the roster and resumes stopped replicas, unless one
     /// is running for the group.
     fn start_update(self: &Rc<Self>, group: &GroupName, entry: Entry) {
@@ -261,6 +289,7 @@
         reason: &'static str,
     ) {
         // A concurrent update could resume replicas that the change stops.
+        self.joins.borrow_mut().remove(group);
         self.updates.borrow_mut().remove(group);
         self.receiving.borrow_mut().remove(group);
         let (shared, name) = (Rc::clone(self), group.clone());
