telemetry: count receipts

Cause: operators could see withheld acknowledgements in logs only. Change: burdockslip_receipts_total, by whether the receipt was confirmed. Measured: clippy and the tests of burdockslip_platform::exclusion; no test reads the counter.

--- a/crates/burdockslip_session/src/acknowledge.rs
+++ b/crates/burdockslip_session/src/acknowledge.rs
@@ -37,7 +37,9 @@
     wait_for_permission(cx, job, member).await?;
     let position = served.reply.position;
     if cx.permission.confirming_replicas(group).is_some() {
-        receipt::wait(cx, job, member, position).await?;
+        let receipt = receipt::wait(cx, job, member, position).await;
+        cx.metrics.count_receipt(receipt.is_ok());
+        receipt?;
         wait_for_permission(cx, job, member).await?;
     }
     if let (Some(preceding), Some(position)) = (served.preceding, position) {
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -45,6 +45,7 @@
     reads: Counter<u64>,
     proofs: Counter<u64>,
     commits: Counter<u64>,
+    receipts: Counter<u64>,
     failover: Histogram<f64>,
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
@@ -99,6 +100,11 @@
                 "burdockslip_commits",
                 "Commits that callers were told are kept, by the source of the newest proof.",
             ),
+            receipts: counter(
+                &meter,
+                "burdockslip_receipts",
+                "Commits that needed the receipt of a replica, by whether it was confirmed.",
+            ),
             failover: histogram(
                 &meter,
                 "burdockslip_failover",
@@ -160,6 +166,17 @@
         self.commits.add(1, &[KeyValue::new("source", source)]);
     }
 
+    /// Counts a commit of a group with excluded members, by whether a replica has confirmed
+    /// that it holds the commit.
+    pub fn count_receipt(&self, is_confirmed: bool) {
+        let outcome = if is_confirmed {
+            "confirmed"
+        } else {
+            "withheld"
+        };
+        self.receipts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the duration of one phase of a failover, such as `detection`.
     pub fn record_failover(&self, group: &GroupName, phase: &'static str, duration: Duration) {
         let group = KeyValue::new("group", group.as_str().to_owned());
