--- a/crates/burdockslip_failover/src/exclusion.rs
+++ b/crates/burdockslip_failover/src/exclusion.rs
@@ -83,24 +83,38 @@
             revision = self.write(group, &next, revision).await?;
             next.log(group, &[]);
         }
-        let leaving = next.leaving();
-        if !leaving.is_empty() {
-            self.wait_until_known(group, revision).await?;
-            let present = self.present(group);
-            let is_back = |member: &Member| is_registered(member, &present);
-            let is_unchanged = !next.excluded.iter().any(is_back);
-            if is_unchanged && self.is_log_held(&next, &present).await {
-                next.roster.retain(|member| !leaving.contains(&member.name));
-                self.write(group, &next, revision).await?;
-                next.log(group, &leaving);
-            }
+        if !next.leaving().is_empty() {
+            self.finish_exclusion(group, &mut next, revision).await?;
         }
-        let is_kept = |member: &&Rc<Member>| next.roster.iter().any(|k| k.name == member.name);
+        let is_kept =
+            |member: &&Rc<Member>| next.roster.iter().any(|known| known.name == member.name);
         let kept = absent.iter().filter(is_kept).map(|member| &member.name);
         let lost = next.lost.iter().map(|member| &member.name);
         Ok(kept.chain(lost).cloned().collect())
     }
 
+    /// Takes excluded members off the roster of the record at `revision`, once all hosts know
+    /// that they are excluded, unless one of them is back.
+    async fn finish_exclusion(
+        &self,
+        group: &GroupName,
+        record: &mut GroupRecord,
+        revision: Revision,
+    ) -> Result<()> {
+        self.wait_until_known(group, revision).await?;
+        let present = self.present(group);
+        let is_back = |member: &Member| is_registered(member, &present);
+        if !record.excluded.iter().any(is_back) && self.is_log_held(record, &present).await {
+            let leaving = record.leaving();
+            record
+                .roster
+                .retain(|member| !leaving.contains(&member.name));
+            self.write(group, record, revision).await?;
+            record.log(group, &leaving);
+        }
+        Ok(())
+    }
+
     /// Returns the members that leave several queries unanswered. Those that are about to
     /// leave and those whose exclusion has begun are queried once.
     async fn find_unresponsive(
