failover: resume replicas that are stopped at the new primary's own term

What callers saw: promotion_ordered_by_a_killed_coordinator_is_finished failed once in a run of the whole suite beside other work; no write was acknowledged after a change of primary.

Cause: a coordinator killed between the record of a finished change and the command to receive again leaves replicas stopped at the term of the new primary; only terms above it counted as stopped.

Change: the term itself counts, too.

--- a/crates/burdockslip_failover/src/roster.rs
+++ b/crates/burdockslip_failover/src/roster.rs
@@ -99,6 +99,9 @@
     /// Resumes replicas that were left stopped because an earlier change of primary
     /// did not resume all of them. Returns whether all replicas have answered that
     /// they receive.
+    ///
+    /// A change stops replicas at the term after the old primary's, which is that of the new
+    /// one unless another change came between.
     pub(crate) async fn resume_stopped(&self, group: &GroupName) -> Result<bool> {
         let Some(entry) = self.directory.record(&keys::group(group)) else {
             return Ok(false);
@@ -109,7 +112,7 @@
         let statuses = self.control_all(&replicas, &Command::Status).await;
         let is_stopped = |member: &&Rc<Member>| {
             let status = statuses.get(&member.name);
-            status.is_some_and(|status| !status.is_primary && status.held > record.term)
+            status.is_some_and(|status| !status.is_primary && status.held >= record.term)
         };
         let stopped: Vec<_> = replicas.iter().filter(is_stopped).cloned().collect();
         if !stopped.is_empty() && record.is_stable() {
