--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -19,4 +19,4 @@
 pub use host::{Adapter, Host};
 pub use messages::{HostReport, ReportExchange, ReportReply};
 pub use relay::{MAX_RELAYED_AGE, Relays, SendBudget};
-pub use settings::EntrySettings;
+pub use settings::{ColdLimit, EntrySettings};
--- a/crates/burdockslip_entry/src/settings.rs
+++ b/crates/burdockslip_entry/src/settings.rs
@@ -1,9 +1,10 @@
 //! The settings of an entry host.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use burdockslip_types::{HostId, Zone};
+use burdockslip_types::{HostId, Region, Zone};
 
 /// The settings of an entry host, supplied by an adapter.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,4 +36,23 @@
     pub rate_slack: u32,
     /// The grace period: how long a planned stop may take.
     pub grace: Duration,
+    /// The region of each availability zone; empty if the operators do not name any.
+    pub regions: BTreeMap<Zone, Region>,
+    /// How long after its request an availability zone may still receive statements that
+    /// is to be evacuated; `None` if the operators do not evacuate zones.
+    pub evacuation: Option<Duration>,
+    /// The limit on statements to cold members; `None` if they are not limited.
+    pub cold: Option<ColdLimit>,
+    /// Whether statements that wait for room are served by the priority of their routes.
+    pub is_prioritised: bool,
+}
+
+/// How many statements a cold member may receive in a second from all hosts together, in
+/// relation to the rate that its group configures.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdLimit {
+    /// The factor on the rate, in percent.
+    pub percent: u32,
+    /// The number of statements beyond it.
+    pub slack: u32,
 }
--- a/crates/burdockslip_types/src/lib.rs
+++ b/crates/burdockslip_types/src/lib.rs
@@ -9,4 +9,4 @@
 pub use error::{ErrorDetails, ErrorKind, Result};
 pub use link::{Exchange, PeerClient};
 pub use mark::{LogIndex, LogPosition, Revision, Term};
-pub use names::{ClassName, GroupName, HostId, MemberName, Organisation, RouteName, Zone};
+pub use names::{ClassName, GroupName, HostId, MemberName, Organisation, Region, RouteName, Zone};
--- a/crates/burdockslip_types/src/names.rs
+++ b/crates/burdockslip_types/src/names.rs
@@ -53,6 +53,8 @@
     HostId;
     /// The name of an availability zone.
     Zone;
+    /// The name of a region, which contains availability zones.
+    Region;
     /// The name of an organisation, to which keys, rate limits and requests belong.
     Organisation;
     /// The name of a request class in the catalogue, which sets limits such as age and deadline.
