session: prefer members of the own zone, then of the own region, for reads

Regions were unknown.

Change: a farther member has to be faster by 0.15 (zone) or 0.3 (region) of the route's latency objective. The regions come from the settings.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -9,7 +9,7 @@
 use burdockslip_failover::{Duty, Permission, PromoteFn, Registration, Supervisor, keys};
 use burdockslip_peer::{PeerPool, PeerServer, Router};
 use burdockslip_runtime::{Instant, Task, now, sleep, sleep_until, spawn};
-use burdockslip_session::{Context, Limits, Listener, StopSignal};
+use burdockslip_session::{Context, Limits, Listener, Locality, StopSignal};
 use burdockslip_statement::Codec;
 use burdockslip_store::Store;
 use burdockslip_telemetry::{
@@ -110,7 +110,7 @@
             permission,
             metrics.clone(),
             limits,
-            settings.zone.clone(),
+            Locality::new(settings.zone.clone(), settings.regions.clone()),
         ));
         let coordinator = Coordinator::new(
             duty.clone(),
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -12,12 +12,13 @@
 use burdockslip_shares::{Admission, LocalLimiter, Refusal};
 use burdockslip_statement::Codec;
 use burdockslip_telemetry::Metrics;
-use burdockslip_types::{ErrorKind, GroupName, Organisation, Zone};
+use burdockslip_types::{ErrorKind, GroupName, Organisation};
 use burdockslip_upstream::{Pools, ReceiveBudget};
 use futures::future::LocalBoxFuture;
 use tracing::info;
 
 use crate::freshness::PositionHistory;
+use crate::locality::Locality;
 use crate::receipt::Receipts;
 use crate::{Acknowledged, StateBudget};
 
@@ -69,8 +70,8 @@
     pub metrics: Metrics,
     /// The limits of this host.
     pub limits: Limits,
-    /// The availability zone of this host.
-    pub zone: Zone,
+    /// The place of this host among the availability zones and regions.
+    pub locality: Locality,
     /// The number of open client connections.
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
@@ -96,7 +97,7 @@
         permission: Permission,
         metrics: Metrics,
         limits: Limits,
-        zone: Zone,
+        locality: Locality,
     ) -> Self {
         Self {
             codec,
@@ -109,7 +110,7 @@
             positions: Rc::default(),
             metrics,
             limits,
-            zone,
+            locality,
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
             receive_budget: Rc::new(ReceiveBudget::new(limits.message_bytes)),
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -21,10 +21,6 @@
 /// member for about 12 ms, which also delays other statements.
 const CONNECT_COST_MS: f64 = 30.0;
 
-/// The cost of a member in another availability zone, in milliseconds: a round trip
-/// takes about 2 ms longer, and traffic between zones is charged.
-const ZONE_COST_MS: f64 = 5.0;
-
 /// The random factor on costs, in percent, so that hosts do not all choose the same
 /// member.
 const JITTER_PERCENT: (u64, u64) = (100, 130);
@@ -118,7 +114,8 @@
     let score = |target: &Target, weight: f64| {
         let (least, most) = JITTER_PERCENT;
         let jitter = f64::from(u32::try_from(random_range(least..most)).unwrap_or(100));
-        cost(cx, target, job) * weight * jitter
+        let distance = cx.locality.distance(&target.pool.member().zone);
+        cost(target, job) * weight * jitter + distance.cost_ms(job.route.latency_objective)
     };
     let scored = replicas
         .into_iter()
@@ -155,9 +152,9 @@
     tried.contains(&target.pool.member().name)
 }
 
-/// Estimates the time until the member replies, in milliseconds, plus fixed costs
-/// for opening a connection and for another zone.
-fn cost(cx: &Context, target: &Target, job: &Job) -> f64 {
+/// Estimates the time until the member replies, in milliseconds, plus a fixed cost for
+/// opening a connection.
+fn cost(target: &Target, job: &Job) -> f64 {
     let in_flight = u32::try_from(target.pool.health.in_flight()).unwrap_or(u32::MAX);
     let slots = f64::from(target.pool.member().slots.max(1));
     let queue = 1.0 + f64::from(in_flight) / slots;
@@ -166,12 +163,7 @@
     } else {
         CONNECT_COST_MS
     };
-    let zone_cost = if target.pool.member().zone == cx.zone {
-        0.0
-    } else {
-        ZONE_COST_MS
-    };
-    target.pool.health.latency_ms() * queue + connect_cost + zone_cost
+    target.pool.health.latency_ms() * queue + connect_cost
 }
 
 /// Returns the error for a statement for which no member could be chosen.
