failover: pass the duty on only to a host that hears clearly more

Cause: a coordinator that heard fewer than half of the registered hosts left the duty after 1.5 s, also where nobody else could hear half.

Change: hosts that the coordinator does not answer say in the store how many hosts they hear (burdockslip/rival, one host for each part of a split); a coordinator in a minority leaves only for a rival that hears a sixth of the fleet more. Candidates leave a vacant duty to the rival. Hosts with an old configuration ask other hosts for a younger confirmation; tokens and fractions stay tied to a host's own contact with the store or the coordinator (contact_age), as the coordinator gives them away after it has last heard the host.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -78,6 +78,8 @@
     configuration_revision: Cell<Revision>,
     /// The latest moment at which the configuration was the newest one.
     confirmed_at: Cell<Option<Instant>>,
+    /// The latest of these moments of which the store or the coordinator told this host.
+    contact_at: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, KnownMember>>,
     entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
@@ -109,6 +111,7 @@
             configuration: RefCell::default(),
             configuration_revision: Cell::default(),
             confirmed_at: Cell::default(),
+            contact_at: Cell::default(),
             members: RefCell::default(),
             entries: RefCell::default(),
             deletions: RefCell::default(),
@@ -152,14 +155,30 @@
         self.shared.configuration_revision.get()
     }
 
-    /// Records the confirmation of a peer that `revision` was the newest configuration
-    /// at `moment`. It is ignored if this host has another revision.
+    /// Returns the time since the store or the coordinator last told this host, by itself,
+    /// which configuration was the newest one, or `None` if they never did.
+    ///
+    /// Other hosts that confirm the configuration say nothing about the tokens and the
+    /// fractions of rates that the coordinator counts on this host to use.
+    pub fn contact_age(&self) -> Option<Duration> {
+        self.shared.contact_at.get().map(Instant::elapsed)
+    }
+
+    /// Records the confirmation of the coordinator that `revision` was the newest
+    /// configuration at `moment`. It is ignored if this host has another revision.
     pub fn confirm(&self, revision: Revision, moment: Instant) {
         if revision == self.shared.configuration_revision.get() {
             self.shared.confirm(moment);
         }
     }
 
+    /// Records the confirmation of any other host; see [`Directory::confirm`].
+    pub fn confirm_relayed(&self, revision: Revision, moment: Instant) {
+        if revision == self.shared.configuration_revision.get() {
+            self.shared.confirm_configuration(moment);
+        }
+    }
+
     /// Sets whether this host is the coordinator, which confirms the configuration
     /// more often because the other hosts rely on it.
     pub fn set_coordinator(&self, is_coordinator: bool) {
@@ -434,11 +453,12 @@
 
     /// Records that the configuration was the newest one at `moment`.
     pub(crate) fn confirm(&self, moment: Instant) {
-        let latest = self
-            .confirmed_at
-            .get()
-            .map_or(moment, |known| known.max(moment));
-        self.confirmed_at.set(Some(latest));
+        set_latest(&self.contact_at, moment);
+        self.confirm_configuration(moment);
+    }
+
+    fn confirm_configuration(&self, moment: Instant) {
+        set_latest(&self.confirmed_at, moment);
     }
 
     pub(crate) fn is_loaded(&self) -> bool {
@@ -523,3 +543,8 @@
         }
     }
 }
+
+fn set_latest(cell: &Cell<Option<Instant>>, moment: Instant) {
+    let latest = cell.get().map_or(moment, |known| known.max(moment));
+    cell.set(Some(latest));
+}
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -124,6 +124,27 @@
     });
 }
 
+/// Guards against hosts that use their share of the rates for ever, because other hosts
+/// confirm their configuration: the coordinator has given that share away.
+#[test]
+fn confirmation_of_other_hosts_is_no_contact() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        let directory = open(&store);
+        wait().await;
+        store.set_faults(Faults {
+            is_down: true,
+            ..Faults::default()
+        });
+        sleep(Duration::from_secs(5)).await;
+        directory.confirm_relayed(directory.configuration_revision(), now());
+        assert!(directory.is_configuration_current());
+        let contact = directory.contact_age().expect("the store was read");
+        assert!(contact >= Duration::from_secs(5));
+    });
+}
+
 /// Guards against malformed records that crash the host, add a member or replace
 /// the configuration in force.
 #[test]
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -193,7 +193,9 @@
         let (_, allocator) =
             allocator_slot.get_or_insert_with(|| (role.token, Allocator::new(self.rate_slack)));
         let grants = allocator.grant(host, &demands, &view.limits, &view.hosts, role.is_interim);
-        let age = self.directory.configuration_age();
+        // What other hosts have confirmed is not passed on: the reply also tells for how long
+        // its receiver may use its share of the rates.
+        let age = self.directory.contact_age();
         Ok(ReportReply {
             grants,
             configuration: age.map(|age| (self.directory.configuration_revision(), age)),
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -21,10 +21,14 @@
 use tracing::{info, warn};
 
 use crate::coordinator::Coordinator;
-use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
+use crate::messages::{
+    ConfirmExchange, DutyExchange, FollowExchange, ReachExchange, ReportExchange,
+};
 use crate::registration::Fleet;
 use crate::relay::SendBudget;
-use crate::{EntrySettings, admission, changes, eviction, positions, registration, report};
+use crate::{
+    EntrySettings, admission, changes, confirm, eviction, positions, registration, report, rival,
+};
 
 /// How often the age of the configuration is checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -80,7 +84,7 @@
     grace: Duration,
     _listener: Listener,
     _servers: (AdminServer, AdminServer, PeerServer),
-    _tasks: [Task<()>; 5],
+    _tasks: [Task<()>; 7],
 }
 
 impl Host {
@@ -147,8 +151,19 @@
         let host = settings.host.clone();
         let reports = Rc::clone(&coordinator.last_reports);
         let evicting = eviction::run(directory.clone(), duty.clone(), host.clone(), reports);
+        let (fleet, zone) = (Fleet::new(directory.clone()), settings.zone.clone());
+        let rival = rival::run(Rc::clone(&cx), host.clone(), fleet.clone(), peers.clone());
+        let known = directory.clone();
         let tasks = [
             spawn(evicting),
+            spawn(rival),
+            spawn(confirm::run(
+                known,
+                host.clone(),
+                zone,
+                fleet,
+                peers.clone(),
+            )),
             spawn(registration::run(
                 directory,
                 cx.permission.clone(),
@@ -227,7 +242,8 @@
     is_draining: &Rc<Cell<bool>>,
 ) -> Router {
     let (answering, following) = (coordinator.clone(), coordinator.clone());
-    let directory = cx.directory.clone();
+    let (directory, confirmed) = (cx.directory.clone(), cx.directory.clone());
+    let reached = Rc::clone(cx);
     let router = Router::default()
         .on(ReportExchange, move |host, report| {
             ready(answering.answer(&host, report))
@@ -237,6 +253,14 @@
         })
         .on(DutyExchange, move |_, ()| {
             ready(Ok(directory.record(keys::DUTY)))
+        })
+        .on(ReachExchange, move |_, ()| {
+            ready(Ok(rival::reach(&reached)))
+        })
+        .on(ConfirmExchange, move |_, ()| {
+            let revision = confirmed.configuration_revision();
+            let age = confirmed.configuration_age();
+            ready(Ok(age.map(|age| (revision, age))))
         });
     admission::serve(router, cx, is_draining)
 }
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod changes;
+mod confirm;
 mod coordinator;
 mod eviction;
 mod host;
@@ -13,6 +14,7 @@
 mod registration;
 mod relay;
 mod report;
+mod rival;
 mod settings;
 
 pub use eviction::{LastReports, SILENCE_LIMIT};
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Changes;
-use burdockslip_failover::GroupReport;
+use burdockslip_failover::{GroupReport, Reach};
 use burdockslip_shares::{Demand, Grant};
 use burdockslip_store::{Entry, LeaseId};
 use burdockslip_types::{Exchange, GroupName, LogPosition, MemberName, Organisation, Revision};
@@ -80,3 +80,25 @@
     type Reply = Option<Entry>;
     const NAME: &'static str = "duty";
 }
+
+/// The exchange in which a host that does not hear the coordinator asks another one what
+/// it hears.
+#[derive(Debug)]
+pub(crate) struct ReachExchange;
+
+impl Exchange for ReachExchange {
+    type Request = ();
+    type Reply = Reach;
+    const NAME: &'static str = "reach";
+}
+
+/// The exchange in which a host asks another one for the revision of its configuration,
+/// and how long ago the store confirmed that it is the newest one.
+#[derive(Debug)]
+pub(crate) struct ConfirmExchange;
+
+impl Exchange for ConfirmExchange {
+    type Request = ();
+    type Reply = Option<(Revision, Duration)>;
+    const NAME: &'static str = "confirm";
+}
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -13,6 +13,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use tracing::{debug, info, warn};
 
+use crate::Rival;
 use crate::records::{self, Registration, keys};
 
 /// The TTL of the holder's lease: an unresponsive holder keeps the duty for this
@@ -58,6 +59,10 @@
 /// of another host, because the reports of a large fleet would overload it.
 const WEAK_DELAY: Duration = Duration::from_millis(800);
 
+/// The additional delay of a candidate while the record of a rival names another host,
+/// which hears more hosts.
+const RIVAL_DELAY: Duration = Duration::from_millis(600);
+
 /// How long a host with that little processor time keeps the duty before it
 /// releases it to a larger one. A larger host may be registered and yet unable to
 /// take the duty; its registration expires after 5 s.
@@ -183,6 +188,12 @@
         self.shared.duty_record().map(|record| record.host)
     }
 
+    /// Returns the rival that challenges the current tenure of this host, if there is one.
+    pub fn rival(&self) -> Option<Rival> {
+        let token = self.tenure()?.token;
+        self.shared.rival().filter(|rival| rival.token == token)
+    }
+
     /// Releases the duty for some seconds, because this host cannot perform it.
     pub fn step_aside(&self) {
         self.shared.aside_until.set(Some(now() + ASIDE_SPAN));
@@ -212,6 +223,11 @@
         records::decode(&entry.value).ok()
     }
 
+    fn rival(&self) -> Option<Rival> {
+        let entry = self.directory.record(keys::RIVAL)?;
+        Rival::read(&entry.value).ok()
+    }
+
     /// Returns the processor times of the registered hosts that have more of it.
     fn larger_capacities(&self) -> Vec<u32> {
         let registrations = self.directory.records(keys::HOSTS);
@@ -229,8 +245,17 @@
         largest.is_some_and(|largest| largest / 2 > self.capacity)
     }
 
-    /// Returns how long this host, as a candidate, leaves the duty to larger hosts.
+    /// Returns how long this host, as a candidate, leaves the duty to larger hosts and to
+    /// the one that the previous holder made way for.
     fn candidate_delay(&self) -> Duration {
+        match self.rival() {
+            Some(rival) if rival.host == self.host => Duration::ZERO,
+            Some(_) => RIVAL_DELAY + self.rank_delay(),
+            None => self.rank_delay(),
+        }
+    }
+
+    fn rank_delay(&self) -> Duration {
         let rank = u32::try_from(self.larger_capacities().len()).unwrap_or(MAX_RANK);
         let weak = if self.is_weak() {
             WEAK_DELAY
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -14,6 +14,7 @@
 mod proof;
 mod records;
 mod report;
+mod rivalry;
 mod roster;
 mod supervisor;
 mod votes;
@@ -27,6 +28,10 @@
 pub use proof::{Proof, ProofSource};
 pub use records::{GroupRecord, Registration, keys};
 pub use report::{AcknowledgedCommit, GroupReport};
+pub use rivalry::{
+    Reach, Rival, SAMPLE_SIZE, Standing, UNANSWERED_SPAN, Verdict, is_outranked, is_rival, judge,
+    project,
+};
 pub use supervisor::Supervisor;
 pub use votes::Votes;
 pub use withdrawals::Withdrawals;
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -24,6 +24,9 @@
     pub const HOSTS: &str = "burdockslip/hosts/";
     /// The key of the duty: the record of the coordinator, attached to its lease.
     pub const DUTY: &str = "burdockslip/duty";
+    /// The key of the rival: the record of a host that does not hear the coordinator,
+    /// attached to a lease of its own.
+    pub const RIVAL: &str = "burdockslip/rival";
     /// The key of the fence: the ID of a lease that all hosts renew. Revoking this
     /// lease withdraws every permission to use a primary.
     pub const FENCE: &str = "burdockslip/fence";
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -1,6 +1,6 @@
 //! Supervises the groups while this host is the coordinator.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
 
 use crate::promotion::{PromoteFn, Promotion};
 use crate::records::{GroupRecord, keys};
-use crate::{Duty, GroupReport, Votes, roster};
+use crate::{Duty, GroupReport, Verdict, Votes, rivalry, roster};
 
 /// How often the groups are checked.
 const TICK: Duration = Duration::from_millis(60);
@@ -40,6 +40,8 @@
 struct Shared {
     promotion: Promotion,
     votes: RefCell<Votes>,
+    /// Whether most hosts did not report at the last check, to log changes.
+    is_minority: Cell<bool>,
     /// The changes of primary in progress, with their start.
     changes: RefCell<HashMap<GroupName, (Instant, Task<()>)>>,
     /// The additions to rosters in progress; a change of primary cancels that of its group.
@@ -72,6 +74,7 @@
                 acknowledged: Rc::default(),
             },
             votes: RefCell::default(),
+            is_minority: Cell::default(),
             changes: RefCell::default(),
             joins: RefCell::default(),
             updates: RefCell::default(),
@@ -157,18 +160,42 @@
             .any(|(started, _)| started.elapsed() < FENCE_SPAN)
     }
 
-    /// Leaves the duty to a host that reaches the others, if most hosts do not report.
+    /// Leaves the duty if most hosts do not report and a rival hears clearly more of them.
     /// Cut off from the coordinator, they have only their shares of the rates, and no
     /// lost primary can be replaced.
     fn leave_minority(&self) -> bool {
-        let hosts = self.promotion.directory.count(keys::HOSTS);
-        let is_minority = self.votes.borrow_mut().is_minority(hosts);
-        if is_minority {
-            warn!(hosts, "most hosts do not report, leaving the duty");
-            self.votes.borrow_mut().reset();
-            self.promotion.duty.step_aside();
+        let registered = self.promotion.directory.count(keys::HOSTS);
+        let (is_minority, heard) = {
+            let mut votes = self.votes.borrow_mut();
+            (votes.is_minority(registered), votes.heard())
+        };
+        let was_minority = self.is_minority.replace(is_minority);
+        if !is_minority {
+            return false;
+        }
+        let rival = self.promotion.duty.rival();
+        match rivalry::judge(registered, heard, rival.as_ref().map(|rival| rival.heard)) {
+            Verdict::Stay => {
+                if !was_minority {
+                    info!(
+                        registered,
+                        heard, "most hosts do not report, keeping the duty"
+                    );
+                }
+                false
+            }
+            Verdict::Leave => {
+                warn!(
+                    registered,
+                    heard,
+                    ?rival,
+                    "most hosts do not report, leaving the duty"
+                );
+                self.votes.borrow_mut().reset();
+                self.promotion.duty.step_aside();
+                true
+            }
         }
-        is_minority
     }
 
     fn check_group(self: &Rc<Self>, group: &GroupName) {
--- a/crates/burdockslip_failover/src/votes.rs
+++ b/crates/burdockslip_failover/src/votes.rs
@@ -59,13 +59,17 @@
         (against, fresh().count())
     }
 
+    /// Returns the number of hosts with a valid report.
+    pub fn heard(&self) -> usize {
+        let validity = |(at, _): &&(Instant, Vec<MemberName>)| at.elapsed() < REPORT_VALIDITY;
+        self.reports.values().filter(validity).count()
+    }
+
     /// Returns whether fewer than half of the `registered` hosts have reported for some
-    /// time, so that a host among the others should be the coordinator. Has to be called
-    /// regularly during a tenure.
+    /// time, so that a host among the others could be a better coordinator. Has to be
+    /// called regularly during a tenure.
     pub fn is_minority(&mut self, registered: usize) -> bool {
-        let validity = |(at, _): &&(Instant, Vec<MemberName>)| at.elapsed() < REPORT_VALIDITY;
-        let reporting = self.reports.values().filter(validity).count();
-        if registered < MIN_QUORUM_HOSTS || reporting * 2 >= registered {
+        if registered < MIN_QUORUM_HOSTS || self.heard() * 2 >= registered {
             self.unheard_since = None;
             return false;
         }
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Configuration, Directory, OrganisationConfig, Route};
+use burdockslip_directory::{Configuration, Directory, KEY_VALIDITY, OrganisationConfig, Route};
 use burdockslip_failover::Permission;
 use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
 use burdockslip_shares::{Admission, LocalLimiter, Refusal};
@@ -25,6 +25,10 @@
 /// milliseconds.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// How long after its last contact with the store or the coordinator a host may use its
+/// tokens and its fractions of the rates.
+const SHARE_VALIDITY: Duration = KEY_VALIDITY;
+
 /// The shortest wait for a token of the host's own fraction.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
@@ -164,6 +168,9 @@
                 "operation refused by the host that holds the zone's tokens");
             return Err(ErrorKind::RateExceeded);
         }
+        if !self.holds_share() {
+            return Err(ErrorKind::ConfigMissing);
+        }
         self.admit_locally(config).await.map_err(|refusal| {
             info!(id, %organisation, ?refusal, version = configuration.version,
                 "operation refused, rate exceeded");
@@ -192,9 +199,19 @@
         let Some(config) = configuration.organisations.get(organisation) else {
             return Err(ErrorKind::NoFreshData);
         };
+        if !self.holds_share() {
+            return Err(ErrorKind::ConfigMissing);
+        }
         Ok(self.admit_locally(config).await.is_ok())
     }
 
+    /// Returns whether this host may use its tokens and its fractions of the rates. The
+    /// coordinator gives them to others some seconds after it has last heard this host.
+    fn holds_share(&self) -> bool {
+        let age = self.directory.contact_age();
+        age.is_some_and(|age| age < SHARE_VALIDITY)
+    }
+
     /// Takes a token of this host, waiting a short time if necessary. Fails with the
     /// host's state, which is `None` if the coordinator granted none in time.
     async fn admit_locally(&self, config: &OrganisationConfig) -> Result<(), Option<Refusal>> {
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -154,6 +154,11 @@
         self.last_answer.is_some()
     }
 
+    /// Returns the time since the coordinator's last answer; `None` if it never answered.
+    pub fn answer_age(&self) -> Option<Duration> {
+        self.last_answer.map(Instant::elapsed)
+    }
+
     /// Adds an operation to the demand of its organisation.
     pub fn record_demand(&mut self, organisation: &Organisation) {
         let bucket = self.bucket(organisation);
