--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -193,8 +193,8 @@
         let (_, allocator) =
             allocator_slot.get_or_insert_with(|| (role.token, Allocator::new(self.rate_slack)));
         let grants = allocator.grant(host, &demands, &view.limits, &view.hosts, role.is_interim);
-        // What other hosts have confirmed is not passed on: the reply also tells for how long
-        // its receiver may use its share of the rates.
+        // What other hosts have confirmed is not passed on, because the receiver takes it for
+        // contact with the store and goes on using its share of the rates.
         let age = self.directory.contact_age();
         Ok(ReportReply {
             grants,
@@ -202,6 +202,7 @@
             suspected: self.supervisor.suspected(),
             permission: self.permission.lease_proof_age(),
             group_proofs: self.permission.group_proof_ages(),
+            is_interim: role.is_interim,
             positions: if wants_positions {
                 self.recent_positions()
             } else {
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -35,6 +35,9 @@
     /// The groups whose members confirmed the primary, with the revision of the record
     /// and how long ago they did; empty while the store provides proofs.
     pub group_proofs: Vec<(GroupName, Revision, Duration)>,
+    /// Whether another coordinator may exist, because the tenure of this one has expired.
+    /// The reply then does not extend the time for which the host may use its share.
+    pub is_interim: bool,
     /// The log positions of primaries, and how long ago they were queried.
     pub positions: Vec<(GroupName, LogPosition, Duration)>,
 }
@@ -60,16 +63,29 @@
 }
 
 /// The exchange in which a host asks the relay of its availability zone to admit an
-/// operation of an organisation.
+/// operation of an organisation, and tells how many it has refused by itself since the
+/// last question. The reply is the time for which the organisation is out of tokens, or
+/// `None` if the operation may run.
 #[derive(Debug)]
 pub(crate) struct AdmitExchange;
 
 impl Exchange for AdmitExchange {
-    type Request = Organisation;
-    type Reply = bool;
+    type Request = (Organisation, u32);
+    type Reply = Option<Duration>;
     const NAME: &'static str = "admit";
 }
 
+/// The exchange in which a host gives tokens back to the relay that admitted operations
+/// which were not sent to a member.
+#[derive(Debug)]
+pub(crate) struct ReturnExchange;
+
+impl Exchange for ReturnExchange {
+    type Request = Vec<(Organisation, u32)>;
+    type Reply = ();
+    const NAME: &'static str = "return";
+}
+
 /// The exchange in which a host requests the record of the duty, which names the
 /// coordinator, from a peer.
 #[derive(Debug)]
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -139,7 +139,11 @@
                 cx.positions.record(&group, sent - age, position);
             }
             cx.pools.probe_members(&reply.suspected);
-            cx.limiter.borrow_mut().apply(reply.grants);
+            let mut limiter = cx.limiter.borrow_mut();
+            limiter.apply(reply.grants);
+            if !reply.is_interim {
+                limiter.confirm(sent);
+            }
         } else {
             cx.limiter.borrow_mut().mark_disconnected();
             request_coordinator(&cx.directory, &host, &peers).await;
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -6,37 +6,28 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Configuration, Directory, KEY_VALIDITY, OrganisationConfig, Route};
+use burdockslip_directory::{Configuration, Directory, OrganisationConfig, Route};
 use burdockslip_failover::Permission;
 use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
-use burdockslip_shares::{Admission, LocalLimiter, Refusal};
+use burdockslip_shares::{Admission, Denials, LocalLimiter, Refusal};
 use burdockslip_statement::Codec;
 use burdockslip_telemetry::Metrics;
 use burdockslip_types::{ErrorKind, GroupName, Organisation, Zone};
 use burdockslip_upstream::{Pools, ReceiveBudget};
-use futures::future::LocalBoxFuture;
 use tracing::info;
 
 use crate::freshness::PositionHistory;
 use crate::receipt::Receipts;
+use crate::tokens::{Authority, Giver, Ruling, Token};
 use crate::{Acknowledged, StateBudget};
 
 /// How long an operation may wait for a token. The coordinator replies within a few
 /// milliseconds.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// How long after its last contact with the store or the coordinator a host may use its
-/// tokens and its fractions of the rates.
-const SHARE_VALIDITY: Duration = KEY_VALIDITY;
-
 /// The shortest wait for a token of the host's own fraction.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
-/// Admits an operation of an organisation at another host, which holds the tokens of
-/// the availability zone. Resolves to `None` if there is no such host, or if it does
-/// not answer.
-pub type Authority = Rc<dyn Fn(Organisation) -> LocalBoxFuture<'static, Option<bool>>>;
-
 /// The limits of a host.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -78,7 +69,9 @@
     /// The number of open client connections.
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
-    authority: RefCell<Option<Authority>>,
+    authority: RefCell<Option<Rc<Authority>>>,
+    /// The organisations that are out of tokens at that host.
+    denials: RefCell<Denials>,
     /// The memory for unfinished messages of all clients.
     pub(crate) receive_budget: Rc<ReceiveBudget>,
     /// The memory for the state of all sessions.
@@ -116,6 +109,7 @@
             zone,
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
+            denials: RefCell::default(),
             receive_budget: Rc::new(ReceiveBudget::new(limits.message_bytes)),
             budget: Rc::new(StateBudget::new(limits.state_bytes)),
             acknowledged: Acknowledged::default(),
@@ -139,62 +133,113 @@
 
     /// Sets the host that admits operations for this one.
     pub fn set_authority(&self, authority: Authority) {
-        *self.authority.borrow_mut() = Some(authority);
+        *self.authority.borrow_mut() = Some(Rc::new(authority));
     }
 
     /// Takes a token of the organisation for an operation, waiting a short time if
-    /// necessary.
+    /// necessary. Returns `None` if no rate limit applies.
     ///
     /// # Errors
     ///
     /// Returns `RateExceeded` if no token becomes available, and `ConfigMissing` if
-    /// there is no current configuration.
+    /// there is no current configuration, or if this host may not use its share any more.
     pub(crate) async fn admit(
         &self,
         organisation: &Organisation,
         id: &str,
-    ) -> Result<(), ErrorKind> {
+    ) -> Result<Option<Token>, ErrorKind> {
         let configuration = self.current_configuration()?;
         // Clients of open routes without a key belong to no configured organisation, so
         // no rate limit applies to them.
         let Some(config) = configuration.organisations.get(organisation) else {
-            return Ok(());
+            return Ok(None);
         };
-        if let Some(is_admitted) = self.admit_remotely(organisation).await {
-            if is_admitted {
-                return Ok(());
+        let token = |giver| Some(Token::new(organisation.clone(), giver));
+        match self.admit_remotely(organisation).await {
+            Some(Ruling::Admitted(host)) => return Ok(token(Giver::Relay(host))),
+            Some(Ruling::Refused(span)) => {
+                info!(id, %organisation, span_ms = span.as_millis(), version = configuration.version,
+                    "operation refused by the host that holds the zone's tokens");
+                self.metrics.count_refusal("relay");
+                return Err(ErrorKind::RateExceeded);
             }
-            info!(id, %organisation, version = configuration.version,
-                "operation refused by the host that holds the zone's tokens");
-            return Err(ErrorKind::RateExceeded);
+            None => {}
         }
         if !self.holds_share() {
+            self.metrics.count_refusal("cut_off");
             return Err(ErrorKind::ConfigMissing);
         }
-        self.admit_locally(config).await.map_err(|refusal| {
-            info!(id, %organisation, ?refusal, version = configuration.version,
-                "operation refused, rate exceeded");
-            ErrorKind::RateExceeded
-        })
+        match self.admit_locally(config).await {
+            Ok(()) => Ok(token(Giver::Own)),
+            Err(refusal) => {
+                info!(id, %organisation, ?refusal, version = configuration.version,
+                    "operation refused, rate exceeded");
+                self.metrics.count_refusal("own");
+                Err(ErrorKind::RateExceeded)
+            }
+        }
+    }
+
+    /// Gives a token back whose operation was not sent to a member.
+    pub(crate) fn give_back(&self, token: Option<Token>) {
+        let Some(token) = token.filter(Token::is_returnable) else {
+            return;
+        };
+        self.metrics.count_token_returned();
+        match token.giver {
+            Giver::Own => self.take_back(&token.organisation, 1),
+            Giver::Relay(host) => {
+                let authority = self.authority.borrow().clone();
+                if let Some(authority) = authority {
+                    (authority.give_back)(host, token.organisation);
+                }
+            }
+        }
     }
 
-    async fn admit_remotely(&self, organisation: &Organisation) -> Option<bool> {
+    /// Takes tokens back that this host gave to operations of its own or of other hosts.
+    pub fn take_back(&self, organisation: &Organisation, tokens: u32) {
+        let Some(configuration) = self.directory.configuration() else {
+            return;
+        };
+        if let Some(config) = configuration.organisations.get(organisation) {
+            self.limiter.borrow_mut().give_back(config, tokens);
+            self.tokens_granted.notify();
+        }
+    }
+
+    async fn admit_remotely(&self, organisation: &Organisation) -> Option<Ruling> {
         // A restarted host has an initial share of each rate until the coordinator
         // answers it.
         if !self.limiter.borrow().has_answer() {
             return None;
         }
+        if self.denials.borrow_mut().refuse(organisation) {
+            return Some(Ruling::Refused(Duration::ZERO));
+        }
         let authority = self.authority.borrow().clone()?;
-        authority(organisation.clone()).await
+        let refused = self.denials.borrow_mut().take_refused(organisation);
+        let ruling = (authority.admit)(organisation.clone(), refused).await;
+        if let Some(Ruling::Refused(span)) = ruling {
+            self.denials.borrow_mut().record(organisation, span);
+        }
+        ruling
     }
 
-    /// Admits an operation of another host with the tokens of this one.
+    /// Admits an operation of another host with the tokens of this one, after that host has
+    /// `refused` others by itself. Fails with the time for which the organisation is out of
+    /// tokens.
     ///
     /// # Errors
     ///
-    /// Returns `ConfigMissing` if there is no current configuration, and `NoFreshData`
-    /// if it does not contain the organisation, which the peer's does.
-    pub async fn admit_for_peer(&self, organisation: &Organisation) -> Result<bool, ErrorKind> {
+    /// Returns `ConfigMissing` if there is no current configuration or this host may not
+    /// use its share any more, and `NoFreshData` if the configuration does not contain the
+    /// organisation, which the peer's does.
+    pub async fn admit_for_peer(
+        &self,
+        organisation: &Organisation,
+        refused: u32,
+    ) -> Result<Result<(), Duration>, ErrorKind> {
         let configuration = self.current_configuration()?;
         let Some(config) = configuration.organisations.get(organisation) else {
             return Err(ErrorKind::NoFreshData);
@@ -202,14 +247,19 @@
         if !self.holds_share() {
             return Err(ErrorKind::ConfigMissing);
         }
-        Ok(self.admit_locally(config).await.is_ok())
+        if refused > 0 {
+            let mut limiter = self.limiter.borrow_mut();
+            limiter.record_demands(organisation, refused);
+        }
+        let outcome = self.admit_locally(config).await;
+        Ok(outcome.map_err(|_| self.limiter.borrow_mut().denied_for(config)))
     }
 
     /// Returns whether this host may use its tokens and its fractions of the rates. The
     /// coordinator gives them to others some seconds after it has last heard this host.
     fn holds_share(&self) -> bool {
-        let age = self.directory.contact_age();
-        age.is_some_and(|age| age < SHARE_VALIDITY)
+        let store_age = self.directory.contact_age();
+        self.limiter.borrow().holds_share(store_age)
     }
 
     /// Takes a token of this host, waiting a short time if necessary. Fails with the
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -18,13 +18,15 @@
 mod serve;
 mod session;
 mod stop;
+mod tokens;
 mod transaction;
 mod write;
 
 pub use acknowledged::Acknowledged;
 pub use budget::StateBudget;
-pub use context::{Authority, Context, Limits};
+pub use context::{Context, Limits};
 pub use freshness::PositionHistory;
 pub use progress::ReceiptProgress;
 pub use serve::Listener;
 pub use stop::StopSignal;
+pub use tokens::{Authority, Ruling};
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -1,5 +1,6 @@
 //! Sends a statement to a member and evaluates the outcome.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -46,6 +47,8 @@
     /// sessions read their own writes.
     pub(crate) last_commit: Option<LogPosition>,
     pub(crate) started: Instant,
+    /// Whether anything that the client asked for was sent to a member.
+    pub(crate) was_sent: Cell<bool>,
 }
 
 /// A reply, with the member and floor that are logged for it.
@@ -233,6 +236,7 @@
     let sent = now();
     let known = pool.health.position();
     pool.health.record_sent(is_commit);
+    job.was_sent.set(true);
     let outcome = timeout_at(until, connection.call(command)).await;
     pool.health
         .record_ended(is_commit, matches!(outcome, Ok(Ok(_))));
--- a/crates/burdockslip_session/src/position.rs
+++ b/crates/burdockslip_session/src/position.rs
@@ -1,5 +1,6 @@
 //! Queries primaries for their log positions.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -62,6 +63,7 @@
         state: Rc::default(),
         last_commit: None,
         started: now(),
+        was_sent: Cell::default(),
     };
     let context = Rc::clone(cx);
     let name = group.clone();
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -1,5 +1,6 @@
 //! The state of a client session and the handling of its statements.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use burdockslip_directory::{Consistency, Route};
@@ -14,6 +15,7 @@
 use crate::budget::{self, StateCharge};
 use crate::context::Context;
 use crate::outcome::{Job, ServedReply, Work, error_kind};
+use crate::tokens::Token;
 use crate::transaction::OpenTransaction;
 use crate::{place, read, write};
 
@@ -282,17 +284,23 @@
         if self.transaction.is_some() {
             return self.fail(ErrorKind::Protocol);
         }
-        if let Err(kind) = self.admit(route, access, &query.id).await {
-            return ClientResponse::failed(kind, TransactionStatus::Idle);
-        }
+        let token = match self.admit(route, access, &query.id).await {
+            Ok(token) => token,
+            Err(kind) => return ClientResponse::failed(kind, TransactionStatus::Idle),
+        };
         let work = Work::Direct(query.text.clone());
         let job = self.job(route, query.id.clone(), work, access);
-        self.transaction = Some(OpenTransaction::new(&self.cx, job, access));
+        self.transaction = Some(OpenTransaction::new(&self.cx, job, access, token));
         ClientResponse::done(TransactionStatus::Open)
     }
 
     /// Admits an operation once it can be served.
-    async fn admit(&self, route: &Route, access: Access, id: &Bytes) -> Result<(), ErrorKind> {
+    async fn admit(
+        &self,
+        route: &Route,
+        access: Access,
+        id: &Bytes,
+    ) -> Result<Option<Token>, ErrorKind> {
         place::wait_until_servable(&self.cx, route, access, self.started).await?;
         self.cx.admit(&self.organisation, id_text(id)).await
     }
@@ -337,16 +345,21 @@
         if let Some(transaction) = self.transaction.take() {
             return self.execute_in(transaction, id, work, access).await;
         }
-        if let Err(kind) = self.admit(route, access, &id).await {
-            return ClientResponse::failed(kind, TransactionStatus::Idle);
-        }
+        let token = match self.admit(route, access, &id).await {
+            Ok(token) => token,
+            Err(kind) => return ClientResponse::failed(kind, TransactionStatus::Idle),
+        };
         let job = self.job(route, id, work, access);
-        if access == Access::Read {
-            let reply = read::run(&self.cx, &job).await;
-            return self.respond(reply);
+        let reply = if access == Access::Read {
+            read::run(&self.cx, &job).await
+        } else {
+            let reply = write::run(&self.cx, &job).await;
+            self.record_commit(&route.group, &reply);
+            reply
+        };
+        if reply.is_err() && !job.was_sent.get() {
+            self.cx.give_back(token);
         }
-        let reply = write::run(&self.cx, &job).await;
-        self.record_commit(&route.group, &reply);
         self.respond(reply)
     }
 
@@ -432,6 +445,7 @@
             state: Rc::clone(&self.state),
             last_commit: last_commit.map(|(_, position)| *position),
             started: self.started,
+            was_sent: Cell::default(),
         })
     }
 
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -12,6 +12,7 @@
 use crate::begin::{self, EagerBegin};
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, ServedReply};
+use crate::tokens::Token;
 
 /// A client's open transaction.
 #[derive(Debug)]
@@ -20,6 +21,10 @@
     access: Access,
     /// The route at `BEGIN`; a change of the route applies to later transactions.
     pub(crate) route: Rc<Route>,
+    /// The token of the transaction, until something of it is sent to a member.
+    token: Option<Token>,
+    /// The job of `BEGIN`.
+    opening: Rc<Job>,
     /// The transaction that is opened at a member before the first statement.
     eager: Option<EagerBegin>,
     /// The connection, from the first statement on.
@@ -37,10 +42,17 @@
 
 impl OpenTransaction {
     /// Creates a transaction and starts to open it at a member.
-    pub(crate) fn new(cx: &Rc<Context>, job: Rc<Job>, access: Access) -> Self {
+    pub(crate) fn new(
+        cx: &Rc<Context>,
+        job: Rc<Job>,
+        access: Access,
+        token: Option<Token>,
+    ) -> Self {
         Self {
             access,
             route: Rc::clone(&job.route),
+            token,
+            opening: Rc::clone(&job),
             eager: Some(EagerBegin::spawn(cx, job, access)),
             connection: None,
             floor: None,
@@ -90,9 +102,14 @@
             None => None,
         };
         let begun = match eager {
-            Some(begun) => begun,
-            None => begin::begin(cx, job, self.access).await?,
+            Some(begun) => Ok(begun),
+            None => begin::begin(cx, job, self.access).await,
         };
+        let token = self.token.take();
+        if begun.is_err() && !self.opening.was_sent.get() && !job.was_sent.get() {
+            cx.give_back(token);
+        }
+        let begun = begun?;
         self.floor = begun.floor;
         Ok(begun.connection)
     }
--- a/crates/burdockslip_shares/src/allocator.rs
+++ b/crates/burdockslip_shares/src/allocator.rs
@@ -8,12 +8,12 @@
 
 use crate::bucket::Bucket;
 use crate::message::{to_single, to_tokens};
-use crate::{Demand, Grant};
+use crate::{Demand, Grant, SHARE_VALIDITY};
 
-/// How long after its last report a host is assumed to use its grants. Hosts
-/// stop serving clients that authenticate with keys 4.7 s after their last
-/// contact with the store.
-pub const GRANT_LIFETIME: Duration = Duration::from_secs(6);
+/// How long after its last report a host is assumed to use its grants. Hosts stop using
+/// them [`SHARE_VALIDITY`] after the coordinator has answered them; the remainder is for
+/// hosts that have not yet found a new coordinator, and for differing clock rates.
+pub const GRANT_LIFETIME: Duration = SHARE_VALIDITY.saturating_add(Duration::from_millis(600));
 
 /// The fraction of the rate that is divided evenly, regardless of demand, so
 /// that a host can admit its first operations of an organisation.
--- a/crates/burdockslip_shares/src/lib.rs
+++ b/crates/burdockslip_shares/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod allocator;
 mod bucket;
+mod denial;
 mod local;
 mod message;
 
 pub use allocator::{Allocator, GRANT_LIFETIME, Limits};
-pub use local::{Admission, DemandScope, LocalLimiter, Refusal};
+pub use denial::Denials;
+pub use local::{Admission, DemandScope, LocalLimiter, Refusal, SHARE_VALIDITY};
 pub use message::{Demand, Grant};
--- a/crates/burdockslip_shares/src/local.rs
+++ b/crates/burdockslip_shares/src/local.rs
@@ -31,9 +31,13 @@
 /// an operation waits.
 const MIN_URGENT_TARGET: f64 = 2.0;
 
+/// How long after its last contact with a coordinator in a confirmed tenure, or with the
+/// store, a host may use its tokens and fractions. See `docs/design/rate-tokens.md`.
+pub const SHARE_VALIDITY: Duration = Duration::from_secs(3);
+
 /// How long operations are refused without waiting after the coordinator had no
 /// token to grant.
-const DENIAL_PERIOD: Duration = Duration::from_millis(100);
+pub(crate) const DENIAL_PERIOD: Duration = Duration::from_millis(100);
 
 /// How long after the coordinator's last answer the host falls back to its
 /// fraction. The coordinator considers a host silent a little earlier.
@@ -122,6 +126,8 @@
 pub struct LocalLimiter {
     buckets: HashMap<Organisation, LocalBucket>,
     last_answer: Option<Instant>,
+    /// When the last report was sent that a coordinator answered in a confirmed tenure.
+    confirmed_at: Option<Instant>,
     is_disconnected: bool,
     /// The fraction of a bucket created before the coordinator first answered.
     initial_fraction: f64,
@@ -136,6 +142,7 @@
         Self {
             buckets: HashMap::new(),
             last_answer: None,
+            confirmed_at: None,
             is_disconnected: false,
             initial_fraction: 0.0,
             slack: f64::from(slack),
@@ -159,10 +166,57 @@
         self.last_answer.map(Instant::elapsed)
     }
 
+    /// Records that a coordinator in a confirmed tenure answered the report sent at `sent`.
+    /// No other one could hand out this host's share then.
+    pub fn confirm(&mut self, sent: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(sent));
+    }
+
+    /// Returns whether the host may use its tokens and fractions, given when it last heard
+    /// from the store.
+    pub fn holds_share(&self, store_age: Option<Duration>) -> bool {
+        let confirmed = self.confirmed_at.map(Instant::elapsed);
+        let ages = [confirmed, store_age];
+        ages.iter().flatten().any(|age| *age < SHARE_VALIDITY)
+    }
+
+    /// Takes a token back whose operation was not sent to a member, unless the host holds
+    /// as many as it may.
+    pub fn give_back(&mut self, config: &OrganisationConfig, tokens: u32) {
+        let is_fallback = self.is_fallback();
+        let bucket = self.bucket(&config.name);
+        bucket.refill(config, is_fallback);
+        let most = if is_fallback {
+            bucket.fallback_burst(config)
+        } else {
+            let waiting = u32::try_from(bucket.waiting).map_or(0.0, f64::from);
+            bucket.target_level().max(1.0) + waiting
+        };
+        let room = (most - bucket.tokens).max(0.0);
+        bucket.tokens += f64::from(tokens).min(room);
+        bucket.is_active = true;
+    }
+
+    /// Returns for how long further operations would be refused after one was.
+    pub fn denied_for(&mut self, config: &OrganisationConfig) -> Duration {
+        let is_fallback = self.is_fallback();
+        let bucket = self.bucket(&config.name);
+        let denied = bucket.denied_until.map(Instant::remaining);
+        let missing = is_fallback.then(|| bucket.next_token(config));
+        let span = denied.into_iter().chain(missing).max();
+        span.unwrap_or_default().min(DENIAL_PERIOD)
+    }
+
     /// Adds an operation to the demand of its organisation.
     pub fn record_demand(&mut self, organisation: &Organisation) {
+        self.record_demands(organisation, 1);
+    }
+
+    /// Adds operations to the demand of their organisation.
+    pub fn record_demands(&mut self, organisation: &Organisation, count: u32) {
         let bucket = self.bucket(organisation);
-        bucket.demand = bucket.current_demand() + 1.0 / DEMAND_WINDOW.as_secs_f64();
+        let rate = f64::from(count) / DEMAND_WINDOW.as_secs_f64();
+        bucket.demand = bucket.current_demand() + rate;
         bucket.measured_at = now();
         bucket.is_active = true;
     }
@@ -325,12 +379,17 @@
         let elapsed = self.refilled.elapsed().as_secs_f64();
         self.refilled = now();
         if is_fallback {
-            let burst = (self.fraction * config.burst * FALLBACK_BURST_FRACTION).max(1.0);
+            let burst = self.fallback_burst(config);
             let tokens = (self.tokens + elapsed * self.fraction * config.rate).min(burst);
             self.tokens = self.tokens.max(tokens);
         }
     }
 
+    /// Returns the most tokens that the fraction yields.
+    fn fallback_burst(&self, config: &OrganisationConfig) -> f64 {
+        (self.fraction * config.burst * FALLBACK_BURST_FRACTION).max(1.0)
+    }
+
     /// Returns the time from the last refill until the fraction yields a token for another
     /// operation than those that wait.
     fn next_token(&self, config: &OrganisationConfig) -> Duration {
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -46,6 +46,8 @@
     proofs: Counter<u64>,
     commits: Counter<u64>,
     receipts: Counter<u64>,
+    refusals: Counter<u64>,
+    returned: Counter<u64>,
     failover: Histogram<f64>,
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
@@ -105,6 +107,16 @@
                 "burdockslip_receipts",
                 "Commits that needed the receipt of a replica, by whether it was confirmed.",
             ),
+            refusals: counter(
+                &meter,
+                "burdockslip_rate_refusals",
+                "Operations refused for want of a rate token, by who refused them.",
+            ),
+            returned: counter(
+                &meter,
+                "burdockslip_tokens_returned",
+                "Rate tokens given back by operations that were not sent to a member.",
+            ),
             failover: histogram(
                 &meter,
                 "burdockslip_failover",
@@ -177,6 +189,16 @@
         self.receipts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an operation that got no rate token, by the reason, such as `relay`.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a rate token that was given back.
+    pub fn count_token_returned(&self) {
+        self.returned.add(1, &[]);
+    }
+
     /// Records the duration of one phase of a failover, such as `detection`.
     pub fn record_failover(&self, group: &GroupName, phase: &'static str, duration: Duration) {
         let group = KeyValue::new("group", group.as_str().to_owned());
