directory: follow the requests to evacuate availability zones

Cause: the operator's records of zones to evacuate were read by nobody. Change: the schema names their prefix and checks their values; the directory keeps the zones with the age of the request, counted from the last moment at which the copy was the newest state without it. A new watch counts as the newest state only after its first complete page, since an event of the time before it may be followed by others.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -8,10 +8,11 @@
 
 use burdockslip_runtime::{Instant, Signal, Task, now, spawn};
 use burdockslip_store::{Entry, Event, Store};
-use burdockslip_types::{GroupName, MemberName, Result, Revision, domain};
+use burdockslip_types::{GroupName, MemberName, Result, Revision, Zone, domain};
 use futures::future::LocalBoxFuture;
 use tracing::{info, warn};
 
+use crate::evacuation::Evacuations;
 use crate::follow;
 use crate::recency::Recency;
 use crate::{Configuration, Member};
@@ -35,10 +36,15 @@
     pub configuration: &'static str,
     /// The prefix of the members' records.
     pub members: &'static str,
+    /// The prefix of the records of availability zones that are to be evacuated; the rest
+    /// of a key is the zone.
+    pub evacuations: &'static str,
     /// Decodes a configuration.
     pub read_configuration: fn(&[u8]) -> Result<Configuration>,
     /// Decodes a member's record; the first argument is its key without the prefix.
     pub read_member: fn(&str, &[u8]) -> Result<Member>,
+    /// Checks the value of the record of an evacuation.
+    pub read_evacuation: fn(&[u8]) -> Result<()>,
 }
 
 /// The maximum number of deletions kept for other hosts; each takes about 60 bytes.
@@ -79,6 +85,7 @@
     /// The latest moment at which the configuration was the newest one.
     confirmed_at: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, KnownMember>>,
+    evacuations: Evacuations,
     entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
     deletions: RefCell<VecDeque<(Revision, String)>>,
@@ -110,6 +117,7 @@
             configuration_revision: Cell::default(),
             confirmed_at: Cell::default(),
             members: RefCell::default(),
+            evacuations: Evacuations::default(),
             entries: RefCell::default(),
             deletions: RefCell::default(),
             deletions_from: Cell::default(),
@@ -203,6 +211,23 @@
         Some(since.elapsed())
     }
 
+    /// Returns how long ago, at most, the evacuation of an availability zone was requested,
+    /// or `None` if it is not evacuated. It is `Duration::MAX` if the request is older than
+    /// what this host knows.
+    pub fn evacuated_for(&self, zone: &Zone) -> Option<Duration> {
+        self.shared.evacuations.age(zone)
+    }
+
+    /// Returns whether any availability zone is evacuated.
+    pub fn is_evacuating(&self) -> bool {
+        !self.shared.evacuations.is_empty()
+    }
+
+    /// Returns the availability zones that are evacuated, sorted.
+    pub fn evacuated_zones(&self) -> Vec<Zone> {
+        self.shared.evacuations.zones()
+    }
+
     /// Returns whether a member has a record according to the local copy. A member
     /// without one stays usable for some time.
     pub fn is_listed(&self, name: &MemberName) -> bool {
@@ -315,6 +340,8 @@
             self.apply_configuration(&entry);
         } else if let Some(name) = entry.key.strip_prefix(self.schema.members) {
             self.apply_member(name, &entry.value);
+        } else if let Some(zone) = entry.key.strip_prefix(self.schema.evacuations) {
+            self.apply_evacuation(zone, &entry.value);
         }
         self.entries.borrow_mut().insert(entry.key.clone(), entry);
         self.changed.notify();
@@ -329,6 +356,8 @@
         self.entries.borrow_mut().remove(key);
         if let Some(name) = key.strip_prefix(self.schema.members) {
             self.mark_missing(name);
+        } else if let Some(zone) = key.strip_prefix(self.schema.evacuations) {
+            self.evacuations.end(zone);
         }
         self.record_deletion(revision, key);
         self.changed.notify();
@@ -344,6 +373,7 @@
         if !self.is_loaded.replace(true) {
             // What was deleted before is unknown, and other hosts may still have it.
             self.deletions_from.set(revision);
+            self.log_evacuations();
         }
         self.advance(revision);
     }
@@ -512,6 +542,25 @@
         }
     }
 
+    fn apply_evacuation(&self, zone: &str, value: &[u8]) {
+        let newest_at = self.recency.age().map(|age| now() - age);
+        let read = (self.schema.read_evacuation)(value);
+        self.evacuations.begin(zone, read, newest_at);
+        // The members may not have been read yet.
+        if self.is_loaded() {
+            self.log_evacuations();
+        }
+    }
+
+    fn log_evacuations(&self) {
+        let members = self.members.borrow();
+        let count = |zone: &Zone| {
+            let standing = members.values().filter(|known| known.member.zone == *zone);
+            standing.filter(|known| known.is_usable()).count()
+        };
+        self.evacuations.log_new(count);
+    }
+
     fn mark_missing(&self, name: &str) {
         let mut members = self.members.borrow_mut();
         members.retain(|_, known| known.is_usable());
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -149,12 +149,16 @@
             Ok(Some(Ok(Event::Progress(_)))) if !prefix.is_empty() => {}
             Ok(Some(Ok(event))) => {
                 let revision = event.revision();
+                let is_complete = matches!(event, Event::Progress(_));
                 shared.apply_event(event);
                 if !prefix.is_empty() {
                     return Ok(());
                 }
                 shared.recency.record_received(revision);
-                shared.recency.record_newest(opened);
+                // Before it, changes of the time before the watch may still be missing.
+                if is_complete {
+                    shared.recency.record_newest(opened);
+                }
                 heard = now();
             }
             Ok(Some(Err(error))) => return Err(error),
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod configuration;
 mod directory;
+mod evacuation;
 mod follow;
 mod member;
 mod recency;
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -14,8 +14,10 @@
 const SCHEMA: Schema = Schema {
     configuration: "config",
     members: "members/",
+    evacuations: "evacuations/",
     read_configuration,
     read_member,
+    read_evacuation: |_| Ok(()),
 };
 
 fn read_configuration(bytes: &[u8]) -> Result<Configuration> {
--- a/crates/burdockslip_failover/tests/duty.rs
+++ b/crates/burdockslip_failover/tests/duty.rs
@@ -12,8 +12,10 @@
 const SCHEMA: Schema = Schema {
     configuration: "config",
     members: "members/",
+    evacuations: "evacuations/",
     read_configuration: |_| Ok(Configuration::default()),
     read_member: |_, _| Err(Report::new(ErrorKind::InvalidInput)),
+    read_evacuation: |_| Ok(()),
 };
 
 /// A time within which another host is elected: the TTL of the holder's lease
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -16,6 +16,8 @@
 const SCHEMA: Schema = Schema {
     configuration: "config",
     members: "members/",
+    evacuations: "evacuations/",
+    read_evacuation: |_| Ok(()),
     read_configuration: |_| {
         let mut configuration = Configuration::default();
         let config = GroupConfig {
