session, failover: send nothing more to evacuated zones and move their primaries

Cause: statements, transactions and primaries stayed in zones that the operator evacuates. What only such members can run is refused at once, before a token is taken. The coordinator replaces a primary inside if a member outside of all evacuated zones can hold its log, and prefers such members among equal logs.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -102,6 +102,7 @@
             state_bytes: settings.state_bytes,
             message_bytes: settings.message_bytes,
             rate_slack: settings.rate_slack,
+            evacuation: settings.evacuation,
         };
         let cx = Rc::new(Context::new(
             adapter.codec,
@@ -274,13 +275,16 @@
         ),
         age_millis: millis(cx.directory.configuration_age().unwrap_or_default()),
         connections: u64::try_from(cx.open_sessions.get()).unwrap_or(u64::MAX),
+        evacuated: cx.directory.evacuated_zones(),
     })
 }
 
 /// Closes idle sessions while the host may not authorise requests, so that their
-/// clients connect to other hosts, and updates gauges.
+/// clients connect to other hosts, wakes sessions when an evacuation begins or ends, and
+/// updates gauges.
 async fn maintain(cx: Rc<Context>, stop: Rc<StopSignal>, is_draining: Rc<Cell<bool>>) {
     let mut was_current = true;
+    let mut evacuated = Vec::new();
     let mut ticks = 0_u32;
     loop {
         sleep(TICK).await;
@@ -297,6 +301,12 @@
                 cx.directory.configuration_age().unwrap_or_default(),
             );
         }
+        let zones = cx.directory.evacuated_zones();
+        if zones != evacuated {
+            cx.metrics.set_evacuated(zones.len());
+            stop.recheck();
+            evacuated = zones;
+        }
         let is_current = cx.directory.is_configuration_current();
         if is_current == was_current || is_draining.get() {
             continue;
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -16,10 +16,11 @@
 use burdockslip_runtime::{Instant, now, sleep};
 use burdockslip_statement::{Command, MemberStatus};
 use burdockslip_store::with_timeout;
-use burdockslip_types::{GroupName, LogPosition, MemberName, Result, Revision, Term};
+use burdockslip_types::{GroupName, LogPosition, MemberName, Result, Revision, Term, Zone};
 use futures::future::{Either, join, select};
 use tracing::{info, warn};
 
+use crate::candidates::best;
 use crate::promotion::{Promotion, STORE_TIMEOUT};
 use crate::records::GroupRecord;
 use crate::roster::join as join_names;
@@ -65,6 +66,8 @@
     is_log_lost: bool,
     /// The position of a commit that a client was told is kept.
     acknowledged: Option<LogPosition>,
+    /// The availability zones that are evacuated.
+    evacuated: Vec<Zone>,
     ended: Instant,
 }
 
@@ -121,7 +124,7 @@
                 let expiry = gate.record_stopped(roster, round.ended);
                 if has_expired
                     && !gate.needs_reload()
-                    && let Some(member) = best(&round.replicas, &round.statuses)
+                    && let Some(member) = round.best(&round.replicas)
                     && self.are_still_stopped(&round.replicas, held).await
                 {
                     if round.holds_acknowledged(group, &member) {
@@ -284,6 +287,7 @@
             replicas,
             statuses,
             held,
+            evacuated: self.directory.evacuated_zones(),
             ended: now(),
         }
     }
@@ -337,7 +341,7 @@
         }
         let newest = self.statuses.values().map(|status| status.received).max();
         let all = [self.primary.clone(), self.replicas.clone()].concat();
-        let best_replica = best(&self.replicas, &self.statuses);
+        let best_replica = self.best(&self.replicas);
         let is_enough =
             best_replica.is_some_and(|member| self.received(&member) >= self.acknowledged);
         let candidates = if self.is_whole() && is_enough {
@@ -345,7 +349,7 @@
         } else {
             &all
         };
-        let heir = best(candidates, &self.statuses)?;
+        let heir = self.best(candidates)?;
         (self.received(&heir) == newest).then_some(heir)
     }
 
@@ -361,6 +365,10 @@
         holds_all
     }
 
+    fn best(&self, members: &[Rc<Member>]) -> Option<Rc<Member>> {
+        best(members, &self.statuses, &self.evacuated)
+    }
+
     /// Returns the position that a member has reported in this round.
     fn received(&self, member: &Member) -> Option<LogPosition> {
         let status = self.statuses.get(&member.name);
@@ -422,18 +430,3 @@
     let status = statuses.get(&member.name);
     status.is_some_and(|status| !status.is_primary && status.held >= held)
 }
-
-/// Chooses the replica with the newest log; among equals, one that is not about to
-/// leave. A member that leads already is no candidate, since its promotion would
-/// change nothing.
-fn best(
-    members: &[Rc<Member>],
-    statuses: &HashMap<MemberName, MemberStatus>,
-) -> Option<Rc<Member>> {
-    members
-        .iter()
-        .filter_map(|member| Some((member, statuses.get(&member.name)?)))
-        .filter(|(_, status)| !status.is_primary)
-        .max_by_key(|(member, status)| (status.received, !member.is_draining))
-        .map(|(member, _)| Rc::clone(member))
-}
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -5,8 +5,10 @@
 //! primary only while they have a permission, which they renew continuously; see
 //! `docs/platform.md`, "The old primary".
 
+mod candidates;
 mod choice;
 mod duty;
+mod evacuation;
 mod exclusion;
 mod order_gate;
 mod permission;
@@ -20,7 +22,9 @@
 mod withdrawals;
 mod witness;
 
+pub use candidates::{best, successors};
 pub use duty::{CoordinatorRole, Duty, Tenure};
+pub use evacuation::{LogAnswer, Settling};
 pub use order_gate::OrderGate;
 pub use permission::{PERMISSION_TTL, Permission};
 pub use promotion::{PromoteFn, PromotionReply};
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -20,7 +20,7 @@
 use crate::{AcknowledgedCommit, Duty, Tenure, Withdrawals};
 
 /// The timeout of a control command to a member.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The timeout of a call to the store.
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -6,16 +6,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::Directory;
+use burdockslip_directory::{Directory, Member};
 use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
 use burdockslip_store::Entry;
 use burdockslip_types::{GroupName, HostId, MemberName, Result};
 use burdockslip_upstream::Pools;
 use tracing::{debug, info, warn};
 
+use crate::evacuation::Settling;
 use crate::promotion::{PromoteFn, Promotion};
 use crate::records::{GroupRecord, keys};
-use crate::{Duty, GroupReport, Votes, roster};
+use crate::{Duty, GroupReport, Votes, roster, successors};
 
 /// How often the groups are checked.
 const TICK: Duration = Duration::from_millis(60);
@@ -37,6 +38,10 @@
 /// The pause after a change or an update that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// The pause between two checks whether a primary can leave an evacuated availability zone,
+/// each of which occupies a slot of its members.
+const EVACUATION_PAUSE: Duration = Duration::from_millis(250);
+
 struct Shared {
     promotion: Promotion,
     votes: RefCell<Votes>,
@@ -47,6 +52,10 @@
     /// The roster updates in progress; an addition or a change of primary cancels that of
     /// its group.
     updates: RefCell<HashMap<GroupName, Task<()>>>,
+    /// The checks whether primaries can leave evacuated zones; a change of primary cancels
+    /// that of its group.
+    evacuations: RefCell<HashMap<GroupName, Task<()>>>,
+    settling: Settling,
     /// The groups whose replicas have all reported in this tenure that they receive.
     receiving: RefCell<HashSet<GroupName>>,
 }
@@ -75,6 +84,8 @@
             changes: RefCell::default(),
             joins: RefCell::default(),
             updates: RefCell::default(),
+            evacuations: RefCell::default(),
+            settling: Settling::default(),
             receiving: RefCell::default(),
         });
         Self {
@@ -123,6 +134,8 @@
             shared.changes.borrow_mut().clear();
             shared.joins.borrow_mut().clear();
             shared.updates.borrow_mut().clear();
+            shared.evacuations.borrow_mut().clear();
+            shared.settling.clear();
             shared.receiving.borrow_mut().clear();
             shared.votes.borrow_mut().reset();
             shared.promotion.withdrawals.borrow_mut().end_tenure();
@@ -190,6 +203,7 @@
             self.start_change(group, Some(entry), reason);
             return;
         }
+        self.check_evacuation(group, &record, &entry);
         let present = self.promotion.present(group);
         if roster::lacks(&record, &present) {
             self.start_join(group, entry);
@@ -201,6 +215,46 @@
         }
     }
 
+    /// Spawns a task that replaces the primary of a group if it stands in an evacuated zone
+    /// and a member elsewhere can lead, unless one is running for the group.
+    fn check_evacuation(self: &Rc<Self>, group: &GroupName, record: &GroupRecord, entry: &Entry) {
+        let directory = &self.promotion.directory;
+        if !directory.is_evacuating()
+            || self.evacuations.borrow().contains_key(group)
+            || !self.settling.is_over(group)
+        {
+            return;
+        }
+        let members = directory.members(group);
+        let mut successors = successors(record, &members, &directory.evacuated_zones());
+        successors.retain(|member| self.is_reachable(member));
+        let Some(primary) = directory.member(&record.primary) else {
+            return;
+        };
+        if successors.is_empty() {
+            return;
+        }
+        let (shared, name, entry) = (Rc::clone(self), group.clone(), entry.clone());
+        let task = spawn(async move {
+            if !shared.promotion.can_evacuate(&primary, &successors).await {
+                debug!(group = %name, "no member outside of evacuated zones holds the log");
+                sleep(EVACUATION_PAUSE).await;
+            } else if shared.promotion.directory.revision(&keys::group(&name))
+                == Some(entry.revision)
+            {
+                shared.start_change(&name, Some(entry), "availability zone is evacuated");
+            }
+            shared.evacuations.borrow_mut().remove(&name);
+        });
+        self.evacuations.borrow_mut().insert(group.clone(), task);
+    }
+
+    fn is_reachable(&self, member: &Rc<Member>) -> bool {
+        let hosts = self.promotion.directory.count(keys::HOSTS);
+        let is_suspected = self.promotion.pools.pool(member).health.is_suspected();
+        !is_suspected && !self.votes.borrow().is_lost(&member.name, hosts)
+    }
+
     /// Spawns a task that adds registered members to the roster, unless one is running for
     /// the group. An update may take seconds, in which they already receive commits.
     fn start_join(self: &Rc<Self>, group: &GroupName, entry: Entry) {
@@ -292,15 +346,22 @@
         self.joins.borrow_mut().remove(group);
         self.updates.borrow_mut().remove(group);
         self.receiving.borrow_mut().remove(group);
+        self.evacuations.borrow_mut().remove(group);
         let (shared, name) = (Rc::clone(self), group.clone());
         let task = spawn(async move {
             let outcome = match entry {
                 Some(entry) => shared.promotion.run(&name, entry, reason).await,
                 None => shared.promotion.adopt(&name).await,
             };
-            if let Err(error) = outcome {
-                info!(group = %name, reason, ?error, "change of primary failed");
-                sleep(RETRY_PAUSE).await;
+            match outcome {
+                Ok(()) if shared.promotion.directory.is_evacuating() => {
+                    shared.settling.record(&name);
+                }
+                Ok(()) => {}
+                Err(error) => {
+                    info!(group = %name, reason, ?error, "change of primary failed");
+                    sleep(RETRY_PAUSE).await;
+                }
             }
             shared.changes.borrow_mut().remove(&name);
         });
--- a/crates/burdockslip_host/src/host.rs
+++ b/crates/burdockslip_host/src/host.rs
@@ -197,6 +197,7 @@
             revision: config.revision(),
             age_millis: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             connections: proxy.session_count() as u64,
+            evacuated: Vec::new(),
         }
     })
 }
--- a/crates/burdockslip_session/src/begin.rs
+++ b/crates/burdockslip_session/src/begin.rs
@@ -11,6 +11,7 @@
 use tracing::{debug, info};
 
 use crate::context::Context;
+use crate::evacuation;
 use crate::outcome::{self, Job, SendError, error_kind};
 use crate::place::{self, Target};
 
@@ -65,6 +66,8 @@
             Some(_) => self.started.elapsed() < EAGER_MAX_AGE,
             None => outcome::is_confirmed_primary(cx, job, &begun.connection),
         };
+        let member = begun.connection.member();
+        let is_usable = is_usable && evacuation::check(cx, member, begun.floor.is_none()).is_ok();
         if !is_usable {
             debug!(
                 id = job.id(),
@@ -138,6 +141,7 @@
     if target.floor.is_none() && !outcome::is_confirmed_primary(cx, job, &connection) {
         return Err(ErrorKind::NoPrimary);
     }
+    evacuation::check(cx, connection.member(), target.floor.is_none()).map_err(kind)?;
     let begin = Command::Begin {
         access,
         floor: target.floor,
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -19,7 +19,7 @@
 
 use crate::freshness::PositionHistory;
 use crate::receipt::Receipts;
-use crate::{Acknowledged, StateBudget};
+use crate::{Acknowledged, EvacuationBound, StateBudget};
 
 /// How long an operation may wait for a token. The coordinator replies within a few
 /// milliseconds.
@@ -45,6 +45,9 @@
     /// The number of operations beyond rate and burst that all hosts together may
     /// admit for an organisation in a window.
     pub rate_slack: u32,
+    /// How long after its request an availability zone may still receive statements that
+    /// is to be evacuated.
+    pub evacuation: Option<Duration>,
 }
 
 /// The state that all sessions of a host share.
@@ -71,6 +74,8 @@
     pub limits: Limits,
     /// The availability zone of this host.
     pub zone: Zone,
+    /// How long members of evacuated zones may be used.
+    pub(crate) evacuation: EvacuationBound,
     /// The number of open client connections.
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
@@ -110,6 +115,7 @@
             metrics,
             limits,
             zone,
+            evacuation: EvacuationBound::new(limits.evacuation),
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
             receive_budget: Rc::new(ReceiveBudget::new(limits.message_bytes)),
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -14,6 +14,7 @@
 use tracing::{debug, info, warn};
 
 use crate::context::{Context, wait_limit};
+use crate::evacuation;
 
 /// The minimum time for setting up a connection or starting a transaction, even if
 /// the wait limit of the statement expires earlier. These commands take no slot at
@@ -162,6 +163,7 @@
     if floor.is_none() && !is_confirmed_primary(cx, job, connection) {
         return Err(SendError::NotSent(ErrorKind::NoPrimary));
     }
+    evacuation::check(cx, connection.member(), floor.is_none())?;
     let command = job.command(name, floor);
     send(cx, connection, job, command, job.access == Access::Write).await
 }
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Consistency, Route};
+use burdockslip_directory::{Consistency, Role, Route};
 use burdockslip_runtime::{Instant, random_range, sleep};
 use burdockslip_statement::Access;
 use burdockslip_types::{ErrorKind, LogPosition, MemberName};
@@ -11,7 +11,7 @@
 
 use crate::context::{Context, wait_limit};
 use crate::outcome::Job;
-use crate::{position, receipt};
+use crate::{evacuation, position, receipt};
 
 /// The factor on the cost of the primary for reads that a replica can also serve,
 /// because only the primary can serve writes.
@@ -51,7 +51,7 @@
 }
 
 /// Returns the primary of the route's group if this host has the permission to use it and
-/// it is not about to exit.
+/// it is neither about to exit nor in an availability zone that must get nothing more.
 pub(crate) fn primary(cx: &Context, route: &Route) -> Option<Target> {
     let name = cx.permission.primary(&route.group)?;
     let draining_for = cx.directory.draining_for(&name);
@@ -59,6 +59,9 @@
         return None;
     }
     let member = cx.directory.member(&name)?;
+    if !cx.may_start(&member, Role::Primary) {
+        return None;
+    }
     Some(Target {
         pool: cx.pools.pool(&member),
         floor: None,
@@ -73,13 +76,17 @@
 ///
 /// # Errors
 ///
-/// Returns `NoPrimary` if there is no usable primary within the wait limit.
+/// Returns `NoPrimary` if there is no usable primary within the wait limit, and at once if
+/// only members of evacuated zones could run the operation.
 pub(crate) async fn wait_until_servable(
     cx: &Context,
     route: &Route,
     access: Access,
     started: Instant,
 ) -> Result<(), ErrorKind> {
+    if evacuation::excludes(cx, route, access) {
+        return Err(ErrorKind::NoPrimary);
+    }
     let until = started + wait_limit(route);
     while needs_primary(route, access) && !has_usable_primary(cx, route, access) {
         if until.is_past() {
@@ -90,7 +97,7 @@
     Ok(())
 }
 
-const fn needs_primary(route: &Route, access: Access) -> bool {
+pub(crate) const fn needs_primary(route: &Route, access: Access) -> bool {
     matches!(access, Access::Write) || matches!(route.consistency, Consistency::Strong)
 }
 
@@ -120,6 +127,9 @@
         let jitter = f64::from(u32::try_from(random_range(least..most)).unwrap_or(100));
         cost(cx, target, job) * weight * jitter
     };
+    // The zone of an evacuated primary gets only what no replica elsewhere can serve.
+    let is_left = |target: &Target| cx.may_start(target.pool.member(), Role::Replica);
+    let primary = primary.filter(|target| replicas.is_empty() || is_left(target));
     let scored = replicas
         .into_iter()
         .map(|target| (score(&target, 1.0), target))
@@ -135,6 +145,7 @@
         .members(&job.route.group)
         .into_iter()
         .filter(|member| Some(&member.name) != primary.as_ref() && !member.is_draining)
+        .filter(|member| cx.may_start(member, Role::Replica))
         .map(|member| Target {
             pool: cx.pools.pool(&member),
             floor: Some(floor),
@@ -176,7 +187,9 @@
 
 /// Returns the error for a statement for which no member could be chosen.
 pub(crate) fn refusal_kind(cx: &Context, job: &Job) -> ErrorKind {
-    if cx.permission.primary(&job.route.group).is_none() {
+    if cx.permission.primary(&job.route.group).is_none()
+        || evacuation::excludes(cx, &job.route, job.access)
+    {
         ErrorKind::NoPrimary
     } else {
         ErrorKind::QueueFull
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -267,7 +267,8 @@
             Level::ClosingAll if framed.is_quiet() => session.abort("host is stopping"),
             _ => {}
         }
-        let deadline = session.idle_deadline();
+        let deadlines = [session.idle_deadline(), session.evacuation_deadline()];
+        let deadline = deadlines.into_iter().flatten().min();
         let message = Box::pin(framed.next(cx.codec.read_client));
         let interrupt = Box::pin(interrupt(stop, seen, deadline));
         match select(message, interrupt).await {
@@ -280,14 +281,15 @@
                     kind => Received::Unusable(kind),
                 };
             }
-            Either::Right((Interrupt::Idle, _)) => session.abort("idle timeout"),
+            Either::Right((Interrupt::Overdue, _)) => session.end_overdue(),
             Either::Right((Interrupt::Stop, _)) => {}
         }
     }
 }
 
 enum Interrupt {
-    Idle,
+    /// The open transaction has to end.
+    Overdue,
     Stop,
 }
 
@@ -299,7 +301,7 @@
     };
     match select(changed, sleep_until(deadline)).await {
         Either::Left(_) => Interrupt::Stop,
-        Either::Right(_) => Interrupt::Idle,
+        Either::Right(_) => Interrupt::Overdue,
     }
 }
 
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -105,18 +105,43 @@
         Some(self.transaction.as_ref()?.last_used + limit)
     }
 
+    /// Returns when the open transaction is rolled back because the availability zone of its
+    /// member is evacuated, or `None` if it is not.
+    pub(crate) fn evacuation_deadline(&self) -> Option<Instant> {
+        Some(now() + self.transaction.as_ref()?.time_left(&self.cx)?)
+    }
+
+    /// Rolls back the open transaction, because its client was idle for too long or the
+    /// zone of its member is evacuated.
+    pub(crate) fn end_overdue(&mut self) {
+        if self
+            .evacuation_deadline()
+            .is_none_or(|until| !until.is_past())
+        {
+            self.abort("idle timeout");
+            return;
+        }
+        info!(organisation = %self.organisation, database = self.database,
+            reason = "availability zone is evacuated", "transaction rolled back");
+        if let Some(mut transaction) = self.transaction.take() {
+            let job = self.rollback_job(&transaction.route);
+            transaction.evacuate(&self.cx, job);
+            self.transaction = Some(transaction);
+        }
+    }
+
+    fn rollback_job(&self, route: &Rc<Route>) -> Rc<Job> {
+        let work = Work::Direct(Bytes::new());
+        self.job(route, Bytes::from_static(b"-"), work, Access::Read)
+    }
+
     /// Rolls back the open transaction, if any. The next response reports the failed
     /// status to the client.
     pub(crate) fn abort(&mut self, reason: &str) {
         if let Some(transaction) = self.transaction.take() {
             info!(organisation = %self.organisation, database = self.database, reason,
                 "transaction rolled back");
-            let job = self.job(
-                &transaction.route,
-                Bytes::from_static(b"-"),
-                Work::Direct(Bytes::new()),
-                Access::Read,
-            );
+            let job = self.rollback_job(&transaction.route);
             transaction.roll_back(&self.cx, job);
             self.has_failed = true;
         }
--- a/crates/burdockslip_session/src/stop.rs
+++ b/crates/burdockslip_session/src/stop.rs
@@ -61,6 +61,11 @@
         self.set(Level::Exiting);
     }
 
+    /// Makes sessions that wait for their clients check how long they may do so.
+    pub fn recheck(&self) {
+        self.changed.notify();
+    }
+
     pub(crate) const fn level(&self) -> Level {
         self.level.get()
     }
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -1,6 +1,7 @@
 //! Client transactions, each of which uses one connection from its first statement to its end.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use burdockslip_directory::Route;
 use burdockslip_runtime::{Instant, now, spawn};
@@ -31,6 +32,8 @@
     has_written: bool,
     /// Whether a write succeeded, so that the commit has a position of its own.
     has_changed: bool,
+    /// Whether it was rolled back because the zone of its member is evacuated.
+    is_evacuated: bool,
     /// When the last statement started or ended.
     pub(crate) last_used: Instant,
 }
@@ -46,6 +49,7 @@
             floor: None,
             has_written: false,
             has_changed: false,
+            is_evacuated: false,
             last_used: now(),
         }
     }
@@ -57,10 +61,7 @@
         job: &Rc<Job>,
     ) -> Result<ServedReply, ErrorKind> {
         self.last_used = now();
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => self.begin(cx, job).await?,
-        };
+        let mut connection = self.connection(cx, job).await?;
         if job.access == Access::Write {
             self.has_written = true;
         }
@@ -79,6 +80,39 @@
         Ok(served)
     }
 
+    /// Returns the connection for the next statement, which the member's availability zone
+    /// may still receive.
+    async fn connection(
+        &mut self,
+        cx: &Rc<Context>,
+        job: &Rc<Job>,
+    ) -> Result<PooledConnection, ErrorKind> {
+        if self.is_evacuated {
+            return Err(ErrorKind::TransactionAborted);
+        }
+        let Some(connection) = self.connection.take() else {
+            return self.begin(cx, job).await;
+        };
+        // Dropping the connection rolls back the transaction.
+        match cx.time_left(connection.member()) {
+            Some(Duration::ZERO) => Err(ErrorKind::TransactionAborted),
+            _ => Ok(connection),
+        }
+    }
+
+    /// Returns the time for which the availability zone of the member may still receive
+    /// statements of the transaction, or `None` if it is not limited.
+    pub(crate) fn time_left(&self, cx: &Context) -> Option<Duration> {
+        cx.time_left(self.connection.as_ref()?.member())
+    }
+
+    /// Rolls back at the member, whose zone is evacuated. The client learns it from the
+    /// response to its next statement.
+    pub(crate) fn evacuate(&mut self, cx: &Rc<Context>, job: Rc<Job>) {
+        self.is_evacuated = true;
+        self.release(cx, job);
+    }
+
     /// Returns the connection of the eagerly opened transaction, or opens one now.
     async fn begin(
         &mut self,
@@ -103,10 +137,7 @@
         cx: &Rc<Context>,
         job: &Rc<Job>,
     ) -> Result<ServedReply, ErrorKind> {
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => self.begin(cx, job).await?,
-        };
+        let mut connection = self.connection(cx, job).await?;
         let command = Command::Forward {
             id: job.id.clone(),
             text: job.text(),
@@ -140,6 +171,10 @@
 
     /// Rolls back in the background, because the client does not need to wait for it.
     pub(crate) fn roll_back(mut self, cx: &Rc<Context>, job: Rc<Job>) {
+        self.release(cx, job);
+    }
+
+    fn release(&mut self, cx: &Rc<Context>, job: Rc<Job>) {
         let cx = Rc::clone(cx);
         let (connection, eager) = (self.connection.take(), self.eager.take());
         spawn(async move {
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -50,6 +50,7 @@
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
     config_revision: Gauge<u64>,
+    evacuated: Gauge<u64>,
 }
 
 impl Metrics {
@@ -123,6 +124,10 @@
                 .u64_gauge("burdockslip_config_revision")
                 .with_description("Revision of the configuration in force.")
                 .build(),
+            evacuated: meter
+                .u64_gauge("burdockslip_evacuated_zones")
+                .with_description("Availability zones to which nothing more is sent.")
+                .build(),
             _provider: provider,
             registry,
         })
@@ -197,6 +202,12 @@
         self.config_age.record(age.as_secs_f64(), &[]);
     }
 
+    /// Sets the number of availability zones that are evacuated.
+    pub fn set_evacuated(&self, zones: usize) {
+        let zones = u64::try_from(zones).unwrap_or(u64::MAX);
+        self.evacuated.record(zones, &[]);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/burdockslip_telemetry/src/status.rs
+++ b/crates/burdockslip_telemetry/src/status.rs
@@ -17,5 +17,7 @@
         pub age_millis: u64,
         /// The number of open client connections.
         pub connections: u64,
+        /// The availability zones that are evacuated.
+        pub evacuated: Vec<Zone>,
     }
 }
--- a/crates/burdockslip_telemetry/tests/admin.rs
+++ b/crates/burdockslip_telemetry/tests/admin.rs
@@ -19,7 +19,7 @@
 mod support;
 
 const STATUS: &str = "{\"host\":\"h1\",\"zone\":\"a\",\"is_ready\":true,\"revision\":7,\
-    \"age_millis\":20,\"connections\":3}";
+    \"age_millis\":20,\"connections\":3,\"evacuated\":[\"b\"]}";
 
 fn status(is_ready: bool) -> HostStatus {
     HostStatus {
@@ -29,6 +29,7 @@
         revision: Revision(7),
         age_millis: 20,
         connections: 3,
+        evacuated: vec!["b".into()],
     }
 }
 
--- a/crates/burdockslipctl/tests/commands/hosts.rs
+++ b/crates/burdockslipctl/tests/commands/hosts.rs
@@ -36,6 +36,7 @@
                 revision: Revision(u64::from(is_ready)),
                 age_millis: 0,
                 connections: 0,
+                evacuated: Vec::new(),
             };
             Ok(serde_json::to_string(&status).expect("it is text"))
         }
--- a/crates/burdockslipctl/tests/loopback.rs
+++ b/crates/burdockslipctl/tests/loopback.rs
@@ -41,6 +41,7 @@
             revision: Revision(revision.get()),
             age_millis: 5,
             connections: 0,
+            evacuated: Vec::new(),
         }),
     };
     let admin = serve_admin(any_port(), admin).expect("a port is free");
