--- a/crates/burdockslip_session/src/receipt.rs
+++ b/crates/burdockslip_session/src/receipt.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::Member;
+use burdockslip_directory::{Member, Role};
 use burdockslip_runtime::{Signal, Task, now, sleep, spawn, timeout_at};
 use burdockslip_types::{ErrorKind, GroupName, LogPosition, MemberName, Organisation, Result};
 use burdockslip_upstream::SessionState;
@@ -137,6 +137,11 @@
             break;
         };
         replicas.retain(|member| !cx.pools.pool(member).health.is_suspected());
+        // Those in evacuated zones are asked only if there are no others.
+        let is_outside = |member: &Rc<Member>| cx.may_start(member, Role::Replica);
+        if replicas.iter().any(is_outside) {
+            replicas.retain(is_outside);
+        }
         let received = match replicas.len() {
             0 => None,
             count => query(&cx, &replicas[turn % count], &organisation).await,
