--- a/crates/burdockslip_directory/src/evacuation.rs
+++ b/crates/burdockslip_directory/src/evacuation.rs
@@ -57,7 +57,11 @@
     /// Ends the evacuation of a zone whose record is gone.
     pub(crate) fn end(&self, zone: &str) {
         if let Some(ended) = self.zones.borrow_mut().remove(&Zone::from(zone)) {
-            info!(zone, after_ms = millis(&ended), "availability zone returns");
+            info!(
+                zone,
+                after_ms = millis(&ended),
+                "evacuation of availability zone ended"
+            );
         }
     }
 
--- a/crates/burdockslip_failover/src/candidates.rs
+++ b/crates/burdockslip_failover/src/candidates.rs
@@ -1,11 +1,10 @@
 //! Which members may lead a group next, and which are preferred.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 
 use burdockslip_directory::Member;
 use burdockslip_statement::MemberStatus;
-use burdockslip_types::{MemberName, Zone};
+use burdockslip_types::Zone;
 
 use crate::GroupRecord;
 
@@ -30,10 +29,10 @@
 
 /// Chooses the replica with the newest log; among equals, one outside of the evacuated
 /// availability zones, then one that is not about to leave. A member that leads already is
-/// no candidate, since its promotion would change nothing.
+/// no candidate, since its promotion would change nothing, nor is one without a status.
 pub fn best(
     members: &[Rc<Member>],
-    statuses: &HashMap<MemberName, MemberStatus>,
+    status: impl Fn(&Member) -> Option<MemberStatus>,
     evacuated: &[Zone],
 ) -> Option<Rc<Member>> {
     let rank = |member: &Member, status: &MemberStatus| {
@@ -42,7 +41,7 @@
     };
     members
         .iter()
-        .filter_map(|member| Some((member, statuses.get(&member.name)?)))
+        .filter_map(|member| Some((member, status(member)?)))
         .filter(|(_, status)| !status.is_primary)
         .max_by_key(|(member, status)| rank(member, status))
         .map(|(member, _)| Rc::clone(member))
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -366,7 +366,8 @@
     }
 
     fn best(&self, members: &[Rc<Member>]) -> Option<Rc<Member>> {
-        best(members, &self.statuses, &self.evacuated)
+        let status = |member: &Member| self.statuses.get(&member.name).copied();
+        best(members, status, &self.evacuated)
     }
 
     /// Returns the position that a member has reported in this round.
--- a/crates/burdockslip_failover/tests/evacuation.rs
+++ b/crates/burdockslip_failover/tests/evacuation.rs
@@ -1,6 +1,5 @@
 //! Tests which member replaces a primary whose availability zone is evacuated, and when.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,7 +7,7 @@
 use burdockslip_failover::{GroupRecord, LogAnswer, Settling, best, successors};
 use burdockslip_runtime::{paused, sleep};
 use burdockslip_statement::MemberStatus;
-use burdockslip_types::{GroupName, LogPosition, MemberName, Term, Zone};
+use burdockslip_types::{GroupName, LogPosition, Term, Zone};
 use yare::parameterized;
 
 /// Creates the members `i-1`, the primary in zone `a`, `i-2` in `b` and `i-3` in `c`.
@@ -87,18 +86,16 @@
 )]
 fn newest_log_goes_before_the_zone(received: [u64; 3], evacuated: &str, expected: &str) {
     let members = members();
-    let status = |(member, number): (&Rc<Member>, u64)| {
-        let status = MemberStatus {
+    let status = |member: &Member| {
+        let index = members.iter().position(|known| known.name == member.name)?;
+        Some(MemberStatus {
             is_primary: false,
             term: Term(1),
-            received: LogPosition::new(1, number),
+            received: LogPosition::new(1, received[index]),
             held: Term(2),
-        };
-        (member.name.clone(), status)
+        })
     };
-    let statuses: HashMap<MemberName, MemberStatus> =
-        members.iter().zip(received).map(status).collect();
-    let chosen = best(&members, &statuses, &zones(evacuated)).expect("all have answered");
+    let chosen = best(&members, status, &zones(evacuated)).expect("all have answered");
     assert_eq!(chosen.name.as_str(), expected);
 }
 
