session: check what is overdue before a transaction is rolled back

Cause: read in review: an evacuation that ended less than 100 ms before its deadline would have rolled back the transaction as idle. Change: the deadline is checked again. The choice of the newest member has a name of its own.

--- a/crates/burdockslip_failover/src/candidates.rs
+++ b/crates/burdockslip_failover/src/candidates.rs
@@ -27,10 +27,10 @@
     successors
 }
 
-/// Chooses the replica with the newest log; among equals, one outside of the evacuated
+/// Chooses the member with the newest log; among equals, one outside of the evacuated
 /// availability zones, then one that is not about to leave. A member that leads already is
 /// no candidate, since its promotion would change nothing, nor is one without a status.
-pub fn best(
+pub fn newest_member(
     members: &[Rc<Member>],
     status: impl Fn(&Member) -> Option<MemberStatus>,
     evacuated: &[Zone],
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -20,7 +20,7 @@
 use futures::future::{Either, join, select};
 use tracing::{info, warn};
 
-use crate::candidates::best;
+use crate::candidates::newest_member;
 use crate::promotion::{Promotion, STORE_TIMEOUT};
 use crate::records::GroupRecord;
 use crate::roster::join as join_names;
@@ -367,7 +367,7 @@
 
     fn best(&self, members: &[Rc<Member>]) -> Option<Rc<Member>> {
         let status = |member: &Member| self.statuses.get(&member.name).copied();
-        best(members, status, &self.evacuated)
+        newest_member(members, status, &self.evacuated)
     }
 
     /// Returns the position that a member has reported in this round.
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -22,7 +22,7 @@
 mod withdrawals;
 mod witness;
 
-pub use candidates::{best, successors};
+pub use candidates::{newest_member, successors};
 pub use duty::{CoordinatorRole, Duty, Tenure};
 pub use evacuation::{LogAnswer, Settling};
 pub use order_gate::OrderGate;
--- a/crates/burdockslip_failover/tests/evacuation.rs
+++ b/crates/burdockslip_failover/tests/evacuation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Member, Role};
-use burdockslip_failover::{GroupRecord, LogAnswer, Settling, best, successors};
+use burdockslip_failover::{GroupRecord, LogAnswer, Settling, newest_member, successors};
 use burdockslip_runtime::{paused, sleep};
 use burdockslip_statement::MemberStatus;
 use burdockslip_types::{GroupName, LogPosition, Term, Zone};
@@ -95,7 +95,7 @@
             held: Term(2),
         })
     };
-    let chosen = best(&members, status, &zones(evacuated)).expect("all have answered");
+    let chosen = newest_member(&members, status, &zones(evacuated)).expect("all have answered");
     assert_eq!(chosen.name.as_str(), expected);
 }
 
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -128,8 +128,8 @@
         cost(cx, target, job) * weight * jitter
     };
     // The zone of an evacuated primary gets only what no replica elsewhere can serve.
-    let is_left = |target: &Target| cx.may_start(target.pool.member(), Role::Replica);
-    let primary = primary.filter(|target| replicas.is_empty() || is_left(target));
+    let is_outside = |target: &Target| cx.may_start(target.pool.member(), Role::Replica);
+    let primary = primary.filter(|target| replicas.is_empty() || is_outside(target));
     let scored = replicas
         .into_iter()
         .map(|target| (score(&target, 1.0), target))
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -111,16 +111,20 @@
         Some(now() + self.transaction.as_ref()?.time_left(&self.cx)?)
     }
 
-    /// Rolls back the open transaction, because its client was idle for too long or the
-    /// zone of its member is evacuated.
+    /// Rolls back the open transaction if its client has been idle for too long or the zone
+    /// of its member is evacuated.
     pub(crate) fn end_overdue(&mut self) {
-        if self
-            .evacuation_deadline()
-            .is_none_or(|until| !until.is_past())
-        {
+        let is_past = |deadline: Option<Instant>| deadline.is_some_and(Instant::is_past);
+        if is_past(self.evacuation_deadline()) {
+            self.evacuate();
+        } else if is_past(self.idle_deadline()) {
             self.abort("idle timeout");
-            return;
         }
+    }
+
+    /// Rolls back the open transaction at its member. It fails with the next statement, so
+    /// that its client gets a promise.
+    fn evacuate(&mut self) {
         info!(organisation = %self.organisation, database = self.database,
             reason = "availability zone is evacuated", "transaction rolled back");
         if let Some(mut transaction) = self.transaction.take() {
