--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -20,7 +20,7 @@
 use crate::locality::Locality;
 use crate::receipt::Receipts;
 use crate::tokens::{Authority, Giver, Ruling, Token};
-use crate::{Acknowledged, StateBudget};
+use crate::{Acknowledged, EvacuationBound, StateBudget};
 
 /// How long an operation may wait for a token. The coordinator replies within a few
 /// milliseconds.
@@ -41,6 +41,9 @@
     /// The number of operations beyond rate and burst that all hosts together may
     /// admit for an organisation in a window.
     pub rate_slack: u32,
+    /// How long after its request an availability zone may still receive statements that
+    /// is to be evacuated.
+    pub evacuation: Option<Duration>,
 }
 
 /// The state that all sessions of a host share.
@@ -67,6 +70,8 @@
     pub limits: Limits,
     /// The place of this host among the availability zones and regions.
     pub locality: Locality,
+    /// How long members of evacuated zones may be used.
+    pub(crate) evacuation: EvacuationBound,
     /// The number of open client connections.
     pub open_sessions: Cell<usize>,
     /// The host that admits operations for this one.
@@ -108,6 +113,7 @@
             metrics,
             limits,
             locality,
+            evacuation: EvacuationBound::new(limits.evacuation),
             open_sessions: Cell::new(0),
             authority: RefCell::default(),
             denials: RefCell::default(),
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -107,18 +107,47 @@
         Some(self.transaction.as_ref()?.last_used + limit)
     }
 
+    /// Returns when the open transaction is rolled back because the availability zone of its
+    /// member is evacuated, or `None` if it is not.
+    pub(crate) fn evacuation_deadline(&self) -> Option<Instant> {
+        Some(now() + self.transaction.as_ref()?.time_left(&self.cx)?)
+    }
+
+    /// Rolls back the open transaction if its client has been idle for too long or the zone
+    /// of its member is evacuated.
+    pub(crate) fn end_overdue(&mut self) {
+        let is_past = |deadline: Option<Instant>| deadline.is_some_and(Instant::is_past);
+        if is_past(self.evacuation_deadline()) {
+            self.evacuate();
+        } else if is_past(self.idle_deadline()) {
+            self.abort("idle timeout");
+        }
+    }
+
+    /// Rolls back the open transaction at its member. It fails with the next statement, so
+    /// that its client gets a promise.
+    fn evacuate(&mut self) {
+        info!(organisation = %self.organisation, database = self.database,
+            reason = "availability zone is evacuated", "transaction rolled back");
+        if let Some(mut transaction) = self.transaction.take() {
+            let job = self.rollback_job(&transaction.route);
+            transaction.evacuate(&self.cx, job);
+            self.transaction = Some(transaction);
+        }
+    }
+
+    fn rollback_job(&self, route: &Rc<Route>) -> Rc<Job> {
+        let work = Work::Direct(Bytes::new());
+        self.job(route, Bytes::from_static(b"-"), work, Access::Read)
+    }
+
     /// Rolls back the open transaction, if any. The next response reports the failed
     /// status to the client.
     pub(crate) fn abort(&mut self, reason: &str) {
         if let Some(transaction) = self.transaction.take() {
             info!(organisation = %self.organisation, database = self.database, reason,
                 "transaction rolled back");
-            let job = self.job(
-                &transaction.route,
-                Bytes::from_static(b"-"),
-                Work::Direct(Bytes::new()),
-                Access::Read,
-            );
+            let job = self.rollback_job(&transaction.route);
             transaction.roll_back(&self.cx, job);
             self.has_failed = true;
         }
