pace: decide the pace of members and divide permits

Cause: nothing limits what a cold member gets, and a member that starts or recovers is flooded or left idle.

--- /dev/null
+++ b/crates/burdockslip_pace/src/controller.rs
@@ -0,0 +1,154 @@
+//! The coordinator's side: finds the pace of members and grants permits.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use burdockslip_runtime::{Instant, now};
+use burdockslip_types::{HostId, MemberName};
+
+use crate::message::to_rate;
+use crate::ramp::Ramp;
+use crate::{MemberDemand, PaceGrant, Sighting};
+
+/// How long the suspicions of a host count after its last report.
+const REPORT_VALIDITY: Duration = Duration::from_millis(1_300);
+
+/// Finds the pace of members and grants permits while this host is the coordinator.
+///
+/// A controller starts without permits, because those of the previous coordinator may
+/// still be in use.
+#[derive(Debug, Default)]
+pub struct Controller {
+    ramps: HashMap<MemberName, Ramp>,
+    /// The runs whose ramps have ended while they still count as new.
+    finished: HashMap<MemberName, u64>,
+    /// The hosts that report, and the members that each of them cannot reach.
+    hosts: HashMap<HostId, (Instant, Vec<MemberName>)>,
+    /// The members that most hosts could not reach.
+    lost: HashSet<MemberName>,
+}
+
+impl Controller {
+    /// Processes a host's report: its demand for paced members, and the members that it
+    /// cannot reach. Returns its grants, one for each paced member.
+    ///
+    /// `known` are the members of paced groups as the coordinator knows them.
+    pub fn grant(
+        &mut self,
+        host: &HostId,
+        demands: &[MemberDemand],
+        suspects: &[MemberName],
+        known: &[Sighting],
+    ) -> Vec<PaceGrant> {
+        self.record_suspects(host, suspects);
+        self.start_ramps(known, demands);
+        for demand in demands {
+            if let Some(ramp) = self.ramp(demand) {
+                ramp.record(host, demand);
+            }
+        }
+        let finished = &mut self.finished;
+        self.ramps.retain(|name, ramp| {
+            let is_over = ramp.step();
+            if is_over {
+                finished.insert(name.clone(), ramp.sighting.born);
+            }
+            !is_over
+        });
+        let wanted = |ramp: &Ramp| {
+            let demand = demands.iter().find(|demand| is_for(demand, ramp));
+            demand.map_or((0, 0), |demand| (demand.waiting, demand.prefetch))
+        };
+        let grant = |ramp: &mut Ramp| {
+            let (waiting, prefetch) = wanted(ramp);
+            ramp.grant(host, waiting, prefetch)
+        };
+        self.ramps.values_mut().map(grant).collect()
+    }
+
+    /// Returns the number of paced members.
+    pub fn paced_count(&self) -> usize {
+        self.ramps.len()
+    }
+
+    fn ramp(&mut self, demand: &MemberDemand) -> Option<&mut Ramp> {
+        let ramp = self.ramps.get_mut(&demand.member)?;
+        is_for(demand, ramp).then_some(ramp)
+    }
+
+    /// Starts the ramps of members that are new, cold, or reachable again.
+    fn start_ramps(&mut self, known: &[Sighting], demands: &[MemberDemand]) {
+        let names: HashSet<_> = known.iter().map(|sighting| &sighting.member).collect();
+        self.ramps.retain(|name, _| names.contains(name));
+        self.finished.retain(|name, _| names.contains(name));
+        self.lost.retain(|name| names.contains(name));
+        for sighting in known {
+            let name = &sighting.member;
+            let has_recovered = self.has_recovered(name);
+            let demand = demands
+                .iter()
+                .find(|demand| demand.member == *name && demand.born == sighting.born);
+            let is_finished = self.finished.get(name) == Some(&sighting.born);
+            let is_cold = sighting.is_cold() || demand.is_some_and(|demand| !demand.cold.is_zero());
+            let reason = if is_cold {
+                "cold"
+            } else if has_recovered {
+                "reachable again"
+            } else if sighting.is_new() && !is_finished {
+                "new run"
+            } else {
+                ""
+            };
+            if let Some(ramp) = self.ramps.get_mut(name) {
+                if ramp.sighting.born != sighting.born {
+                    ramp.restart(sighting.clone(), "started again");
+                } else if has_recovered {
+                    ramp.restart(sighting.clone(), reason);
+                } else {
+                    ramp.refresh(sighting);
+                }
+            } else if !reason.is_empty() {
+                let latency = demand.map(|demand| to_rate(demand.peers));
+                let ramp = Ramp::new(sighting.clone(), latency, reason);
+                self.ramps.insert(name.clone(), ramp);
+            }
+        }
+    }
+
+    fn record_suspects(&mut self, host: &HostId, suspects: &[MemberName]) {
+        self.hosts.insert(host.clone(), (now(), suspects.to_vec()));
+        if suspects.is_empty() {
+            return;
+        }
+        self.hosts
+            .retain(|_, (at, _)| at.elapsed() < REPORT_VALIDITY);
+        for name in suspects {
+            if self.is_lost(name) {
+                self.lost.insert(name.clone());
+            }
+        }
+    }
+
+    /// Returns whether most hosts that report cannot reach a member.
+    fn is_lost(&self, name: &MemberName) -> bool {
+        let reports = || {
+            let reports = self.hosts.values();
+            reports.filter(|(at, _)| at.elapsed() < REPORT_VALIDITY)
+        };
+        let against = reports().filter(|(_, suspects)| suspects.contains(name));
+        against.count() * 2 > reports().count()
+    }
+
+    /// Returns whether most hosts could not reach a member, and now can.
+    fn has_recovered(&mut self, name: &MemberName) -> bool {
+        let has_recovered = self.lost.contains(name) && !self.is_lost(name);
+        if has_recovered {
+            self.lost.remove(name);
+        }
+        has_recovered
+    }
+}
+
+fn is_for(demand: &MemberDemand, ramp: &Ramp) -> bool {
+    demand.member == ramp.sighting.member && demand.born == ramp.sighting.born
+}
