directory: keep how long members are cold and when runs were first seen

Cause: the cold time in the records of members was parsed and not used. Change: the schema returns it beside the member; the directory counts it down on the runtime's clock from when the newest record was seen, and knows which runs are new. A cold rate is read for each group. Odd values get one log line.

--- a/crates/burdockslip_directory/src/configuration.rs
+++ b/crates/burdockslip_directory/src/configuration.rs
@@ -41,13 +41,16 @@
 }
 
 /// The settings of a database group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct GroupConfig {
     /// The name of the group.
     pub name: GroupName,
     /// The maximum number of connections that a member accepts from all hosts
     /// together.
     pub connections: usize,
+    /// The statements a second that a member can run while it is cold; `None` if the
+    /// operators do not say.
+    pub cold_rate: Option<f64>,
 }
 
 /// The limits of an organisation.
--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -14,7 +14,7 @@
 
 use crate::follow;
 use crate::recency::Recency;
-use crate::{Configuration, Member};
+use crate::{Configuration, Member, MemberRecord};
 
 /// How long after its last confirmation a configuration may authorise requests.
 ///
@@ -38,9 +38,12 @@
     /// Decodes a configuration.
     pub read_configuration: fn(&[u8]) -> Result<Configuration>,
     /// Decodes a member's record; the first argument is its key without the prefix.
-    pub read_member: fn(&str, &[u8]) -> Result<Member>,
+    pub read_member: fn(&str, &[u8]) -> Result<MemberRecord>,
 }
 
+/// The maximum number of members whose last run is remembered.
+const MAX_RUNS: usize = 4_096;
+
 /// The maximum number of deletions kept for other hosts; each takes about 60 bytes.
 const MAX_DELETIONS: usize = 256;
 
@@ -69,6 +72,13 @@
     missing_since: Option<Instant>,
     /// The moment from which the member was known to be about to leave.
     draining_since: Option<Instant>,
+    /// When this run was first seen; `None` if it was there when the store was first read.
+    seen: Option<Instant>,
+    /// Until when the member is cold according to its newest record. A record that was
+    /// relayed is older than this, so the member may be warm earlier.
+    cold_until: Option<Instant>,
+    /// Whether the newest record holds a valid cold time.
+    is_cold_valid: bool,
 }
 
 pub(crate) struct Shared {
@@ -79,6 +89,8 @@
     /// The latest moment at which the configuration was the newest one.
     confirmed_at: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, KnownMember>>,
+    /// The start of the last known run of each member, also of those without a record.
+    runs: RefCell<HashMap<MemberName, u64>>,
     entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
     deletions: RefCell<VecDeque<(Revision, String)>>,
@@ -110,6 +122,7 @@
             configuration_revision: Cell::default(),
             confirmed_at: Cell::default(),
             members: RefCell::default(),
+            runs: RefCell::default(),
             entries: RefCell::default(),
             deletions: RefCell::default(),
             deletions_from: Cell::default(),
@@ -203,6 +216,20 @@
         Some(since.elapsed())
     }
 
+    /// Returns until when a member is cold according to its newest record, or `None` if it
+    /// is not. See `docs/design/member-pace.md`.
+    pub fn cold_until(&self, name: &MemberName) -> Option<Instant> {
+        let members = self.shared.members.borrow();
+        let until = members.get(name)?.cold_until?;
+        (!until.is_past()).then_some(until)
+    }
+
+    /// Returns when the current run of a member was first seen, or `None` if it was there
+    /// when the store was first read.
+    pub fn seen_at(&self, name: &MemberName) -> Option<Instant> {
+        self.shared.members.borrow().get(name)?.seen
+    }
+
     /// Returns whether a member has a record according to the local copy. A member
     /// without one stays usable for some time.
     pub fn is_listed(&self, name: &MemberName) -> bool {
@@ -302,6 +329,23 @@
         self.missing_since
             .is_none_or(|at| at.elapsed() < MISSING_GRACE)
     }
+
+    /// Takes over the cold time of a record. One that is not valid counts as none.
+    fn set_cold(&mut self, cold: Option<Duration>) {
+        let member = &self.member.name;
+        if cold.is_none() && self.is_cold_valid {
+            warn!(%member, "cold time of a member ignored, it is not valid");
+        }
+        self.is_cold_valid = cold.is_some();
+        let was_cold = self.cold_until.is_some_and(|until| !until.is_past());
+        let cold = cold.filter(|cold| !cold.is_zero());
+        if let Some(cold) = cold
+            && !was_cold
+        {
+            info!(%member, cold_ms = cold.as_millis(), "member is cold");
+        }
+        self.cold_until = cold.map(|cold| now() + cold);
+    }
 }
 
 impl Shared {
@@ -476,14 +520,22 @@
 
     fn apply_member(&self, name: &str, value: &[u8]) {
         match (self.schema.read_member)(name, value) {
-            Ok(member) => {
+            Ok(MemberRecord { member, cold }) => {
                 let mut members = self.members.borrow_mut();
-                let known = members.get(&member.name);
-                if known
-                    .is_some_and(|known| *known.member == member && known.missing_since.is_none())
+                let known = members.get_mut(&member.name);
+                let is_new_run = self.record_run(&member);
+                let seen = match &known {
+                    Some(known) if known.member.born == member.born => known.seen,
+                    _ => (is_new_run && self.is_loaded.get()).then(now),
+                };
+                if let Some(known) = known
+                    && *known.member == member
+                    && known.missing_since.is_none()
                 {
+                    known.set_cold(cold);
                     return;
                 }
+                let known = members.get(&member.name);
                 info!(
                     member = name,
                     group = %member.group,
@@ -496,13 +548,17 @@
                 let drained_before = known
                     .filter(|known| known.member.born == member.born)
                     .and_then(|known| known.draining_since);
-                let known = KnownMember {
+                let mut known = KnownMember {
+                    seen,
+                    cold_until: known.and_then(|known| known.cold_until),
+                    is_cold_valid: known.is_none_or(|known| known.is_cold_valid),
                     draining_since: member
                         .is_draining
                         .then(|| drained_before.unwrap_or_else(now)),
                     member: Rc::new(member),
                     missing_since: None,
                 };
+                known.set_cold(cold);
                 members.insert(known.member.name.clone(), known);
             }
             Err(error) => {
@@ -512,6 +568,16 @@
         }
     }
 
+    /// Records the run of a member and returns whether it was unknown. The records of
+    /// members that run on may be gone for some time.
+    fn record_run(&self, member: &Member) -> bool {
+        let mut runs = self.runs.borrow_mut();
+        if runs.len() >= MAX_RUNS {
+            runs.clear();
+        }
+        runs.insert(member.name.clone(), member.born) != Some(member.born)
+    }
+
     fn mark_missing(&self, name: &str) {
         let mut members = self.members.borrow_mut();
         members.retain(|_, known| known.is_usable());
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use configuration::{Configuration, Consistency, GroupConfig, OrganisationConfig, Route};
 pub use directory::{Changes, Directory, KEY_VALIDITY, Relay, Schema};
-pub use member::{Member, Role};
+pub use member::{Member, MemberRecord, Role};
--- a/crates/burdockslip_directory/src/member.rs
+++ b/crates/burdockslip_directory/src/member.rs
@@ -1,6 +1,7 @@
 //! The members of database groups.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use burdockslip_types::{GroupName, MemberName, Zone, domain};
 
@@ -36,6 +37,16 @@
     }
 }
 
+/// A member with what its record says about the moment at which it was written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberRecord {
+    /// The member.
+    pub member: Member,
+    /// How much longer the member is cold, that is slow after its start; `None` if the
+    /// record holds no valid time.
+    pub cold: Option<Duration>,
+}
+
 impl Member {
     /// Returns whether two records are from the same run of a member. The log of a member
     /// is that of its run: a member that starts again under its name may hold nothing.
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Changes, Configuration, Directory, Member, Relay, Role, Schema};
+use burdockslip_directory::{
+    Changes, Configuration, Directory, Member, MemberRecord, Relay, Role, Schema,
+};
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_store::{Event, Faults, MemoryStore};
 use burdockslip_types::{ErrorKind, GroupName, MemberName, Result, Revision, Zone};
@@ -31,11 +33,14 @@
     })
 }
 
-fn read_member(name: &str, bytes: &[u8]) -> Result<Member> {
-    if bytes != b"ok" && bytes != b"draining" {
-        bail!(ErrorKind::InvalidInput);
-    }
-    Ok(Member {
+fn read_member(name: &str, bytes: &[u8]) -> Result<MemberRecord> {
+    let text = std::str::from_utf8(bytes).unwrap_or_default();
+    let cold = match text.strip_prefix("cold ") {
+        Some(millis) => millis.parse().ok().map(Duration::from_millis),
+        None if text == "ok" || text == "draining" => Some(Duration::ZERO),
+        None => bail!(ErrorKind::InvalidInput),
+    };
+    let member = Member {
         name: MemberName::from(name),
         group: group(),
         address: ([127, 0, 0, 1], 1).into(),
@@ -44,7 +49,8 @@
         is_draining: bytes == b"draining",
         role: Role::Replica,
         born: 1,
-    })
+    };
+    Ok(MemberRecord { member, cold })
 }
 
 fn group() -> GroupName {
@@ -411,3 +417,68 @@
         Event::Progress(_) => None,
     }
 }
+
+/// Guards against a member that is taken for warm too early, or for cold for ever: the
+/// time of its newest record counts down from when the record was seen.
+#[test]
+fn cold_time_counts_down_from_the_newest_record() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("members/m1", b"cold 2000");
+        let directory = open(&store);
+        wait().await;
+        let name = MemberName::from("m1");
+        assert!(directory.cold_until(&name).is_some());
+        sleep(Duration::from_millis(1_500)).await;
+        store.put("members/m1", b"cold 1000");
+        wait().await;
+        let until = directory.cold_until(&name).expect("it is still cold");
+        assert!(until.remaining() > Duration::from_millis(600));
+        sleep(Duration::from_millis(1_100)).await;
+        assert_eq!(directory.cold_until(&name), None);
+        store.put("members/m1", b"cold 1000");
+        wait().await;
+        store.put("members/m1", b"ok");
+        wait().await;
+        assert_eq!(directory.cold_until(&name), None);
+    });
+}
+
+/// Guards against an odd cold time that ends the use of a member, or makes it cold.
+#[test]
+fn odd_cold_time_counts_as_none() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("members/m1", b"cold -7");
+        let directory = open(&store);
+        wait().await;
+        let name = MemberName::from("m1");
+        assert!(directory.member(&name).is_some());
+        assert_eq!(directory.cold_until(&name), None);
+    });
+}
+
+/// Guards against members that count as started again after an outage of the store in
+/// which their records were gone.
+#[test]
+fn record_that_comes_back_is_no_new_run() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("members/m1", b"ok");
+        let directory = open(&store);
+        wait().await;
+        store.put("members/m2", b"ok");
+        wait().await;
+        let (first, second) = (MemberName::from("m1"), MemberName::from("m2"));
+        assert_eq!(directory.seen_at(&first), None);
+        assert!(directory.seen_at(&second).is_some());
+        for key in ["members/m1", "members/m2"] {
+            store.delete(key);
+        }
+        sleep(Duration::from_secs(5)).await;
+        store.put("members/m1", b"ok");
+        wait().await;
+        assert!(directory.member(&first).is_some());
+        assert_eq!(directory.seen_at(&first), None);
+    });
+}
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use burdockslip_directory::{Configuration, Directory, GroupConfig, Member, Role, Schema};
+use burdockslip_directory::{Configuration, Directory, GroupConfig, Member, MemberRecord, Role, Schema};
 use burdockslip_failover::{GroupRecord, Permission};
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_statement::Codec;
@@ -21,6 +21,7 @@
         let config = GroupConfig {
             name: group(),
             connections: 42,
+            cold_rate: None,
         };
         configuration.groups.insert(group(), config);
         Ok(configuration)
@@ -32,7 +33,10 @@
     read_member: |_, bytes| {
         let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
         decoded
-            .map(|(member, _)| member)
+            .map(|(member, _)| MemberRecord {
+                member,
+                cold: Some(Duration::ZERO),
+            })
             .map_err(|error| Report::new(error).change_context(ErrorKind::InvalidInput))
     },
     ..SCHEMA
