pace: hold statements to paced members to the coordinator's permits

Cause: a cold member has to stay within its limit over all hosts, and a member that starts or recovers should get what it can answer. Change: hosts report paced members and get permits; sessions take one before each command, pass members without permits over for reads, and refuse at once what the primary has no room for. The cost of a member rises with the part of its answers that fail. Failover prefers members that are not cold among equal logs.

--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -472,10 +472,11 @@
         let (first, second) = (MemberName::from("m1"), MemberName::from("m2"));
         assert_eq!(directory.seen_at(&first), None);
         assert!(directory.seen_at(&second).is_some());
-        for key in ["members/m1", "members/m2"] {
-            store.delete(key);
-        }
+        store.delete("members/m1");
         sleep(Duration::from_secs(5)).await;
+        // The deletion of another member evicts those that are no longer usable.
+        store.delete("members/m2");
+        wait().await;
         store.put("members/m1", b"ok");
         wait().await;
         assert!(directory.member(&first).is_some());
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Changes, Directory, OrganisationConfig};
-use burdockslip_failover::{Duty, Permission, Supervisor};
+use burdockslip_failover::{CoordinatorRole, Duty, Permission, Supervisor};
+use burdockslip_pace::{ColdLimit, Controller, MemberDemand, PaceGrant, Sighting};
 use burdockslip_runtime::{now, sleep, sleep_until, timeout_at};
-use burdockslip_session::PositionHistory;
+use burdockslip_session::{Limits as HostLimits, PositionHistory, sightings};
 use burdockslip_shares::{Allocator, Limits};
 use burdockslip_store::Event;
 use burdockslip_types::{
-    ErrorKind, GroupName, HostId, LogPosition, Organisation, Result, Revision,
+    ErrorKind, GroupName, HostId, LogPosition, MemberName, Organisation, Result, Revision,
 };
 use error_stack::{bail, ensure};
 use tracing::info;
@@ -44,6 +45,8 @@
     epoch: Option<u64>,
     limits: HashMap<Organisation, Limits>,
     hosts: HashSet<HostId>,
+    /// The members of paced groups.
+    members: Vec<Sighting>,
 }
 
 /// Answers the reports of all hosts while this host is the coordinator.
@@ -56,7 +59,10 @@
     cached: Rc<RefCell<Rc<FleetView>>>,
     /// The grants of the tenure with this token.
     allocator: Rc<RefCell<Option<(Revision, Allocator)>>>,
+    /// The pace of members in the tenure with this token.
+    controller: Rc<RefCell<Option<(Revision, Controller)>>>,
     rate_slack: u32,
+    cold: Option<ColdLimit>,
     positions: Rc<PositionHistory>,
     link: Rc<SendBudget>,
     pub(crate) last_reports: Rc<LastReports>,
@@ -70,7 +76,7 @@
         directory: Directory,
         supervisor: Supervisor,
         permission: Permission,
-        rate_slack: u32,
+        limits: HostLimits,
         positions: Rc<PositionHistory>,
         link: SendBudget,
     ) -> Self {
@@ -81,7 +87,9 @@
             permission,
             cached: Rc::default(),
             allocator: Rc::default(),
-            rate_slack,
+            controller: Rc::default(),
+            rate_slack: limits.rate_slack,
+            cold: limits.cold,
             positions,
             link: Rc::new(link),
             last_reports: Rc::default(),
@@ -152,6 +160,7 @@
                     .map(|(name, config)| (name.clone(), limits(config)))
                     .collect(),
                 hosts: registered(&self.directory),
+                members: sightings(&self.directory, self.cold),
             });
         }
         Rc::clone(&cached)
@@ -181,11 +190,13 @@
         let HostReport {
             groups,
             demands,
+            paced,
             wants_positions,
         } = report;
+        let view = self.fleet_view();
+        let permits = self.permits(host, &role, &paced, &groups.suspects, &view);
         self.supervisor.report(host.clone(), groups);
         self.last_reports.record(host);
-        let view = self.fleet_view();
         let mut allocator_slot = self.allocator.borrow_mut();
         // The grants of an earlier tenure are obsolete: other coordinators have
         // made grants since.
@@ -196,6 +207,7 @@
         let age = self.directory.configuration_age();
         Ok(ReportReply {
             grants,
+            permits,
             configuration: age.map(|age| (self.directory.configuration_revision(), age)),
             suspected: self.supervisor.suspected(),
             permission: self.permission.lease_proof_age(),
@@ -209,6 +221,27 @@
     }
 }
 
+impl Coordinator {
+    /// Returns the permits for paced members, or `None` if another coordinator may exist,
+    /// which hands out permits as well.
+    fn permits(
+        &self,
+        host: &HostId,
+        role: &CoordinatorRole,
+        demands: &[MemberDemand],
+        suspects: &[MemberName],
+        view: &FleetView,
+    ) -> Option<Vec<PaceGrant>> {
+        if role.is_interim {
+            return None;
+        }
+        let mut slot = self.controller.borrow_mut();
+        slot.take_if(|(token, _)| *token != role.token);
+        let (_, controller) = slot.get_or_insert_with(|| (role.token, Controller::default()));
+        Some(controller.grant(host, demands, suspects, &view.members))
+    }
+}
+
 /// Returns roughly how many bytes changes take on the link.
 fn size(changes: &Changes) -> usize {
     let event = |event: &Event| match event {
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -102,6 +102,7 @@
             state_bytes: settings.state_bytes,
             message_bytes: settings.message_bytes,
             rate_slack: settings.rate_slack,
+            cold: settings.cold,
         };
         let cx = Rc::new(Context::new(
             adapter.codec,
@@ -117,7 +118,7 @@
             directory.clone(),
             supervisor,
             cx.permission.clone(),
-            settings.rate_slack,
+            limits,
             Rc::clone(&cx.positions),
             SendBudget::new(f64::from(settings.link)),
         );
@@ -292,6 +293,9 @@
                 .map_or(0, |configuration| configuration.version);
             cx.metrics
                 .set_connections(u64::try_from(cx.open_sessions.get()).unwrap_or(u64::MAX));
+            let paced = cx.gate.borrow().paced_count();
+            cx.metrics
+                .set_paced_members(u64::try_from(paced).unwrap_or(u64::MAX));
             cx.metrics.set_config(
                 version,
                 cx.directory.configuration_age().unwrap_or_default(),
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -15,8 +15,9 @@
 mod report;
 mod settings;
 
+pub use burdockslip_pace::ColdLimit;
 pub use eviction::{LastReports, SILENCE_LIMIT};
 pub use host::{Adapter, Host};
 pub use messages::{HostReport, ReportExchange, ReportReply};
 pub use relay::{MAX_RELAYED_AGE, Relays, SendBudget};
-pub use settings::{ColdLimit, EntrySettings};
+pub use settings::EntrySettings;
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -4,6 +4,7 @@
 
 use burdockslip_directory::Changes;
 use burdockslip_failover::GroupReport;
+use burdockslip_pace::{MemberDemand, PaceGrant};
 use burdockslip_shares::{Demand, Grant};
 use burdockslip_store::{Entry, LeaseId};
 use burdockslip_types::{Exchange, GroupName, LogPosition, MemberName, Organisation, Revision};
@@ -16,6 +17,8 @@
     pub groups: GroupReport,
     /// The demand of the host for operations of each organisation.
     pub demands: Vec<Demand>,
+    /// What the host would send to paced members, and how they answered.
+    pub paced: Vec<MemberDemand>,
     /// Whether the host requests the log positions of primaries.
     pub wants_positions: bool,
 }
@@ -25,6 +28,8 @@
 pub struct ReportReply {
     /// The tokens and the fractions of the organisations' rates granted to the host.
     pub grants: Vec<Grant>,
+    /// The permits for each paced member; `None` if another coordinator may exist.
+    pub permits: Option<Vec<PaceGrant>>,
     /// The revision of the coordinator's configuration, and how long ago the store
     /// confirmed that it is the newest one.
     pub configuration: Option<(Revision, Duration)>,
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -79,6 +79,7 @@
         cx.pools.set_host_count(hosts);
         let period = period(hosts);
         cx.limiter.borrow_mut().set_host_count(hosts);
+        cx.gate.borrow_mut().set_host_count(hosts);
         let suspects = cx.pools.suspects(COMMIT_LIMIT);
         let changing = cx.permission.changing();
         let announced = (suspects.clone(), changing.clone());
@@ -112,6 +113,7 @@
                 acknowledged,
             },
             demands: cx.limiter.borrow_mut().demands(scope),
+            paced: cx.pace_demands(),
             wants_positions: is_full,
         };
         let outcome = deliver(&coordinator, &host, &client, report).await;
@@ -140,8 +142,10 @@
             }
             cx.pools.probe_members(&reply.suspected);
             cx.limiter.borrow_mut().apply(reply.grants);
+            cx.apply_pace(sent, reply.permits.as_deref());
         } else {
             cx.limiter.borrow_mut().mark_disconnected();
+            cx.apply_pace(sent, None);
             request_coordinator(&cx.directory, &host, &peers).await;
         }
         cx.tokens_granted.notify();
--- a/crates/burdockslip_entry/src/settings.rs
+++ b/crates/burdockslip_entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use burdockslip_pace::ColdLimit;
 use burdockslip_types::{HostId, Region, Zone};
 
 /// The settings of an entry host, supplied by an adapter.
@@ -46,13 +47,3 @@
     /// Whether statements that wait for room are served by the priority of their routes.
     pub is_prioritised: bool,
 }
-
-/// How many statements a cold member may receive in a second from all hosts together, in
-/// relation to the rate that its group configures.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ColdLimit {
-    /// The factor on the rate, in percent.
-    pub percent: u32,
-    /// The number of statements beyond it.
-    pub slack: u32,
-}
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -8,7 +8,7 @@
 //! asked again after that. A replica that restarts or joins later lets the old primary
 //! acknowledge more, but to nobody. See `docs/platform.md`, "Promotion".
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -59,6 +59,8 @@
     primary: Vec<Rc<Member>>,
     replicas: Vec<Rc<Member>>,
     statuses: HashMap<MemberName, MemberStatus>,
+    /// The members that are cold, and therefore slow as a primary.
+    cold: HashSet<MemberName>,
     held: Term,
     /// Whether a replica has lost its log, which may have held commits that only the old
     /// primary has as well.
@@ -121,7 +123,7 @@
                 let expiry = gate.record_stopped(roster, round.ended);
                 if has_expired
                     && !gate.needs_reload()
-                    && let Some(member) = best(&round.replicas, &round.statuses)
+                    && let Some(member) = best(&round.replicas, &round.statuses, &round.cold)
                     && self.are_still_stopped(&round.replicas, held).await
                 {
                     if round.holds_acknowledged(group, &member) {
@@ -277,7 +279,10 @@
             .iter()
             .cloned()
             .partition(|member| record.is_primary(member) && !is_unproven(member));
+        let members = roster.iter().map(|member| &member.name);
+        let cold = members.filter(|name| self.directory.cold_until(name).is_some());
         Round {
+            cold: cold.cloned().collect(),
             is_log_lost: unproven.iter().any(|run| !record.is_primary(run)),
             acknowledged: acknowledged.map(|commit| commit.lowest),
             primary,
@@ -337,7 +342,7 @@
         }
         let newest = self.statuses.values().map(|status| status.received).max();
         let all = [self.primary.clone(), self.replicas.clone()].concat();
-        let best_replica = best(&self.replicas, &self.statuses);
+        let best_replica = best(&self.replicas, &self.statuses, &self.cold);
         let is_enough =
             best_replica.is_some_and(|member| self.received(&member) >= self.acknowledged);
         let candidates = if self.is_whole() && is_enough {
@@ -345,7 +350,7 @@
         } else {
             &all
         };
-        let heir = best(candidates, &self.statuses)?;
+        let heir = best(candidates, &self.statuses, &self.cold)?;
         (self.received(&heir) == newest).then_some(heir)
     }
 
@@ -424,16 +429,20 @@
 }
 
 /// Chooses the replica with the newest log; among equals, one that is not about to
-/// leave. A member that leads already is no candidate, since its promotion would
+/// leave, then one that is not cold. A member that leads already is no candidate, since its promotion would
 /// change nothing.
 fn best(
     members: &[Rc<Member>],
     statuses: &HashMap<MemberName, MemberStatus>,
+    cold: &HashSet<MemberName>,
 ) -> Option<Rc<Member>> {
     members
         .iter()
         .filter_map(|member| Some((member, statuses.get(&member.name)?)))
         .filter(|(_, status)| !status.is_primary)
-        .max_by_key(|(member, status)| (status.received, !member.is_draining))
+        .max_by_key(|(member, status)| {
+            let is_warm = !cold.contains(&member.name);
+            (status.received, !member.is_draining, is_warm)
+        })
         .map(|(member, _)| Rc::clone(member))
 }
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use burdockslip_directory::{Configuration, Directory, GroupConfig, Member, MemberRecord, Role, Schema};
+use burdockslip_directory::{
+    Configuration, Directory, GroupConfig, Member, MemberRecord, Role, Schema,
+};
 use burdockslip_failover::{GroupRecord, Permission};
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_statement::Codec;
--- a/crates/burdockslip_pace/src/gate.rs
+++ b/crates/burdockslip_pace/src/gate.rs
@@ -194,9 +194,15 @@
         if self.is_fallback() {
             return condition == Condition::Limited;
         }
-        let is_denied = entry.denied.is_some_and(|at| at.elapsed() < DENIAL_PERIOD);
         let expected = f64::from(entry.waiting.max(1)) / entry.share.max(f64::MIN_POSITIVE);
-        is_denied && expected > wait.as_secs_f64()
+        entry.is_denied() && expected > wait.as_secs_f64()
+    }
+
+    /// Returns whether the coordinator has recently had no permit for a statement that
+    /// waited.
+    pub fn is_denied(&self, sighting: &Sighting) -> bool {
+        let entry = self.entries.get(&sighting.member);
+        entry.is_some_and(Entry::is_denied)
     }
 
     /// Counts a statement that the host would send to a member.
@@ -357,6 +363,10 @@
         self.spare
     }
 
+    fn is_denied(&self) -> bool {
+        self.denied.is_some_and(|at| at.elapsed() < DENIAL_PERIOD)
+    }
+
     fn current_demand(&self) -> f64 {
         self.demand * (-self.measured.elapsed().as_secs_f64() / DEMAND_WINDOW).exp()
     }
--- a/crates/burdockslip_session/src/begin.rs
+++ b/crates/burdockslip_session/src/begin.rs
@@ -12,6 +12,7 @@
 
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, error_kind};
+use crate::pacing;
 use crate::place::{self, Target};
 
 /// The pause before another attempt to choose a member.
@@ -101,7 +102,11 @@
             tried.clear();
             place::refusal_kind(cx, job)
         };
-        if job.wait_until().is_past() {
+        let is_exhausted = || pacing::is_primary_exhausted(cx, &job.route, job.started);
+        let is_refused = kind == ErrorKind::QueueFull
+            && place::needs_primary(&job.route, access)
+            && is_exhausted();
+        if job.wait_until().is_past() || is_refused {
             return Err(kind);
         }
         // Log only changes of the error: there is an attempt every few milliseconds.
@@ -134,7 +139,12 @@
         SendError::NotSent(kind) => kind,
         SendError::Broken | SendError::TimedOut => ErrorKind::ConnectionLost,
     };
-    let mut connection = outcome::acquire(&target.pool, job).await.map_err(kind)?;
+    let mut connection = outcome::acquire(cx, &target.pool, job)
+        .await
+        .map_err(kind)?;
+    pacing::take_permits(cx, connection.member(), job, 1)
+        .await
+        .map_err(kind)?;
     if target.floor.is_none() && !outcome::is_confirmed_primary(cx, job, &connection) {
         return Err(ErrorKind::NoPrimary);
     }
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -8,6 +8,7 @@
 
 use burdockslip_directory::{Configuration, Directory, OrganisationConfig, Route};
 use burdockslip_failover::Permission;
+use burdockslip_pace::{ColdLimit, Gate};
 use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
 use burdockslip_shares::{Admission, LocalLimiter, Refusal};
 use burdockslip_statement::Codec;
@@ -45,6 +46,8 @@
     /// The number of operations beyond rate and burst that all hosts together may
     /// admit for an organisation in a window.
     pub rate_slack: u32,
+    /// The limit on statements to cold members; `None` if they are not limited.
+    pub cold: Option<ColdLimit>,
 }
 
 /// The state that all sessions of a host share.
@@ -59,6 +62,8 @@
     pub permission: Permission,
     /// Admits operations within the rates of their organisations.
     pub limiter: Rc<RefCell<LocalLimiter>>,
+    /// Admits statements to members that are paced.
+    pub gate: RefCell<Gate>,
     /// Notified when tokens are running low; wakes the task that reports demand.
     pub tokens_low: Rc<Signal>,
     /// Notified when tokens may have been granted; wakes operations that wait for them.
@@ -104,6 +109,7 @@
             pools,
             permission,
             limiter: Rc::new(RefCell::new(LocalLimiter::new(limits.rate_slack))),
+            gate: RefCell::default(),
             tokens_low: Rc::default(),
             tokens_granted: Rc::default(),
             positions: Rc::default(),
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -14,6 +14,7 @@
 use tracing::{debug, info, warn};
 
 use crate::context::{Context, wait_limit};
+use crate::pacing;
 
 /// The minimum time for setting up a connection or starting a transaction, even if
 /// the wait limit of the statement expires earlier. These commands take no slot at
@@ -133,9 +134,11 @@
 
 /// Acquires a connection from the pool of a member.
 pub(crate) async fn acquire(
+    cx: &Context,
     pool: &Rc<MemberPool>,
     job: &Job,
 ) -> Result<PooledConnection, SendError> {
+    pacing::wait_for_permit(cx, pool.member(), job).await?;
     let wait_until = job.wait_until();
     let deadline = job.connect_deadline();
     let connection = pool
@@ -157,7 +160,8 @@
     job: &Job,
     floor: Option<LogPosition>,
 ) -> Result<MemberReply, SendError> {
-    let name = apply_session(connection, job).await?;
+    let name = apply_session(cx, connection, job).await?;
+    pacing::take_permits(cx, connection.member(), job, 1).await?;
     // The permission may have expired while the connection was set up.
     if floor.is_none() && !is_confirmed_primary(cx, job, connection) {
         return Err(SendError::NotSent(ErrorKind::NoPrimary));
@@ -173,16 +177,20 @@
     connection: &mut PooledConnection,
     job: &Job,
 ) -> Result<MemberReply, SendError> {
-    let name = apply_session(connection, job).await?;
+    let name = apply_session(cx, connection, job).await?;
+    pacing::take_permits(cx, connection.member(), job, 1).await?;
     let command = job.command(name, None);
     send(cx, connection, job, command, false).await
 }
 
 /// Applies the session variables and prepares the statement on the connection.
 async fn apply_session(
+    cx: &Context,
     connection: &mut PooledConnection,
     job: &Job,
 ) -> Result<Option<Bytes>, SendError> {
+    let commands = connection.setup_commands(&job.state, job.prepared());
+    pacing::take_permits(cx, connection.member(), job, commands).await?;
     match timeout_at(
         job.setup_deadline(),
         connection.apply_session(&job.state, job.prepared()),
@@ -243,12 +251,14 @@
         }
         Ok(Ok(reply)) => {
             pool.health.record_answer(reply.position);
+            pacing::record(cx, pool.member(), sent, Ok(&reply));
             record_reply(cx, &pool, job, sent, &reply);
             return Ok(reply);
         }
         Ok(Err(_)) => SendError::Broken,
         Err(_) => SendError::TimedOut,
     };
+    pacing::record(cx, pool.member(), sent, Err(error));
     info!(id = job.id(), member = %pool.member().name, reason = ?error,
         after_ms = sent.elapsed().as_millis(), "statement not answered");
     Err(error)
@@ -277,7 +287,11 @@
 
 fn record_reply(cx: &Context, pool: &MemberPool, job: &Job, sent: Instant, reply: &MemberReply) {
     match reply.result {
-        Ok(_) => pool.health.record_latency(sent.elapsed()),
+        Ok(_) => {
+            pool.health.record_latency(sent.elapsed());
+            pool.health.record_failure(false);
+        }
+        Err(MemberError::Failed) => pool.health.record_failure(true),
         Err(MemberError::Busy) => pool.health.mark_busy(),
         Err(MemberError::Behind) => pool.health.mark_behind(),
         Err(_) => {}
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::context::{Context, wait_limit};
 use crate::outcome::Job;
-use crate::{position, receipt};
+use crate::{pacing, position, receipt};
 
 /// The factor on the cost of the primary for reads that a replica can also serve,
 /// because only the primary can serve writes.
@@ -25,6 +25,13 @@
 /// takes about 2 ms longer, and traffic between zones is charged.
 const ZONE_COST_MS: f64 = 5.0;
 
+/// The cost of a failed answer beside the time until it arrives, in milliseconds: the
+/// client may have to send its operation again.
+const FAILURE_COST_MS: f64 = 100.0;
+
+/// The fraction of answers that counts as successful at least.
+const MIN_SUCCESS: f64 = 0.05;
+
 /// The random factor on costs, in percent, so that hosts do not all choose the same
 /// member.
 const JITTER_PERCENT: (u64, u64) = (100, 130);
@@ -73,7 +80,8 @@
 ///
 /// # Errors
 ///
-/// Returns `NoPrimary` if there is no usable primary within the wait limit.
+/// Returns `NoPrimary` if there is no usable primary within the wait limit, and `QueueFull`
+/// if the primary is paced and has no room left.
 pub(crate) async fn wait_until_servable(
     cx: &Context,
     route: &Route,
@@ -87,10 +95,13 @@
         }
         sleep(PRIMARY_PAUSE).await;
     }
+    if needs_primary(route, access) && pacing::is_primary_exhausted(cx, route, started) {
+        return Err(ErrorKind::QueueFull);
+    }
     Ok(())
 }
 
-const fn needs_primary(route: &Route, access: Access) -> bool {
+pub(crate) const fn needs_primary(route: &Route, access: Access) -> bool {
     matches!(access, Access::Write) || matches!(route.consistency, Consistency::Strong)
 }
 
@@ -124,7 +135,12 @@
         .into_iter()
         .map(|target| (score(&target, 1.0), target))
         .chain(primary.map(|target| (score(&target, PRIMARY_WEIGHT), target)));
-    let best = scored.min_by(|(left, _), (right, _)| left.total_cmp(right));
+    let mut scored: Vec<_> = scored.collect();
+    scored.sort_by(|(left, _), (right, _)| left.total_cmp(right));
+    // If all members are paced, the read waits at the best one.
+    let has_permit = |(_, target): &(f64, Target)| pacing::has_permit(cx, target.pool.member());
+    let index = scored.iter().position(has_permit).unwrap_or_default();
+    let best = scored.into_iter().nth(index);
     best.map(|(_, target)| target)
 }
 
@@ -171,7 +187,17 @@
     } else {
         ZONE_COST_MS
     };
-    target.pool.health.latency_ms() * queue + connect_cost + zone_cost
+    let latency = target.pool.health.latency_ms() * queue;
+    latency + connect_cost + zone_cost + failure_cost(cx, target, latency)
+}
+
+/// Estimates the time lost to failed answers, after which a read is sent to another member.
+fn failure_cost(cx: &Context, target: &Target, latency: f64) -> f64 {
+    if cx.sighting(target.pool.member()).is_none() {
+        return 0.0;
+    }
+    let failed = target.pool.health.failed_fraction();
+    failed * (FAILURE_COST_MS + latency / (1.0 - failed).max(MIN_SUCCESS))
 }
 
 /// Returns the error for a statement for which no member could be chosen.
--- a/crates/burdockslip_session/src/position.rs
+++ b/crates/burdockslip_session/src/position.rs
@@ -12,6 +12,7 @@
 
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, Work};
+use crate::pacing;
 use crate::place::{self, Target};
 
 /// The timeout of a position query.
@@ -76,12 +77,14 @@
 }
 
 async fn query_position(cx: &Context, target: &Target, job: &Job) -> Result<(), SendError> {
-    let mut connection = outcome::acquire(&target.pool, job).await?;
+    let mut connection = outcome::acquire(cx, &target.pool, job).await?;
+    pacing::take_permits(cx, target.pool.member(), job, 1).await?;
     let begin = Command::Begin {
         access: Access::Read,
         floor: None,
     };
     outcome::send_unqueued(cx, &mut connection, job, begin).await?;
+    pacing::take_permits(cx, target.pool.member(), job, 1).await?;
     let reply = outcome::send_unqueued(cx, &mut connection, job, Command::Rollback).await?;
     outcome::return_if_idle(connection, &reply);
     Ok(())
--- a/crates/burdockslip_session/src/read.rs
+++ b/crates/burdockslip_session/src/read.rs
@@ -107,7 +107,7 @@
 }
 
 async fn try_target(cx: &Context, job: &Job, target: &Target) -> Result<MemberReply, SendError> {
-    let mut connection = outcome::acquire(&target.pool, job).await?;
+    let mut connection = outcome::acquire(cx, &target.pool, job).await?;
     let reply = outcome::run(cx, &mut connection, job, target.floor).await?;
     outcome::return_if_idle(connection, &reply);
     Ok(reply)
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -12,6 +12,7 @@
 use crate::begin::{self, EagerBegin};
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, ServedReply};
+use crate::pacing;
 
 /// A client's open transaction.
 #[derive(Debug)]
@@ -112,6 +113,12 @@
             text: job.text(),
             floor: None,
         };
+        // Nothing is kept without the command: dropping the connection rolls back.
+        if let Err(SendError::NotSent(kind)) =
+            pacing::take_permits(cx, connection.member(), job, 1).await
+        {
+            return Err(kind);
+        }
         let position = connection.pool().health.position();
         let reply = outcome::send(cx, &mut connection, job, command, self.has_written).await;
         match reply {
@@ -150,6 +157,9 @@
             let Some(mut connection) = connection.or(eager) else {
                 return;
             };
+            if !pacing::try_permits(&cx, connection.member(), 1) {
+                return;
+            }
             // Without a reply, the connection is closed, which also rolls back.
             if let Ok(reply) =
                 outcome::send_unqueued(&cx, &mut connection, &job, Command::Rollback).await
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -11,6 +11,7 @@
 use crate::acknowledge;
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, ServedReply};
+use crate::pacing;
 use crate::place;
 
 /// The pause before the primary is looked up again.
@@ -36,7 +37,8 @@
             Err(SendError::NotSent(kind)) => kind,
             Err(SendError::Broken | SendError::TimedOut) => return Err(ErrorKind::OutcomeUnknown),
         };
-        if job.wait_until().is_past() {
+        let is_exhausted = || pacing::is_primary_exhausted(cx, &job.route, job.started);
+        if job.wait_until().is_past() || last == ErrorKind::QueueFull && is_exhausted() {
             return Err(last);
         }
         if logged.replace(last) != Some(last) {
@@ -52,7 +54,7 @@
     if target.pool.health.is_suspected() {
         return Err(SendError::NotSent(ErrorKind::NoPrimary));
     }
-    let mut connection = outcome::acquire(&target.pool, job).await?;
+    let mut connection = outcome::acquire(cx, &target.pool, job).await?;
     let preceding = target.pool.health.position();
     let reply = outcome::run(cx, &mut connection, job, None).await?;
     outcome::return_if_idle(connection, &reply);
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -46,6 +46,9 @@
     proofs: Counter<u64>,
     commits: Counter<u64>,
     receipts: Counter<u64>,
+    pace_permits: Counter<u64>,
+    pace_refusals: Counter<u64>,
+    paced_members: Gauge<u64>,
     failover: Histogram<f64>,
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
@@ -105,6 +108,20 @@
                 "burdockslip_receipts",
                 "Commits that needed the receipt of a replica, by whether it was confirmed.",
             ),
+            pace_permits: counter(
+                &meter,
+                "burdockslip_pace_permits",
+                "Permits for statements to paced members that the coordinator granted.",
+            ),
+            pace_refusals: counter(
+                &meter,
+                "burdockslip_pace_refusals",
+                "Statements that the pace of their member left no room for.",
+            ),
+            paced_members: meter
+                .u64_gauge("burdockslip_paced_members")
+                .with_description("Members that start, recover or are cold.")
+                .build(),
             failover: histogram(
                 &meter,
                 "burdockslip_failover",
@@ -177,6 +194,22 @@
         self.receipts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts permits for statements to paced members that this host received.
+    pub fn count_pace_permits(&self, count: u64) {
+        self.pace_permits.add(count, &[]);
+    }
+
+    /// Counts a statement to a group that the pace of its member left no room for.
+    pub fn count_pace_refusal(&self, group: &GroupName) {
+        let group = KeyValue::new("group", group.as_str().to_owned());
+        self.pace_refusals.add(1, &[group]);
+    }
+
+    /// Sets the number of members that this host paces.
+    pub fn set_paced_members(&self, count: u64) {
+        self.paced_members.record(count, &[]);
+    }
+
     /// Records the duration of one phase of a failover, such as `detection`.
     pub fn record_failover(&self, group: &GroupName, phase: &'static str, duration: Duration) {
         let group = KeyValue::new("group", group.as_str().to_owned());
--- a/crates/burdockslip_upstream/src/connection.rs
+++ b/crates/burdockslip_upstream/src/connection.rs
@@ -150,6 +150,21 @@
         self.framed.is_quiet()
     }
 
+    /// Returns the most commands that [`Connection::apply_session`] sends with the same
+    /// arguments.
+    pub fn setup_commands(
+        &self,
+        state: &SessionState,
+        statement: Option<&PreparedStatement>,
+    ) -> u32 {
+        let is_prepared = statement.is_none_or(|known| self.prepared.contains_key(known));
+        if self.matches_values(state) && is_prepared {
+            return 0;
+        }
+        let commands = 1 + state.values.len() + usize::from(statement.is_some());
+        u32::try_from(commands).unwrap_or(u32::MAX)
+    }
+
     /// Sets the session variables of the connection to those of `state` and
     /// prepares `statement`, if given, whose name on this connection is returned.
     ///
--- a/crates/burdockslip_upstream/src/health.rs
+++ b/crates/burdockslip_upstream/src/health.rs
@@ -9,6 +9,12 @@
 /// The weight of a new sample in the moving average of the latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// The weight of a new sample in the moving average of failed statements.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// The time constant, in seconds, with which this average decays while there are no samples.
+const FAILURE_DECAY: f64 = 5.0;
+
 /// The assumed latency of a member that has not replied yet, in milliseconds.
 const INITIAL_LATENCY_MS: f64 = 20.0;
 
@@ -31,6 +37,8 @@
     avoided_until: Cell<Option<Instant>>,
     latency: Cell<f64>,
     position: Cell<Option<LogPosition>>,
+    /// The moving average of failed statements, and when it was last updated.
+    failed: Cell<(f64, Instant)>,
 }
 
 impl Default for Health {
@@ -45,6 +53,7 @@
             avoided_until: Cell::new(None),
             latency: Cell::new(INITIAL_LATENCY_MS),
             position: Cell::new(None),
+            failed: Cell::new((0.0, now())),
         }
     }
 }
@@ -96,6 +105,20 @@
             .set(average + LATENCY_WEIGHT * (sample - average));
     }
 
+    /// Adds to the moving average whether a statement failed at the member.
+    pub fn record_failure(&self, has_failed: bool) {
+        let average = self.failed_fraction();
+        let sample = f64::from(u8::from(has_failed));
+        let average = average + FAILURE_WEIGHT * (sample - average);
+        self.failed.set((average, now()));
+    }
+
+    /// Returns the fraction of statements that failed at the member lately.
+    pub fn failed_fraction(&self) -> f64 {
+        let (average, updated) = self.failed.get();
+        average * (-updated.elapsed().as_secs_f64() / FAILURE_DECAY).exp()
+    }
+
     /// Marks the member as suspected, because it could not be reached.
     pub fn mark_suspected(&self) {
         if self.suspected_since.get().is_none() {
