pace: test the pace of members under load and failures

Cause: the first version ended ramps by the rate of permits alone, so a member that was overloaded became unpaced, and hosts with little demand waited seconds for their first permit. Change: a ramp ends only when half of the demand is answered; permits that are left over go to any host; demand is corrected for the short time of measuring; small fleets report a lack of permits at once. Tried before: a demand average over 1 s (hosts with less than one statement in 3 s got none), and an end by the rate alone (a member with room for 100 a second got 290).

--- a/crates/burdockslip_pace/src/bucket.rs
+++ b/crates/burdockslip_pace/src/bucket.rs
@@ -2,7 +2,7 @@
 
 use burdockslip_runtime::{Instant, now};
 
-/// A token bucket that starts empty, whose rate and capacity are passed in.
+/// A token bucket whose rate and capacity are passed in.
 #[derive(Debug)]
 pub(crate) struct Bucket {
     tokens: f64,
@@ -10,16 +10,16 @@
 }
 
 impl Bucket {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(tokens: f64) -> Self {
         Self {
-            tokens: 0.0,
+            tokens,
             refilled: now(),
         }
     }
 
     /// Removes all tokens.
     pub(crate) fn empty(&mut self) {
-        *self = Self::new();
+        *self = Self::new(0.0);
     }
 
     /// Adds the tokens accrued since the last refill, up to `capacity`.
--- a/crates/burdockslip_pace/src/controller.rs
+++ b/crates/burdockslip_pace/src/controller.rs
@@ -47,9 +47,10 @@
                 ramp.record(host, demand);
             }
         }
+        let hosts = self.hosts.len();
         let finished = &mut self.finished;
         self.ramps.retain(|name, ramp| {
-            let is_over = ramp.step();
+            let is_over = ramp.step(hosts);
             if is_over {
                 finished.insert(name.clone(), ramp.sighting.born);
             }
@@ -57,7 +58,8 @@
         });
         let wanted = |ramp: &Ramp| {
             let demand = demands.iter().find(|demand| is_for(demand, ramp));
-            demand.map_or((0, 0), |demand| (demand.waiting, demand.prefetch))
+            // A host without demand may have a statement before its next report.
+            demand.map_or((0, 1), |demand| (demand.waiting, demand.prefetch))
         };
         let grant = |ramp: &mut Ramp| {
             let (waiting, prefetch) = wanted(ramp);
--- a/crates/burdockslip_pace/src/feedback.rs
+++ b/crates/burdockslip_pace/src/feedback.rs
@@ -11,10 +11,10 @@
 const SAMPLE_SPAN: Duration = Duration::from_millis(150);
 
 /// The most time between two verdicts with at least one answer.
-const MAX_SPAN: Duration = Duration::from_millis(600);
+const MAX_SPAN: Duration = Duration::from_millis(400);
 
 /// The answers after which a sample is large enough.
-const MIN_ANSWERS: f64 = 4.0;
+const MIN_ANSWERS: f64 = 3.0;
 
 /// The fraction of statements refused as busy from which a member is overloaded.
 const BUSY_FRACTION: f64 = 0.05;
@@ -34,8 +34,16 @@
     Healthy,
     /// It answers, but with this latency in milliseconds, well above that of the others.
     Slow(f64),
-    /// It refuses statements because it is busy, or fails them.
-    Overloaded,
+    /// It refuses statements because it is busy, or fails them: this fraction.
+    Overloaded(f64),
+}
+
+/// A verdict on a sample of answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Sample {
+    pub(crate) verdict: Verdict,
+    /// The statements that were answered in a second.
+    pub(crate) throughput: f64,
 }
 
 /// Collects the answers of a member from all hosts until there are enough of them.
@@ -74,7 +82,7 @@
     }
 
     /// Returns what the answers show and starts the next sample, if there are enough.
-    pub(crate) fn take_verdict(&mut self) -> Option<Verdict> {
+    pub(crate) fn take_sample(&mut self) -> Option<Sample> {
         let total = self.answered + self.busy + self.failed;
         let elapsed = self.since.elapsed();
         let is_due = total >= MIN_ANSWERS && elapsed >= SAMPLE_SPAN;
@@ -85,13 +93,19 @@
         let peers = self.peers / self.answered.max(1.0);
         let is_overloaded =
             self.busy > total * BUSY_FRACTION || self.failed > total * FAILED_FRACTION;
+        let throughput = self.answered / elapsed.as_secs_f64();
+        let refused = (self.busy + self.failed) / total;
         *self = Self::new();
-        Some(if is_overloaded {
-            Verdict::Overloaded
+        let verdict = if is_overloaded {
+            Verdict::Overloaded(refused)
         } else if latency > peers * SLOW_FACTOR + SLOW_MARGIN_MS {
             Verdict::Slow(latency)
         } else {
             Verdict::Healthy
+        };
+        Some(Sample {
+            verdict,
+            throughput,
         })
     }
 }
--- a/crates/burdockslip_pace/src/gate.rs
+++ b/crates/burdockslip_pace/src/gate.rs
@@ -6,14 +6,11 @@
 use burdockslip_runtime::{Instant, now};
 use burdockslip_types::MemberName;
 
-use crate::message::{to_rate, to_single, to_whole};
+use crate::message::{DEMAND_WINDOW, to_rate, to_single, to_whole};
 use crate::{MemberDemand, PERMIT_LIFETIME, PaceGrant, Sighting};
 
-/// The time constant of the moving average of demand, in seconds.
-const DEMAND_WINDOW: f64 = 1.0;
-
 /// Lower demand is not reported, in statements a second.
-const MIN_DEMAND: f64 = 0.05;
+const MIN_DEMAND: f64 = 0.02;
 
 /// How long after the coordinator's last answer a host counts as without one.
 const FALLBACK_AFTER: Duration = Duration::from_millis(900);
@@ -31,6 +28,11 @@
 /// How long a host remembers that the coordinator had no permit for a statement.
 const DENIAL_PERIOD: Duration = Duration::from_millis(100);
 
+/// The minimum time between reports for statements that were not sent for want of a
+/// permit, and the most hosts of a fleet in which they are reported at once.
+const URGENT_PERIOD: Duration = Duration::from_millis(100);
+const MAX_URGENT_HOSTS: usize = 60;
+
 /// Whether a member is paced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Condition {
@@ -205,6 +207,13 @@
         entry.is_some_and(Entry::is_denied)
     }
 
+    /// Returns whether the lack of a permit is worth a report before the next regular one.
+    /// In large fleets the regular reports keep the coordinator busy.
+    pub fn is_urgent(&self) -> bool {
+        let is_recent = |(sent, _): (Instant, Instant)| sent.elapsed() < URGENT_PERIOD;
+        self.hosts <= MAX_URGENT_HOSTS && !self.last_report.is_some_and(is_recent)
+    }
+
     /// Counts a statement that the host would send to a member.
     pub fn record_demand(&mut self, sighting: &Sighting) {
         if self.condition(sighting) != Condition::Free {
--- a/crates/burdockslip_pace/src/message.rs
+++ b/crates/burdockslip_pace/src/message.rs
@@ -6,6 +6,9 @@
 use num_traits::ToPrimitive;
 use serde::{Deserialize, Serialize};
 
+/// The time constant of the moving average of demand, in seconds.
+pub(crate) const DEMAND_WINDOW: f64 = 2.0;
+
 /// A host's report on one paced member.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MemberDemand {
--- a/crates/burdockslip_pace/src/ramp.rs
+++ b/crates/burdockslip_pace/src/ramp.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, now};
+use burdockslip_runtime::{Instant, now, random_range};
 use burdockslip_types::HostId;
 use tracing::info;
 
 use crate::bucket::Bucket;
-use crate::feedback::{Feedback, Verdict};
-use crate::message::{to_rate, to_single, to_whole};
+use crate::feedback::{Feedback, Sample, Verdict};
+use crate::message::{DEMAND_WINDOW, to_rate, to_single, to_whole};
 use crate::{MemberDemand, PERMIT_LIFETIME, PaceGrant, Sighting};
 
 /// The latency assumed while that of the other members is unknown, in milliseconds.
@@ -25,19 +25,27 @@
 const GROWTH: f64 = 2.0;
 const CAREFUL_GROWTH: f64 = 1.25;
 
-/// The factor on the rate of an overloaded member.
-const DECREASE: f64 = 0.6;
+/// The factor on the part of the rate that an overloaded member answers, and the lowest
+/// one on the rate.
+const DECREASE: f64 = 0.9;
+const MAX_DECREASE: f64 = 0.5;
 
 /// The lowest rate that is not a limit for cold members, in statements a second: enough
 /// to see whether the member has recovered.
 const MIN_RATE: f64 = 4.0;
 
 /// The highest rate, as a multiple of the demand.
-const MAX_EXCESS: f64 = 4.0;
+const MAX_EXCESS: f64 = 6.0;
 
-/// The excess of the rate over the demand from which a ramp may end, and for how long.
+/// The permits a second with which a host always holds one. Hosts with little demand use
+/// few of them.
+const HOST_RATE: f64 = 3.0;
+
+/// The excess of the rate over the demand, and the fraction of the demand that is
+/// answered, from which a ramp may end, and for how long.
 const END_EXCESS: f64 = 1.25;
-const END_SPAN: Duration = Duration::from_millis(300);
+const END_SERVED: f64 = 0.5;
+const END_SPAN: Duration = Duration::from_millis(200);
 
 /// How long nobody has asked for the member before its ramp ends.
 const IDLE_SPAN: Duration = Duration::from_secs(3);
@@ -55,6 +63,16 @@
 /// The time in which the tokens of a member accrue that is not limited.
 const BURST_SPAN: f64 = 0.25;
 
+/// The time in which demand has been measured at least, in seconds.
+const MIN_MEASURED: f64 = 0.3;
+
+/// The fraction of the bucket from which hosts get a permit ahead of their part, because
+/// the others do not ask for theirs.
+const IDLE_FRACTION: f64 = 0.5;
+
+/// The weight of a new sample in the moving average of the throughput.
+const THROUGHPUT_WEIGHT: f64 = 0.5;
+
 /// The minimum time between two log lines about the rate.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
@@ -74,6 +92,8 @@
     pub(crate) sighting: Sighting,
     started: Instant,
     rate: f64,
+    /// The statements that were answered in a second, as a moving average.
+    throughput: f64,
     bucket: Bucket,
     feedback: Feedback,
     hosts: HashMap<HostId, HostDemand>,
@@ -94,12 +114,19 @@
         let rate = start_rate(&sighting, latency);
         info!(member = %sighting.member, born = sighting.born, rate, reason,
             cold_ms = sighting.cold_left().as_millis(), "pace of a member started");
+        // Only a cold member may still be using permits of another coordinator.
+        let tokens = if sighting.is_limited() {
+            0.0
+        } else {
+            rate * BURST_SPAN
+        };
         Self {
             was_cold: sighting.is_cold(),
             sighting,
             started: now(),
             rate,
-            bucket: Bucket::new(),
+            throughput: 0.0,
+            bucket: Bucket::new(tokens),
             feedback: Feedback::new(),
             hosts: HashMap::new(),
             demand: 0.0,
@@ -114,7 +141,7 @@
     /// Starts again for another run of the member, or after it was lost. What has been
     /// granted still counts.
     pub(crate) fn restart(&mut self, sighting: Sighting, reason: &'static str) {
-        let bucket = std::mem::replace(&mut self.bucket, Bucket::new());
+        let bucket = std::mem::replace(&mut self.bucket, Bucket::new(0.0));
         let hosts = std::mem::take(&mut self.hosts);
         *self = Self {
             bucket,
@@ -149,15 +176,17 @@
         let known = self.hosts.entry(host.clone()).or_insert(HostDemand {
             reported_at: now(),
             rate: 0.0,
-            credit: 0.0,
+            // Hosts with little demand would all wait for their first permit.
+            credit: random_fraction(),
         });
         known.reported_at = now();
         self.demand = (self.demand + rate - known.rate).max(0.0);
         known.rate = rate;
     }
 
-    /// Adjusts the rate to what the answers show. Returns whether the ramp is over.
-    pub(crate) fn step(&mut self) -> bool {
+    /// Adjusts the rate to what the answers show; `hosts` is the number of hosts that
+    /// report. Returns whether the ramp is over.
+    pub(crate) fn step(&mut self, hosts: usize) -> bool {
         self.count_demand();
         let is_cold = self.sighting.is_cold();
         if is_cold && !self.was_cold {
@@ -165,8 +194,9 @@
             self.bucket.empty();
         }
         self.was_cold = is_cold;
-        if let Some(verdict) = self.feedback.take_verdict() {
-            self.adjust(verdict);
+        if let Some(sample) = self.feedback.take_sample() {
+            let hosts = u32::try_from(hosts).map_or(0.0, f64::from);
+            self.adjust(sample, hosts);
         }
         let elapsed = self.started.elapsed();
         let is_over = self
@@ -181,8 +211,19 @@
         is_over && !is_cold
     }
 
-    fn adjust(&mut self, verdict: Verdict) {
-        let ceiling = (self.demand * MAX_EXCESS).max(self.start_rate());
+    fn adjust(&mut self, sample: Sample, hosts: f64) {
+        let verdict = sample.verdict;
+        self.throughput += THROUGHPUT_WEIGHT * (sample.throughput - self.throughput);
+        eprintln!(
+            "t={:?} {sample:?} rate={} demand={}",
+            now(),
+            self.rate,
+            self.demand
+        );
+        let demand = self.expected_demand();
+        let ceiling = (demand * MAX_EXCESS)
+            .max(hosts * HOST_RATE)
+            .max(self.start_rate());
         let growth = if self.has_set_back {
             CAREFUL_GROWTH
         } else {
@@ -195,13 +236,16 @@
                 let able = f64::from(self.sighting.slots.max(1)) * 1000.0 / latency;
                 (self.rate * CAREFUL_GROWTH).min(able * SLOW_FRACTION)
             }
-            Verdict::Overloaded => {
+            Verdict::Overloaded(refused) => {
                 self.has_set_back = true;
-                self.rate * DECREASE
+                self.rate * (DECREASE * (1.0 - refused)).max(MAX_DECREASE)
             }
         };
         self.rate = rate.max(MIN_RATE);
-        let is_enough = verdict == Verdict::Healthy && self.rate >= self.demand * END_EXCESS;
+        // Permits also expire unused, so the rate alone does not show what the member bears.
+        let is_enough = verdict == Verdict::Healthy
+            && self.rate >= demand * END_EXCESS
+            && self.throughput >= demand * END_SERVED;
         self.satisfied = is_enough.then(|| self.satisfied.unwrap_or_else(now));
         let (logged, last) = self.logged;
         if logged.elapsed() >= LOG_PERIOD && (self.rate - last).abs() > last * 0.1 {
@@ -217,16 +261,23 @@
         let (rate, capacity) = self.limits();
         self.bucket.refill(rate, capacity);
         let fleet = self.demand;
-        let (mut share, mut permits) = (0.0, 0.0);
-        if let Some(own) = self.hosts.get_mut(host) {
-            if fleet > 0.0 {
-                share = rate * (own.rate / fleet).min(1.0);
-            }
-            // Permits in advance are divided by demand; those for statements that wait
-            // go to whoever comes first.
-            let advance = own.credit.min(f64::from(prefetch)).floor();
-            permits = self.bucket.take(f64::from(waiting) + advance);
-            own.credit -= (permits - f64::from(waiting)).max(0.0);
+        let own = self.hosts.get_mut(host);
+        let own_rate = own.as_ref().map_or(0.0, |own| own.rate);
+        let share = if fleet > 0.0 {
+            rate * (own_rate / fleet).min(1.0)
+        } else {
+            0.0
+        };
+        // Permits in advance are divided by demand; those for statements that wait go to
+        // whoever comes first, and those that are left over to any host.
+        let is_idle =
+            !self.sighting.is_limited() && self.bucket.available() >= capacity * IDLE_FRACTION;
+        let least = if is_idle { 1.0 } else { 0.0 };
+        let credit = own.as_ref().map_or(0.0, |own| own.credit).max(least);
+        let advance = credit.min(f64::from(prefetch)).floor();
+        let permits = self.bucket.take(f64::from(waiting) + advance);
+        if let Some(own) = own {
+            own.credit = (own.credit - (permits - f64::from(waiting)).max(0.0)).max(0.0);
         }
         PaceGrant {
             member: self.sighting.member.clone(),
@@ -268,11 +319,23 @@
         }
     }
 
+    /// Returns the demand of all hosts. Their averages started at zero with the ramp.
+    fn expected_demand(&self) -> f64 {
+        let elapsed = self.started.elapsed().as_secs_f64().max(MIN_MEASURED);
+        self.demand / (1.0 - (-elapsed / DEMAND_WINDOW).exp())
+    }
+
     fn start_rate(&self) -> f64 {
         start_rate(&self.sighting, None)
     }
 }
 
+/// Returns a random number from 0 to 1.
+fn random_fraction() -> f64 {
+    let drawn = random_range(0..u64::from(u16::MAX));
+    u32::try_from(drawn).map_or(0.0, f64::from) / f64::from(u16::MAX)
+}
+
 /// Returns the first rate of a member, in statements a second.
 fn start_rate(sighting: &Sighting, latency: Option<f64>) -> f64 {
     let latency = latency.filter(|latency| *latency > 1.0);
--- a/crates/burdockslip_pace/tests/pace.rs
+++ b/crates/burdockslip_pace/tests/pace.rs
@@ -112,11 +112,15 @@
             if random_range(0..odds) < u64::from(rate) {
                 let gate = &mut self.hosts[index].1;
                 gate.record_demand(&self.sighting);
-                if gate.take(&self.sighting, 1) == Admission::Granted {
+                let admission = gate.take(&self.sighting, 1);
+                let is_urgent = admission == Admission::Wait && gate.is_urgent();
+                if admission == Admission::Granted {
                     let outcome = self.upstream.send();
                     gate.record_outcome(&self.sighting.member, outcome);
                     sent += 1;
                     busy += usize::from(outcome == Outcome::Busy);
+                } else if is_urgent {
+                    self.report(index, &[]);
                 }
             }
             if index % REPORT_STEPS == self.steps % REPORT_STEPS {
--- a/crates/burdockslip_session/src/pacing.rs
+++ b/crates/burdockslip_session/src/pacing.rs
@@ -130,6 +130,9 @@
     let has_permit = gate.has_permit(&sighting);
     if !has_permit {
         gate.record_demand(&sighting);
+        if gate.is_urgent() {
+            cx.tokens_low.notify();
+        }
     }
     has_permit
 }
