--- a/crates/burdockslip_pace/src/gate.rs
+++ b/crates/burdockslip_pace/src/gate.rs
@@ -251,6 +251,11 @@
         }
     }
 
+    /// Returns the members that are paced, or were lately.
+    pub fn members(&self) -> Vec<MemberName> {
+        self.entries.keys().cloned().collect()
+    }
+
     /// Returns the demands for the next report; `peers` returns the latency of the other
     /// members of a member's group, in milliseconds.
     pub fn demands(&mut self, peers: impl Fn(&MemberName) -> f64) -> Vec<MemberDemand> {
--- a/crates/burdockslip_pace/src/ramp.rs
+++ b/crates/burdockslip_pace/src/ramp.rs
@@ -214,12 +214,6 @@
     fn adjust(&mut self, sample: Sample, hosts: f64) {
         let verdict = sample.verdict;
         self.throughput += THROUGHPUT_WEIGHT * (sample.throughput - self.throughput);
-        eprintln!(
-            "t={:?} {sample:?} rate={} demand={}",
-            now(),
-            self.rate,
-            self.demand
-        );
         let demand = self.expected_demand();
         let ceiling = (demand * MAX_EXCESS)
             .max(hosts * HOST_RATE)
@@ -241,7 +235,11 @@
                 self.rate * (DECREASE * (1.0 - refused)).max(MAX_DECREASE)
             }
         };
-        self.rate = rate.max(MIN_RATE);
+        // A member that gets warm starts from what it bore while it was cold.
+        let budget = self.sighting.rules.cold_budget();
+        let budget = budget.filter(|_| self.sighting.is_cold());
+        let most = budget.map_or(f64::INFINITY, |budget| budget.rate);
+        self.rate = rate.min(most).max(MIN_RATE);
         // Permits also expire unused, so the rate alone does not show what the member bears.
         let is_enough = verdict == Verdict::Healthy
             && self.rate >= demand * END_EXCESS
--- a/crates/burdockslip_pace/tests/pace.rs
+++ b/crates/burdockslip_pace/tests/pace.rs
@@ -142,19 +142,15 @@
         let controller = controller.filter(|_| index < self.connected);
         let known = std::slice::from_ref(&self.sighting);
         let grants = controller.map(|known_by| known_by.grant(host, &demands, suspects, known));
-        match grants.filter(|_| !is_lost) {
-            Some(grants) => {
-                if !grants.is_empty() {
-                    gate.record_listed(&self.sighting);
-                }
-                gate.apply(now(), &grants);
-                Some(grants)
-            }
-            None => {
-                gate.mark_disconnected();
-                None
-            }
+        let Some(grants) = grants.filter(|_| !is_lost) else {
+            gate.mark_disconnected();
+            return None;
+        };
+        if !grants.is_empty() {
+            gate.record_listed(&self.sighting);
         }
+        gate.apply(now(), &grants);
+        Some(grants)
     }
 
     /// Returns the most statements sent in a second, and those sent in total.
@@ -289,7 +285,7 @@
             gate.end_wait(&sighting.member, 1);
         }
         assert_eq!(granted + refused, 50);
-        assert!(granted >= 1 && granted <= MAX_COLD, "{granted}");
+        assert!((1..=MAX_COLD).contains(&granted), "{granted}");
     });
 }
 
--- a/crates/burdockslip_session/src/pacing.rs
+++ b/crates/burdockslip_session/src/pacing.rs
@@ -4,6 +4,7 @@
 //! See `docs/design/member-pace.md`.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -75,7 +76,10 @@
 
     /// Returns what the host reports to the coordinator about paced members.
     pub fn pace_demands(&self) -> Vec<MemberDemand> {
-        let peers = |name: &MemberName| self.peer_latency(name);
+        let names = self.gate.borrow().members();
+        let latency = |name: MemberName| (name.clone(), self.peer_latency(&name));
+        let latencies: HashMap<_, _> = names.into_iter().map(latency).collect();
+        let peers = |name: &MemberName| latencies.get(name).copied().unwrap_or_default();
         self.gate.borrow_mut().demands(peers)
     }
 
