pace: look at all members at most every 20 ms and count suspicions

Cause: each report walked all members and, during a partition, all suspicions of all hosts, which would not bear 670 hosts and 2,220 members. Change: the controller keeps counts, and the list of members is built in one walk.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -201,6 +201,13 @@
         members
     }
 
+    /// Returns the usable members of all groups; see [`Directory::members`].
+    pub fn all_members(&self) -> Vec<Rc<Member>> {
+        let members = self.shared.members.borrow();
+        let usable = members.values().filter(|known| known.is_usable());
+        usable.map(|known| Rc::clone(&known.member)).collect()
+    }
+
     /// Returns a member if it is usable; see [`Directory::members`].
     pub fn member(&self, name: &MemberName) -> Option<Rc<Member>> {
         let members = self.shared.members.borrow();
--- a/crates/burdockslip_pace/src/controller.rs
+++ b/crates/burdockslip_pace/src/controller.rs
@@ -13,6 +13,9 @@
 /// How long the suspicions of a host count after its last report.
 const REPORT_VALIDITY: Duration = Duration::from_millis(1_300);
 
+/// The minimum time between two looks at all members, of which there may be thousands.
+const SCAN_PERIOD: Duration = Duration::from_millis(20);
+
 /// Finds the pace of members and grants permits while this host is the coordinator.
 ///
 /// A controller starts without permits, because those of the previous coordinator may
@@ -24,8 +27,12 @@
     finished: HashMap<MemberName, u64>,
     /// The hosts that report, and the members that each of them cannot reach.
     hosts: HashMap<HostId, (Instant, Vec<MemberName>)>,
+    /// The number of hosts that cannot reach each member.
+    suspicions: HashMap<MemberName, usize>,
     /// The members that most hosts could not reach.
     lost: HashSet<MemberName>,
+    /// When all members were last looked at.
+    scanned: Option<Instant>,
 }
 
 impl Controller {
@@ -80,50 +87,85 @@
 
     /// Starts the ramps of members that are new, cold, or reachable again.
     fn start_ramps(&mut self, known: &[Sighting], demands: &[MemberDemand]) {
-        let names: HashSet<_> = known.iter().map(|sighting| &sighting.member).collect();
-        self.ramps.retain(|name, _| names.contains(name));
-        self.finished.retain(|name, _| names.contains(name));
-        self.lost.retain(|name| names.contains(name));
-        for sighting in known {
-            let name = &sighting.member;
-            let has_recovered = self.has_recovered(name);
-            let demand = demands
-                .iter()
-                .find(|demand| demand.member == *name && demand.born == sighting.born);
-            let is_finished = self.finished.get(name) == Some(&sighting.born);
-            let is_cold = sighting.is_cold() || demand.is_some_and(|demand| !demand.cold.is_zero());
-            let reason = if is_cold {
-                "cold"
+        let is_due = self.scanned.is_none_or(|at| at.elapsed() >= SCAN_PERIOD);
+        if is_due || !self.lost.is_empty() {
+            self.scanned = Some(now());
+            self.evict_silent();
+            self.evict_members(known);
+            for sighting in known {
+                self.update_ramp(sighting, None);
+            }
+        }
+        // A host may see before the coordinator that a member is cold.
+        for demand in demands.iter().filter(|demand| !demand.cold.is_zero()) {
+            let is_for = |sighting: &&Sighting| {
+                sighting.member == demand.member && sighting.born == demand.born
+            };
+            if !self.ramps.contains_key(&demand.member)
+                && let Some(sighting) = known.iter().find(is_for)
+            {
+                self.update_ramp(sighting, Some(demand));
+            }
+        }
+    }
+
+    fn update_ramp(&mut self, sighting: &Sighting, demand: Option<&MemberDemand>) {
+        let name = &sighting.member;
+        let has_recovered = self.has_recovered(name);
+        let is_finished = self.finished.get(name) == Some(&sighting.born);
+        let reason = if sighting.is_cold() || demand.is_some() {
+            "cold"
+        } else if has_recovered {
+            "reachable again"
+        } else if sighting.is_new() && !is_finished {
+            "new run"
+        } else {
+            ""
+        };
+        if let Some(ramp) = self.ramps.get_mut(name) {
+            if ramp.sighting.born != sighting.born {
+                ramp.restart(sighting.clone(), "started again");
             } else if has_recovered {
-                "reachable again"
-            } else if sighting.is_new() && !is_finished {
-                "new run"
+                ramp.restart(sighting.clone(), "reachable again");
             } else {
-                ""
-            };
-            if let Some(ramp) = self.ramps.get_mut(name) {
-                if ramp.sighting.born != sighting.born {
-                    ramp.restart(sighting.clone(), "started again");
-                } else if has_recovered {
-                    ramp.restart(sighting.clone(), reason);
-                } else {
-                    ramp.refresh(sighting);
-                }
-            } else if !reason.is_empty() {
-                let latency = demand.map(|demand| to_rate(demand.peers));
-                let ramp = Ramp::new(sighting.clone(), latency, reason);
-                self.ramps.insert(name.clone(), ramp);
+                ramp.refresh(sighting);
             }
+        } else if !reason.is_empty() {
+            let latency = demand.map(|demand| to_rate(demand.peers));
+            let ramp = Ramp::new(sighting.clone(), latency, reason);
+            self.ramps.insert(name.clone(), ramp);
         }
     }
 
+    fn evict_members(&mut self, known: &[Sighting]) {
+        let is_in_use =
+            !self.ramps.is_empty() || !self.finished.is_empty() || !self.lost.is_empty();
+        if is_in_use {
+            let names: HashSet<_> = known.iter().map(|sighting| &sighting.member).collect();
+            self.ramps.retain(|name, _| names.contains(name));
+            self.finished.retain(|name, _| names.contains(name));
+            self.lost.retain(|name| names.contains(name));
+        }
+    }
+
+    /// Records which members a host cannot reach. The counts are kept up to date, because
+    /// hundreds of hosts may suspect hundreds of members during a partition.
     fn record_suspects(&mut self, host: &HostId, suspects: &[MemberName]) {
-        self.hosts.insert(host.clone(), (now(), suspects.to_vec()));
-        if suspects.is_empty() {
-            return;
+        let is_changed = match self.hosts.get_mut(host) {
+            Some((at, known)) => {
+                *at = now();
+                known != suspects
+            }
+            None => true,
+        };
+        if is_changed {
+            let report = (now(), suspects.to_vec());
+            let previous = self.hosts.insert(host.clone(), report);
+            self.forget(previous.into_iter().flat_map(|(_, known)| known));
+            for name in suspects {
+                *self.suspicions.entry(name.clone()).or_default() += 1;
+            }
         }
-        self.hosts
-            .retain(|_, (at, _)| at.elapsed() < REPORT_VALIDITY);
         for name in suspects {
             if self.is_lost(name) {
                 self.lost.insert(name.clone());
@@ -131,14 +173,29 @@
         }
     }
 
+    /// Removes the suspicions of hosts that have not reported lately.
+    fn evict_silent(&mut self) {
+        let is_silent = |at: &Instant| at.elapsed() >= REPORT_VALIDITY;
+        let silent = self.hosts.extract_if(|_, (at, _)| is_silent(at));
+        let names: Vec<_> = silent.flat_map(|(_, (_, known))| known).collect();
+        self.forget(names);
+    }
+
+    fn forget(&mut self, names: impl IntoIterator<Item = MemberName>) {
+        for name in names {
+            if let Some(count) = self.suspicions.get_mut(&name) {
+                *count -= 1;
+                if *count == 0 {
+                    self.suspicions.remove(&name);
+                }
+            }
+        }
+    }
+
     /// Returns whether most hosts that report cannot reach a member.
     fn is_lost(&self, name: &MemberName) -> bool {
-        let reports = || {
-            let reports = self.hosts.values();
-            reports.filter(|(at, _)| at.elapsed() < REPORT_VALIDITY)
-        };
-        let against = reports().filter(|(_, suspects)| suspects.contains(name));
-        against.count() * 2 > reports().count()
+        let against = self.suspicions.get(name).copied().unwrap_or_default();
+        against * 2 > self.hosts.len()
     }
 
     /// Returns whether most hosts could not reach a member, and now can.
--- a/crates/burdockslip_session/src/pacing.rs
+++ b/crates/burdockslip_session/src/pacing.rs
@@ -45,14 +45,10 @@
 
 /// Returns what is known of the members of all paced groups.
 pub fn sightings(directory: &Directory, limit: Option<ColdLimit>) -> Vec<Sighting> {
-    let Some(configuration) = directory.configuration() else {
-        return Vec::new();
-    };
-    let groups = configuration.groups.values();
-    let paced = groups.filter(|group| Rules::new(group.cold_rate, limit).is_some());
-    let members = paced.flat_map(|group| directory.members(&group.name));
+    let members = directory.all_members();
     members
-        .filter_map(|member| sighting(directory, &member, limit))
+        .iter()
+        .filter_map(|member| sighting(directory, member, limit))
         .collect()
 }
 
