--- a/crates/burdockslip_pace/tests/pace.rs
+++ b/crates/burdockslip_pace/tests/pace.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use burdockslip_pace::{
-    Admission, ColdLimit, Condition, Controller, Gate, MemberDemand, Outcome, PaceGrant, Rules,
-    Sighting,
+    Admission, ColdLimit, Condition, Controller, Gate, MemberDemand, Outcome, PERMIT_LIFETIME,
+    PaceGrant, Rules, Sighting,
 };
 use burdockslip_runtime::{now, paused, random_range, sleep};
 use burdockslip_types::{HostId, MemberName};
@@ -15,6 +15,10 @@
 /// How often a host reports, in steps.
 const REPORT_STEPS: usize = 30;
 
+/// How often hosts that hoard permits use them, in steps: half of this time, after they
+/// have kept them for the other half.
+const HOARD_STEPS: usize = 240;
+
 /// The latency of the other members of the group, in milliseconds.
 const PEER_LATENCY: f64 = 20.0;
 
@@ -71,6 +75,8 @@
     connected: usize,
     /// Whether one of four replies is lost.
     loses_replies: bool,
+    /// Whether hosts keep their permits for some time and then use all at once.
+    hoards: bool,
     steps: usize,
     sent: Vec<usize>,
     busy: Vec<usize>,
@@ -90,6 +96,7 @@
             upstream: Upstream::healthy(),
             connected: count,
             loses_replies: false,
+            hoards: false,
             steps: 0,
             sent: Vec::new(),
             busy: Vec::new(),
@@ -112,7 +119,11 @@
             if random_range(0..odds) < u64::from(rate) {
                 let gate = &mut self.hosts[index].1;
                 gate.record_demand(&self.sighting);
-                let admission = gate.take(&self.sighting, 1);
+                let admission = if self.hoards {
+                    Admission::Wait
+                } else {
+                    gate.take(&self.sighting, 1)
+                };
                 let is_urgent = admission == Admission::Wait && gate.is_urgent();
                 if admission == Admission::Granted {
                     let outcome = self.upstream.send();
@@ -127,6 +138,9 @@
                 self.report(index, &[]);
             }
         }
+        if self.hoards && self.steps % HOARD_STEPS > HOARD_STEPS / 2 {
+            sent += self.use_all();
+        }
         self.upstream.advance();
         self.sent.push(sent);
         self.busy.push(busy);
@@ -134,6 +148,17 @@
         sleep(STEP).await;
     }
 
+    /// Uses all permits of all hosts, and returns how many there were.
+    fn use_all(&mut self) -> usize {
+        let mut sent = 0;
+        for (_, gate) in &mut self.hosts {
+            while gate.take(&self.sighting, 1) == Admission::Granted {
+                sent += 1;
+            }
+        }
+        sent
+    }
+
     fn report(&mut self, index: usize, suspects: &[MemberName]) -> Option<Vec<PaceGrant>> {
         let is_lost = self.loses_replies && random_range(0..4) == 0;
         let (host, gate) = &mut self.hosts[index];
@@ -203,14 +228,32 @@
     }
 }
 
+/// Load: hosts keep their permits for 1.2 s and then use all that are still valid, and
+/// each new one at once.
+#[test]
+fn hoarded_permits_stay_within_the_limit() {
+    for seed in 0..5 {
+        paused::run(seed, async {
+            let mut fleet = Fleet::new(60, sighting(limited(), Duration::from_secs(15)));
+            fleet.hoards = true;
+            fleet.run(1_200, Duration::from_secs(12)).await;
+            let (peak, total) = fleet.peak_and_total();
+            assert!(peak <= MAX_COLD, "{peak}");
+            // The hosts do press: a second has most of what is allowed.
+            assert!(peak * 2 > MAX_COLD && total > 0, "{peak}");
+        });
+    }
+}
+
 /// Failure: the coordinator changes twice, replies are lost, and a third of the hosts is
 /// cut off while they hold permits.
 #[test]
 fn cold_member_stays_within_its_limit_under_failures() {
     for seed in 0..5 {
-        paused::run(seed, async {
+        paused::run(seed, async move {
             let mut fleet = Fleet::new(60, sighting(limited(), Duration::from_secs(12)));
             fleet.loses_replies = true;
+            fleet.hoards = seed % 2 == 0;
             fleet.run(600, Duration::from_secs(2)).await;
             fleet.controller = Some(Controller::default());
             fleet.run(600, Duration::from_secs(2)).await;
@@ -233,7 +276,10 @@
 fn permits_of_a_ramp_are_void_once_the_member_is_cold() {
     paused::run(1, async {
         let mut fleet = Fleet::new(20, sighting(limited(), Duration::ZERO));
-        fleet.run(400, Duration::from_millis(600)).await;
+        fleet.sighting.slots = 40;
+        fleet.hoards = true;
+        fleet.run(800, Duration::from_millis(600)).await;
+        fleet.hoards = false;
         fleet.sighting.cold_until = Some(now() + Duration::from_secs(5));
         let turned = fleet.sent.len();
         fleet.run(2_000, Duration::from_secs(4)).await;
@@ -381,6 +427,26 @@
     });
 }
 
+/// Load: a full bucket, permits that are used at the end of their lifetime, and a second in
+/// which each new one is used at once.
+#[test]
+fn budget_covers_the_lifetime_of_permits() {
+    for (rate, percent, slack) in [
+        (40.0, 150, 5),
+        (3.0, 150, 5),
+        (0.0, 150, 5),
+        (900.0, 100, 0),
+    ] {
+        let limit = ColdLimit { percent, slack };
+        let rules = Rules::new(Some(rate), Some(limit)).expect("the group is paced");
+        let budget = rules.cold_budget().expect("it is limited");
+        let span = 1.0 + PERMIT_LIFETIME.as_secs_f64();
+        let most = rate * f64::from(percent) / 100.0 + f64::from(slack);
+        assert!(budget.capacity + budget.rate * span <= most, "{budget:?}");
+        assert!(budget.capacity >= 1.0, "{budget:?}");
+    }
+}
+
 /// Failure: values out of range in the configuration, in settings and in reports.
 #[test]
 fn odd_values_change_nothing() {
