--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -12,6 +12,7 @@
 use futures::future::LocalBoxFuture;
 use tracing::{info, warn};
 
+use crate::cold::ColdTime;
 use crate::follow;
 use crate::recency::Recency;
 use crate::{Configuration, Member, MemberRecord};
@@ -74,11 +75,7 @@
     draining_since: Option<Instant>,
     /// When this run was first seen; `None` if it was there when the store was first read.
     seen: Option<Instant>,
-    /// Until when the member is cold according to its newest record. A record that was
-    /// relayed is older than this, so the member may be warm earlier.
-    cold_until: Option<Instant>,
-    /// Whether the newest record holds a valid cold time.
-    is_cold_valid: bool,
+    cold: ColdTime,
 }
 
 pub(crate) struct Shared {
@@ -227,8 +224,7 @@
     /// is not. See `docs/design/member-pace.md`.
     pub fn cold_until(&self, name: &MemberName) -> Option<Instant> {
         let members = self.shared.members.borrow();
-        let until = members.get(name)?.cold_until?;
-        (!until.is_past()).then_some(until)
+        members.get(name)?.cold.until()
     }
 
     /// Returns when the current run of a member was first seen, or `None` if it was there
@@ -336,23 +332,6 @@
         self.missing_since
             .is_none_or(|at| at.elapsed() < MISSING_GRACE)
     }
-
-    /// Takes over the cold time of a record. One that is not valid counts as none.
-    fn set_cold(&mut self, cold: Option<Duration>) {
-        let member = &self.member.name;
-        if cold.is_none() && self.is_cold_valid {
-            warn!(%member, "cold time of a member ignored, it is not valid");
-        }
-        self.is_cold_valid = cold.is_some();
-        let was_cold = self.cold_until.is_some_and(|until| !until.is_past());
-        let cold = cold.filter(|cold| !cold.is_zero());
-        if let Some(cold) = cold
-            && !was_cold
-        {
-            info!(%member, cold_ms = cold.as_millis(), "member is cold");
-        }
-        self.cold_until = cold.map(|cold| now() + cold);
-    }
 }
 
 impl Shared {
@@ -539,7 +518,7 @@
                     && *known.member == member
                     && known.missing_since.is_none()
                 {
-                    known.set_cold(cold);
+                    known.cold.set(&member.name, cold);
                     return;
                 }
                 let known = members.get(&member.name);
@@ -557,15 +536,14 @@
                     .and_then(|known| known.draining_since);
                 let mut known = KnownMember {
                     seen,
-                    cold_until: known.and_then(|known| known.cold_until),
-                    is_cold_valid: known.is_none_or(|known| known.is_cold_valid),
+                    cold: known.map(|known| known.cold).unwrap_or_default(),
                     draining_since: member
                         .is_draining
                         .then(|| drained_before.unwrap_or_else(now)),
                     member: Rc::new(member),
                     missing_since: None,
                 };
-                known.set_cold(cold);
+                known.cold.set(&known.member.name, cold);
                 members.insert(known.member.name.clone(), known);
             }
             Err(error) => {
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -5,6 +5,7 @@
 //! stop working even on a host that receives no updates; see `docs/platform.md`,
 //! "Keys".
 
+mod cold;
 mod configuration;
 mod directory;
 mod follow;
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -235,6 +235,9 @@
         if role.is_interim {
             return None;
         }
+        if view.members.is_empty() {
+            return Some(Vec::new());
+        }
         let mut slot = self.controller.borrow_mut();
         slot.take_if(|(token, _)| *token != role.token);
         let (_, controller) = slot.get_or_insert_with(|| (role.token, Controller::default()));
