--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -12,10 +12,11 @@
 use futures::future::LocalBoxFuture;
 use tracing::{info, warn};
 
+use crate::cold::ColdTime;
 use crate::evacuation::Evacuations;
 use crate::follow;
 use crate::recency::Recency;
-use crate::{Configuration, Member};
+use crate::{Configuration, Member, MemberRecord};
 
 /// How long after its last confirmation a configuration may authorise requests.
 ///
@@ -42,11 +43,14 @@
     /// Decodes a configuration.
     pub read_configuration: fn(&[u8]) -> Result<Configuration>,
     /// Decodes a member's record; the first argument is its key without the prefix.
-    pub read_member: fn(&str, &[u8]) -> Result<Member>,
+    pub read_member: fn(&str, &[u8]) -> Result<MemberRecord>,
     /// Checks the value of the record of an evacuation.
     pub read_evacuation: fn(&[u8]) -> Result<()>,
 }
 
+/// The maximum number of members whose last run is remembered.
+const MAX_RUNS: usize = 4_096;
+
 /// The maximum number of deletions kept for other hosts; each takes about 60 bytes.
 const MAX_DELETIONS: usize = 256;
 
@@ -75,6 +79,9 @@
     missing_since: Option<Instant>,
     /// The moment from which the member was known to be about to leave.
     draining_since: Option<Instant>,
+    /// When this run was first seen; `None` if it was there when the store was first read.
+    seen: Option<Instant>,
+    cold: ColdTime,
 }
 
 pub(crate) struct Shared {
@@ -88,6 +95,8 @@
     contact_at: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, KnownMember>>,
     evacuations: Evacuations,
+    /// The start of the last known run of each member, also of those without a record.
+    runs: RefCell<HashMap<MemberName, u64>>,
     entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
     deletions: RefCell<VecDeque<(Revision, String)>>,
@@ -121,6 +130,7 @@
             contact_at: Cell::default(),
             members: RefCell::default(),
             evacuations: Evacuations::default(),
+            runs: RefCell::default(),
             entries: RefCell::default(),
             deletions: RefCell::default(),
             deletions_from: Cell::default(),
@@ -215,6 +225,13 @@
         members
     }
 
+    /// Returns the usable members of all groups; see [`Directory::members`].
+    pub fn all_members(&self) -> Vec<Rc<Member>> {
+        let members = self.shared.members.borrow();
+        let usable = members.values().filter(|known| known.is_usable());
+        usable.map(|known| Rc::clone(&known.member)).collect()
+    }
+
     /// Returns a member if it is usable; see [`Directory::members`].
     pub fn member(&self, name: &MemberName) -> Option<Rc<Member>> {
         let members = self.shared.members.borrow();
@@ -247,6 +264,19 @@
         self.shared.evacuations.zones()
     }
 
+    /// Returns until when a member is cold according to its newest record, or `None` if it
+    /// is not. See `docs/design/member-pace.md`.
+    pub fn cold_until(&self, name: &MemberName) -> Option<Instant> {
+        let members = self.shared.members.borrow();
+        members.get(name)?.cold.until()
+    }
+
+    /// Returns when the current run of a member was first seen, or `None` if it was there
+    /// when the store was first read.
+    pub fn seen_at(&self, name: &MemberName) -> Option<Instant> {
+        self.shared.members.borrow().get(name)?.seen
+    }
+
     /// Returns whether a member has a record according to the local copy. A member
     /// without one stays usable for some time.
     pub fn is_listed(&self, name: &MemberName) -> bool {
@@ -526,14 +556,22 @@
 
     fn apply_member(&self, name: &str, value: &[u8]) {
         match (self.schema.read_member)(name, value) {
-            Ok(member) => {
+            Ok(MemberRecord { member, cold }) => {
                 let mut members = self.members.borrow_mut();
-                let known = members.get(&member.name);
-                if known
-                    .is_some_and(|known| *known.member == member && known.missing_since.is_none())
+                let known = members.get_mut(&member.name);
+                let is_new_run = self.record_run(&member);
+                let seen = match &known {
+                    Some(known) if known.member.born == member.born => known.seen,
+                    _ => (is_new_run && self.is_loaded.get()).then(now),
+                };
+                if let Some(known) = known
+                    && *known.member == member
+                    && known.missing_since.is_none()
                 {
+                    known.cold.set(&member.name, cold);
                     return;
                 }
+                let known = members.get(&member.name);
                 info!(
                     member = name,
                     group = %member.group,
@@ -546,13 +584,16 @@
                 let drained_before = known
                     .filter(|known| known.member.born == member.born)
                     .and_then(|known| known.draining_since);
-                let known = KnownMember {
+                let mut known = KnownMember {
+                    seen,
+                    cold: known.map(|known| known.cold).unwrap_or_default(),
                     draining_since: member
                         .is_draining
                         .then(|| drained_before.unwrap_or_else(now)),
                     member: Rc::new(member),
                     missing_since: None,
                 };
+                known.cold.set(&known.member.name, cold);
                 members.insert(known.member.name.clone(), known);
             }
             Err(error) => {
@@ -581,6 +622,16 @@
         self.evacuations.log_new(count);
     }
 
+    /// Records the run of a member and returns whether it was unknown. The records of
+    /// members that run on may be gone for some time.
+    fn record_run(&self, member: &Member) -> bool {
+        let mut runs = self.runs.borrow_mut();
+        if runs.len() >= MAX_RUNS {
+            runs.clear();
+        }
+        runs.insert(member.name.clone(), member.born) != Some(member.born)
+    }
+
     fn mark_missing(&self, name: &str) {
         let mut members = self.members.borrow_mut();
         members.retain(|_, known| known.is_usable());
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -5,6 +5,7 @@
 //! stop working even on a host that receives no updates; see `docs/platform.md`,
 //! "Keys".
 
+mod cold;
 mod configuration;
 mod directory;
 mod evacuation;
@@ -14,4 +15,4 @@
 
 pub use configuration::{Configuration, Consistency, GroupConfig, OrganisationConfig, Route};
 pub use directory::{Changes, Directory, KEY_VALIDITY, Relay, Schema};
-pub use member::{Member, Role};
+pub use member::{Member, MemberRecord, Role};
--- a/crates/burdockslip_failover/src/candidates.rs
+++ b/crates/burdockslip_failover/src/candidates.rs
@@ -28,16 +28,23 @@
 }
 
 /// Chooses the member with the newest log; among equals, one outside of the evacuated
-/// availability zones, then one that is not about to leave. A member that leads already is
-/// no candidate, since its promotion would change nothing, nor is one without a status.
+/// availability zones, then one that is not about to leave, then one that is not cold. A
+/// member that leads already is no candidate, since its promotion would change nothing, nor
+/// is one without a status.
 pub fn newest_member(
     members: &[Rc<Member>],
     status: impl Fn(&Member) -> Option<MemberStatus>,
     evacuated: &[Zone],
+    is_cold: impl Fn(&Member) -> bool,
 ) -> Option<Rc<Member>> {
     let rank = |member: &Member, status: &MemberStatus| {
         let is_outside = !evacuated.contains(&member.zone);
-        (status.received, is_outside, !member.is_draining)
+        (
+            status.received,
+            is_outside,
+            !member.is_draining,
+            !is_cold(member),
+        )
     };
     members
         .iter()
--- a/crates/burdockslip_failover/src/choice.rs
+++ b/crates/burdockslip_failover/src/choice.rs
@@ -8,7 +8,7 @@
 //! asked again after that. A replica that restarts or joins later lets the old primary
 //! acknowledge more, but to nobody. See `docs/platform.md`, "Promotion".
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -60,6 +60,8 @@
     primary: Vec<Rc<Member>>,
     replicas: Vec<Rc<Member>>,
     statuses: HashMap<MemberName, MemberStatus>,
+    /// The members that are cold, and therefore slow as a primary.
+    cold: HashSet<MemberName>,
     held: Term,
     /// Whether a replica has lost its log, which may have held commits that only the old
     /// primary has as well.
@@ -280,7 +282,10 @@
             .iter()
             .cloned()
             .partition(|member| record.is_primary(member) && !is_unproven(member));
+        let members = roster.iter().map(|member| &member.name);
+        let cold = members.filter(|name| self.directory.cold_until(name).is_some());
         Round {
+            cold: cold.cloned().collect(),
             is_log_lost: unproven.iter().any(|run| !record.is_primary(run)),
             acknowledged: acknowledged.map(|commit| commit.lowest),
             primary,
@@ -367,7 +372,8 @@
 
     fn best(&self, members: &[Rc<Member>]) -> Option<Rc<Member>> {
         let status = |member: &Member| self.statuses.get(&member.name).copied();
-        newest_member(members, status, &self.evacuated)
+        let is_cold = |member: &Member| self.cold.contains(&member.name);
+        newest_member(members, status, &self.evacuated, is_cold)
     }
 
     /// Returns the position that a member has reported in this round.
--- a/crates/burdockslip_failover/tests/evacuation.rs
+++ b/crates/burdockslip_failover/tests/evacuation.rs
@@ -95,7 +95,31 @@
             held: Term(2),
         })
     };
-    let chosen = newest_member(&members, status, &zones(evacuated)).expect("all have answered");
+    let chosen =
+        newest_member(&members, status, &zones(evacuated), |_| false).expect("all have answered");
+    assert_eq!(chosen.name.as_str(), expected);
+}
+
+/// Guards against a primary that is slow after its own start while a warm member holds as
+/// much, and against the loss of commits that only the cold one holds.
+#[parameterized(
+    equal_logs = { [5, 5, 5], "i-2" },
+    newer_on_cold = { [5, 5, 6], "i-3" },
+)]
+fn warm_member_is_preferred_among_equal_logs(received: [u64; 3], expected: &str) {
+    let mut members = members();
+    members.remove(0);
+    let status = |member: &Member| {
+        let index = members.iter().position(|known| known.name == member.name)?;
+        Some(MemberStatus {
+            is_primary: false,
+            term: Term(1),
+            received: LogPosition::new(1, received[index + 1]),
+            held: Term(2),
+        })
+    };
+    let is_cold = |member: &Member| member.name.as_str() == "i-3";
+    let chosen = newest_member(&members, status, &[], is_cold).expect("both have answered");
     assert_eq!(chosen.name.as_str(), expected);
 }
 
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -8,6 +8,7 @@
 
 use burdockslip_directory::{Configuration, Directory, OrganisationConfig, Route};
 use burdockslip_failover::Permission;
+use burdockslip_pace::{ColdLimit, Gate};
 use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
 use burdockslip_shares::{Admission, Denials, LocalLimiter, Refusal};
 use burdockslip_statement::Codec;
@@ -44,6 +45,8 @@
     /// How long after its request an availability zone may still receive statements that
     /// is to be evacuated.
     pub evacuation: Option<Duration>,
+    /// The limit on statements to cold members; `None` if they are not limited.
+    pub cold: Option<ColdLimit>,
 }
 
 /// The state that all sessions of a host share.
@@ -58,6 +61,8 @@
     pub permission: Permission,
     /// Admits operations within the rates of their organisations.
     pub limiter: Rc<RefCell<LocalLimiter>>,
+    /// Admits statements to members that are paced.
+    pub gate: RefCell<Gate>,
     /// Notified when tokens are running low; wakes the task that reports demand.
     pub tokens_low: Rc<Signal>,
     /// Notified when tokens may have been granted; wakes operations that wait for them.
@@ -107,6 +112,7 @@
             pools,
             permission,
             limiter: Rc::new(RefCell::new(LocalLimiter::new(limits.rate_slack))),
+            gate: RefCell::default(),
             tokens_low: Rc::default(),
             tokens_granted: Rc::default(),
             positions: Rc::default(),
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::context::{Context, wait_limit};
 use crate::outcome::Job;
-use crate::{evacuation, position, receipt};
+use crate::{evacuation, pacing, position, receipt};
 
 /// The factor on the cost of the primary for reads that a replica can also serve,
 /// because only the primary can serve writes.
@@ -21,6 +21,13 @@
 /// member for about 12 ms, which also delays other statements.
 const CONNECT_COST_MS: f64 = 30.0;
 
+/// The cost of a failed answer beside the time until it arrives, in milliseconds: the
+/// client may have to send its operation again.
+const FAILURE_COST_MS: f64 = 100.0;
+
+/// The fraction of answers that counts as successful at least.
+const MIN_SUCCESS: f64 = 0.05;
+
 /// The random factor on costs, in percent, so that hosts do not all choose the same
 /// member.
 const JITTER_PERCENT: (u64, u64) = (100, 130);
@@ -73,7 +80,8 @@
 /// # Errors
 ///
 /// Returns `NoPrimary` if there is no usable primary within the wait limit, and at once if
-/// only members of evacuated zones could run the operation.
+/// only members of evacuated zones could run the operation. Returns `QueueFull` if the
+/// primary is paced and has no room left.
 pub(crate) async fn wait_until_servable(
     cx: &Context,
     route: &Route,
@@ -90,6 +98,9 @@
         }
         sleep(PRIMARY_PAUSE).await;
     }
+    if needs_primary(route, access) && pacing::is_primary_exhausted(cx, route, started) {
+        return Err(ErrorKind::QueueFull);
+    }
     Ok(())
 }
 
@@ -123,7 +134,7 @@
         let percent = f64::from(u32::try_from(random_range(least..most)).unwrap_or(100));
         let distance = cx.locality.distance(&target.pool.member().zone);
         let way = distance.cost_ms(job.route.latency_objective);
-        cost(target, job) * weight * percent / 100.0 + way
+        cost(cx, target, job) * weight * percent / 100.0 + way
     };
     // The zone of an evacuated primary gets only what no replica elsewhere can serve.
     let is_outside = |target: &Target| cx.may_start(target.pool.member(), Role::Replica);
@@ -132,7 +143,12 @@
         .into_iter()
         .map(|target| (score(&target, 1.0), target))
         .chain(primary.map(|target| (score(&target, PRIMARY_WEIGHT), target)));
-    let best = scored.min_by(|(left, _), (right, _)| left.total_cmp(right));
+    let mut scored: Vec<_> = scored.collect();
+    scored.sort_by(|(left, _), (right, _)| left.total_cmp(right));
+    // If all members are paced, the read waits at the best one.
+    let has_permit = |(_, target): &(f64, Target)| pacing::has_permit(cx, target.pool.member());
+    let index = scored.iter().position(has_permit).unwrap_or_default();
+    let best = scored.into_iter().nth(index);
     best.map(|(_, target)| target)
 }
 
@@ -166,7 +182,7 @@
 
 /// Estimates the time until the member replies, in milliseconds, plus a fixed cost for
 /// opening a connection.
-fn cost(target: &Target, job: &Job) -> f64 {
+fn cost(cx: &Context, target: &Target, job: &Job) -> f64 {
     let in_flight = u32::try_from(target.pool.health.in_flight()).unwrap_or(u32::MAX);
     let slots = f64::from(target.pool.member().slots.max(1));
     let queue = 1.0 + f64::from(in_flight) / slots;
@@ -175,7 +191,17 @@
     } else {
         CONNECT_COST_MS
     };
-    target.pool.health.latency_ms() * queue + connect_cost
+    let latency = target.pool.health.latency_ms() * queue;
+    latency + connect_cost + failure_cost(cx, target, latency)
+}
+
+/// Estimates the time lost to failed answers, after which a read is sent to another member.
+fn failure_cost(cx: &Context, target: &Target, latency: f64) -> f64 {
+    if cx.sighting(target.pool.member()).is_none() {
+        return 0.0;
+    }
+    let failed = target.pool.health.failed_fraction();
+    failed * (FAILURE_COST_MS + latency / (1.0 - failed).max(MIN_SUCCESS))
 }
 
 /// Returns the error for a statement for which no member could be chosen.
