dispatch: hold back statements by rank where a member has no room

Change: hosts report answers, refusals and late answers by member and rank; the coordinator finds each member's room from them and tells all hosts what to hold back, lowest rank first. Operations beyond the usual of their organisation have the lowest rank. A refusal comes before a rate token is taken. Under pressure reads leave members that hold them back and the primary, and are neither hedged nor repeated at a member under pressure. A host whose timers fire late refuses by rank, new sessions too. Logs, metrics. is_prioritised switches it on.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -19,6 +19,7 @@
 
 use crate::eviction::LastReports;
 use crate::messages::{HostReport, ReportReply};
+use crate::pressure::FleetPressure;
 use crate::registration::registered;
 use crate::relay::{MAX_RELAYED_AGE, SendBudget};
 
@@ -59,6 +60,7 @@
     rate_slack: u32,
     positions: Rc<PositionHistory>,
     link: Rc<SendBudget>,
+    pressure: Rc<FleetPressure>,
     pub(crate) last_reports: Rc<LastReports>,
     /// Whether the last report was answered as an interim coordinator, to log changes.
     is_interim: Rc<Cell<bool>>,
@@ -84,6 +86,7 @@
             rate_slack,
             positions,
             link: Rc::new(link),
+            pressure: Rc::default(),
             last_reports: Rc::default(),
             is_interim: Rc::default(),
         }
@@ -182,6 +185,7 @@
             groups,
             demands,
             wants_positions,
+            pressure,
         } = report;
         self.supervisor.report(host.clone(), groups);
         self.last_reports.record(host);
@@ -200,6 +204,7 @@
             suspected: self.supervisor.suspected(),
             permission: self.permission.lease_proof_age(),
             group_proofs: self.permission.group_proof_ages(),
+            pressure: self.pressure.answer(role.token, pressure),
             positions: if wants_positions {
                 self.recent_positions()
             } else {
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -24,7 +24,9 @@
 use crate::messages::{DutyExchange, FollowExchange, ReportExchange};
 use crate::registration::Fleet;
 use crate::relay::SendBudget;
-use crate::{EntrySettings, admission, changes, eviction, positions, registration, report};
+use crate::{
+    EntrySettings, admission, changes, eviction, positions, pressure, registration, report,
+};
 
 /// How often the age of the configuration is checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -80,7 +82,7 @@
     grace: Duration,
     _listener: Listener,
     _servers: (AdminServer, AdminServer, PeerServer),
-    _tasks: [Task<()>; 5],
+    _tasks: [Task<()>; 6],
 }
 
 impl Host {
@@ -102,6 +104,7 @@
             state_bytes: settings.state_bytes,
             message_bytes: settings.message_bytes,
             rate_slack: settings.rate_slack,
+            is_prioritised: settings.is_prioritised,
         };
         let cx = Rc::new(Context::new(
             adapter.codec,
@@ -156,6 +159,7 @@
                 own,
             )),
             spawn(positions::run(Rc::clone(&cx), duty.clone())),
+            spawn(pressure::run(Rc::clone(&cx))),
             spawn(report::run(Rc::clone(&cx), host, coordinator, peers)),
             spawn(maintain(
                 Rc::clone(&cx),
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod host;
 mod messages;
 mod positions;
+mod pressure;
 mod registration;
 mod relay;
 mod report;
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Changes;
+use burdockslip_dispatch::{PressureReply, PressureReport};
 use burdockslip_failover::GroupReport;
 use burdockslip_shares::{Demand, Grant};
 use burdockslip_store::{Entry, LeaseId};
@@ -18,6 +19,9 @@
     pub demands: Vec<Demand>,
     /// Whether the host requests the log positions of primaries.
     pub wants_positions: bool,
+    /// The answers of members and the operations that arrived; empty while statements are
+    /// not served by priority.
+    pub pressure: PressureReport,
 }
 
 /// The coordinator's reply to a report.
@@ -37,6 +41,8 @@
     pub group_proofs: Vec<(GroupName, Revision, Duration)>,
     /// The log positions of primaries, and how long ago they were queried.
     pub positions: Vec<(GroupName, LogPosition, Duration)>,
+    /// The members under pressure, and the organisations beyond their usual.
+    pub pressure: PressureReply,
 }
 
 /// The exchange for reports to the coordinator.
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -15,6 +15,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{DutyExchange, HostReport, ReportExchange, ReportReply};
+use crate::pressure;
 use crate::registration::registered;
 
 /// How often a host reports. The reply renews its permissions, which last 900 ms.
@@ -113,6 +114,7 @@
             },
             demands: cx.limiter.borrow_mut().demands(scope),
             wants_positions: is_full,
+            pressure: pressure::take_report(&cx, is_full),
         };
         let outcome = deliver(&coordinator, &host, &client, report).await;
         let error = outcome.as_ref().err().copied();
@@ -140,6 +142,7 @@
             }
             cx.pools.probe_members(&reply.suspected);
             cx.limiter.borrow_mut().apply(reply.grants);
+            pressure::apply(&cx, reply.pressure);
         } else {
             cx.limiter.borrow_mut().mark_disconnected();
             request_coordinator(&cx.directory, &host, &peers).await;
--- a/crates/burdockslip_queue/src/queue.rs
+++ b/crates/burdockslip_queue/src/queue.rs
@@ -59,6 +59,7 @@
     calendar: Calendar,
     expiries: BTreeMap<(Instant, u64), (LaneId, Key)>,
     dropped: Vec<Dropped<W>>,
+    work: Duration,
     sequence: u64,
     steps: u64,
 }
@@ -78,6 +79,7 @@
             calendar: Calendar::default(),
             expiries: BTreeMap::new(),
             dropped: Vec::new(),
+            work: Duration::ZERO,
             sequence: 0,
             steps: 0,
         };
@@ -95,6 +97,39 @@
         self.expiries.is_empty()
     }
 
+    /// Returns the time that the waiting requests are expected to take.
+    pub fn work(&self) -> Duration {
+        self.work
+    }
+
+    /// Returns the number of waiting requests of an organisation.
+    pub fn waiting(&self, organisation: &Organisation) -> usize {
+        let lane = self.organisations.get(organisation);
+        lane.map_or(0, |lane| self.lengths.get(*lane))
+    }
+
+    /// Returns the number of waiting requests of the organisation that has most of them.
+    pub fn longest(&self) -> usize {
+        let longest = self.lengths.longest();
+        longest.map_or(0, |lane| self.lengths.get(lane))
+    }
+
+    /// Returns the deadline and the cost of the request that [`FairQueue::evict`] would
+    /// remove.
+    pub fn last_of_longest(&self) -> Option<(Instant, Duration)> {
+        let longest = self.lengths.longest()?;
+        let entry = self.lanes[longest].entries.values().next_back()?;
+        Some((entry.deadline, entry.cost))
+    }
+
+    /// Removes and returns the last request of the organisation that has most of them
+    /// waiting. Does nothing under `Sharing::Fifo`.
+    pub fn evict(&mut self) -> Option<Dropped<W>> {
+        let longest = self.lengths.longest()?;
+        let is_evicted = self.evict_last(longest);
+        is_evicted.then(|| self.dropped.pop()).flatten()
+    }
+
     /// Returns the number of lanes visited so far, as a measure of the cost of decisions.
     pub fn steps(&self) -> u64 {
         self.steps
@@ -243,6 +278,7 @@
             Sharing::RoundRobin | Sharing::Deficit => entry.owner,
         };
         self.lengths.grow(entry.owner);
+        self.work += entry.cost;
         self.expiries.insert((entry.expiry, key.2), (lane, key));
         self.lanes[lane].entries.insert(key, entry);
         if !self.lanes[lane].is_scheduled {
@@ -304,6 +340,7 @@
         let entry = self.lanes[lane].entries.remove(&key)?;
         self.expiries.remove(&(entry.expiry, key.2));
         self.lengths.shrink(entry.owner);
+        self.work = self.work.saturating_sub(entry.cost);
         Some(entry)
     }
 
--- a/crates/burdockslip_session/src/begin.rs
+++ b/crates/burdockslip_session/src/begin.rs
@@ -134,7 +134,9 @@
         SendError::NotSent(kind) => kind,
         SendError::Broken | SendError::TimedOut => ErrorKind::ConnectionLost,
     };
-    let mut connection = outcome::acquire(&target.pool, job).await.map_err(kind)?;
+    let mut connection = outcome::acquire(cx, &target.pool, job)
+        .await
+        .map_err(kind)?;
     if target.floor.is_none() && !outcome::is_confirmed_primary(cx, job, &connection) {
         return Err(ErrorKind::NoPrimary);
     }
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Configuration, Directory, OrganisationConfig, Route};
+use burdockslip_dispatch::HostPressure;
 use burdockslip_failover::Permission;
 use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
 use burdockslip_shares::{Admission, LocalLimiter, Refusal};
@@ -45,6 +46,8 @@
     /// The number of operations beyond rate and burst that all hosts together may
     /// admit for an organisation in a window.
     pub rate_slack: u32,
+    /// Whether statements are served by the priority of their routes where room is short.
+    pub is_prioritised: bool,
 }
 
 /// The state that all sessions of a host share.
@@ -67,6 +70,8 @@
     pub positions: Rc<PositionHistory>,
     /// The metrics of the host.
     pub metrics: Metrics,
+    /// The pressure on members and on this host.
+    pub pressure: HostPressure,
     /// The limits of this host.
     pub limits: Limits,
     /// The availability zone of this host.
@@ -108,6 +113,7 @@
             tokens_granted: Rc::default(),
             positions: Rc::default(),
             metrics,
+            pressure: HostPressure::new(limits.is_prioritised),
             limits,
             zone,
             open_sessions: Cell::new(0),
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -12,6 +12,7 @@
 mod pace;
 mod place;
 mod position;
+mod pressure;
 mod progress;
 mod read;
 mod receipt;
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Route;
+use burdockslip_dispatch::Rank;
 use burdockslip_runtime::{Instant, now, timeout_at};
 use burdockslip_statement::{Access, Command, MemberError, MemberReply};
 use burdockslip_types::{ErrorKind, LogPosition, MemberName, Organisation};
@@ -14,6 +15,7 @@
 use tracing::{debug, info, warn};
 
 use crate::context::{Context, wait_limit};
+use crate::pressure;
 
 /// The minimum time for setting up a connection or starting a transaction, even if
 /// the wait limit of the statement expires earlier. These commands take no slot at
@@ -41,6 +43,8 @@
     pub(crate) access: Access,
     pub(crate) route: Rc<Route>,
     pub(crate) organisation: Organisation,
+    /// The order in which the operation gives way to others.
+    pub(crate) rank: Rank,
     pub(crate) state: Rc<SessionState>,
     /// The position of the session's last commit, if the route guarantees that
     /// sessions read their own writes.
@@ -133,17 +137,24 @@
 
 /// Acquires a connection from the pool of a member.
 pub(crate) async fn acquire(
+    cx: &Context,
     pool: &Rc<MemberPool>,
     job: &Job,
 ) -> Result<PooledConnection, SendError> {
     let wait_until = job.wait_until();
     let deadline = job.connect_deadline();
+    let was_paused = pool.is_paused();
     let connection = pool
         .acquire(&job.organisation, &job.state, wait_until, deadline)
         .await;
     connection.map_err(|report| {
         debug!(id = job.id(), member = %pool.member().name, error = ?report, "no connection available");
-        SendError::NotSent(*report.current_context())
+        let kind = *report.current_context();
+        // While opening is paused, or before it begins, the member is not asked.
+        if !was_paused && (pool.is_paused() || kind == ErrorKind::ConnectionLost) {
+            pressure::record_unopened(cx, pool, job, kind);
+        }
+        SendError::NotSent(kind)
     })
 }
 
@@ -276,6 +287,7 @@
 }
 
 fn record_reply(cx: &Context, pool: &MemberPool, job: &Job, sent: Instant, reply: &MemberReply) {
+    pressure::record(cx, pool, job, sent, reply);
     match reply.result {
         Ok(_) => pool.health.record_latency(sent.elapsed()),
         Err(MemberError::Busy) => pool.health.mark_busy(),
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::context::{Context, wait_limit};
 use crate::outcome::Job;
-use crate::{position, receipt};
+use crate::{position, pressure, receipt};
 
 /// The factor on the cost of the primary for reads that a replica can also serve,
 /// because only the primary can serve writes.
@@ -120,10 +120,17 @@
         let jitter = f64::from(u32::try_from(random_range(least..most)).unwrap_or(100));
         cost(cx, target, job) * weight * jitter
     };
-    let scored = replicas
-        .into_iter()
-        .map(|target| (score(&target, 1.0), target))
-        .chain(primary.map(|target| (score(&target, PRIMARY_WEIGHT), target)));
+    let primary = primary.filter(|primary| !pressure::spares_primary(cx, job, primary, &replicas));
+    let primary_name = primary
+        .as_ref()
+        .map(|target| target.pool.member().name.clone());
+    let mut targets: Vec<_> = replicas.into_iter().chain(primary).collect();
+    pressure::retain_calm(cx, job, &mut targets, !tried.is_empty());
+    let scored = targets.into_iter().map(|target| {
+        let is_primary = Some(&target.pool.member().name) == primary_name.as_ref();
+        let weight = if is_primary { PRIMARY_WEIGHT } else { 1.0 };
+        (score(&target, weight), target)
+    });
     let best = scored.min_by(|(left, _), (right, _)| left.total_cmp(right));
     best.map(|(_, target)| target)
 }
--- a/crates/burdockslip_session/src/position.rs
+++ b/crates/burdockslip_session/src/position.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Route;
+use burdockslip_dispatch::Rank;
 use burdockslip_runtime::{now, spawn, timeout};
 use burdockslip_statement::{Access, Command};
 use burdockslip_types::Organisation;
@@ -59,6 +60,7 @@
         access: Access::Read,
         route: Rc::clone(route),
         organisation: organisation.clone(),
+        rank: Rank::of_priority(0),
         state: Rc::default(),
         last_commit: None,
         started: now(),
@@ -76,7 +78,7 @@
 }
 
 async fn query_position(cx: &Context, target: &Target, job: &Job) -> Result<(), SendError> {
-    let mut connection = outcome::acquire(&target.pool, job).await?;
+    let mut connection = outcome::acquire(cx, &target.pool, job).await?;
     let begin = Command::Begin {
         access: Access::Read,
         floor: None,
--- a/crates/burdockslip_session/src/read.rs
+++ b/crates/burdockslip_session/src/read.rs
@@ -13,6 +13,7 @@
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, ServedReply, error_kind};
 use crate::place::{self, Target};
+use crate::pressure;
 
 /// The pause before members that were already tried are considered again.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
@@ -47,7 +48,8 @@
             tried.push(target.pool.member().name.clone());
             running.push(spawn(attempt(Rc::clone(cx), Rc::clone(job), target)));
         } else if running.is_empty() {
-            if job.wait_until().is_past() || attempts >= MAX_ATTEMPTS {
+            let is_final = pressure::forbids_repeat(cx, &tried, last);
+            if is_final || job.wait_until().is_past() || attempts >= MAX_ATTEMPTS {
                 return Err(last.unwrap_or_else(|| place::refusal_kind(cx, job)));
             }
             sleep(RETRY_PAUSE).await;
@@ -107,7 +109,7 @@
 }
 
 async fn try_target(cx: &Context, job: &Job, target: &Target) -> Result<MemberReply, SendError> {
-    let mut connection = outcome::acquire(&target.pool, job).await?;
+    let mut connection = outcome::acquire(cx, &target.pool, job).await?;
     let reply = outcome::run(cx, &mut connection, job, target.floor).await?;
     outcome::return_if_idle(connection, &reply);
     Ok(reply)
--- a/crates/burdockslip_session/src/serve.rs
+++ b/crates/burdockslip_session/src/serve.rs
@@ -112,7 +112,8 @@
             // Refuse the session instead of opening and ending it at once: the client
             // sends its first query as soon as the session is open, and it would be lost.
             let opened = opened.and_then(|session| match stop.level() {
-                Level::Open => Ok(session),
+                Level::Open if session.has_room() => Ok(session),
+                Level::Open => Err(ErrorKind::QueueFull),
                 _ => Err(stop.reason()),
             });
             if let Err(kind) = &opened {
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use burdockslip_directory::{Consistency, Route};
+use burdockslip_dispatch::Rank;
 use burdockslip_runtime::{Instant, now};
 use burdockslip_statement::{Access, ClientResponse, Query, Statement, TransactionStatus};
 use burdockslip_telemetry::RequestMetrics;
@@ -15,7 +16,7 @@
 use crate::context::Context;
 use crate::outcome::{Job, ServedReply, Work, error_kind};
 use crate::transaction::OpenTransaction;
-use crate::{place, read, write};
+use crate::{place, pressure, read, write};
 
 /// The organisation of clients without a key, which only open routes accept.
 const PUBLIC: &str = "public";
@@ -35,6 +36,8 @@
     transaction: Option<OpenTransaction>,
     /// Whether the transaction was rolled back and the client has not ended it yet.
     has_failed: bool,
+    /// The order in which the current operation gives way to others.
+    rank: Rank,
     /// When the current statement arrived.
     started: Instant,
     /// The member that replied to the current statement, and the floor that was
@@ -81,12 +84,19 @@
             last_commit: None,
             transaction: None,
             has_failed: false,
+            rank: Rank::of_priority(route.priority),
             started: now(),
             last_reply: None,
             committed: None,
         })
     }
 
+    /// Returns whether the host has the processor time to serve the session.
+    pub(crate) fn has_room(&self) -> bool {
+        let route = authorise(&self.cx, &self.database, &self.key);
+        route.is_ok_and(|(route, _)| pressure::admits_session(&self.cx, &route))
+    }
+
     /// Returns the transaction status that is reported to the client.
     pub(crate) const fn transaction_status(&self) -> TransactionStatus {
         if self.has_failed {
@@ -292,8 +302,10 @@
     }
 
     /// Admits an operation once it can be served.
-    async fn admit(&self, route: &Route, access: Access, id: &Bytes) -> Result<(), ErrorKind> {
+    async fn admit(&mut self, route: &Route, access: Access, id: &Bytes) -> Result<(), ErrorKind> {
+        self.rank = self.cx.pressure.rank(&self.organisation, route.priority);
         place::wait_until_servable(&self.cx, route, access, self.started).await?;
+        pressure::check(&self.cx, route, access, self.rank)?;
         self.cx.admit(&self.organisation, id_text(id)).await
     }
 
@@ -429,6 +441,7 @@
             access,
             route: Rc::clone(route),
             organisation: self.organisation.clone(),
+            rank: self.rank,
             state: Rc::clone(&self.state),
             last_commit: last_commit.map(|(_, position)| *position),
             started: self.started,
--- a/crates/burdockslip_session/src/write.rs
+++ b/crates/burdockslip_session/src/write.rs
@@ -52,7 +52,7 @@
     if target.pool.health.is_suspected() {
         return Err(SendError::NotSent(ErrorKind::NoPrimary));
     }
-    let mut connection = outcome::acquire(&target.pool, job).await?;
+    let mut connection = outcome::acquire(cx, &target.pool, job).await?;
     let preceding = target.pool.health.position();
     let reply = outcome::run(cx, &mut connection, job, None).await?;
     outcome::return_if_idle(connection, &reply);
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -47,6 +47,9 @@
     commits: Counter<u64>,
     receipts: Counter<u64>,
     failover: Histogram<f64>,
+    refusals: Counter<u64>,
+    pressed: Gauge<u64>,
+    lag: Gauge<f64>,
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
     config_revision: Gauge<u64>,
@@ -110,6 +113,20 @@
                 "burdockslip_failover",
                 "Time of each phase of a change of primary.",
             ),
+            refusals: counter(
+                &meter,
+                "burdockslip_pressure_refusals",
+                "Operations refused before they were sent, by the room that was short and by rank.",
+            ),
+            pressed: meter
+                .u64_gauge("burdockslip_pressure_members")
+                .with_description("Members from which statements are held back.")
+                .build(),
+            lag: meter
+                .f64_gauge("burdockslip_pressure_lag")
+                .with_unit("s")
+                .with_description("Average time that ready tasks wait for processor time.")
+                .build(),
             connections: meter
                 .u64_gauge("burdockslip_connections")
                 .with_description("Open client connections.")
@@ -185,6 +202,21 @@
             .record(duration.as_secs_f64(), &[group, phase]);
     }
 
+    /// Counts an operation that was refused before it was sent, by the room that was short,
+    /// such as `member`, and by the rank of the operation.
+    pub fn count_refusal(&self, room: &'static str, rank: &str) {
+        let rank = KeyValue::new("rank", rank.to_owned());
+        self.refusals.add(1, &[KeyValue::new("room", room), rank]);
+    }
+
+    /// Sets the number of members from which statements are held back, and the average time
+    /// that ready tasks wait for processor time.
+    pub fn set_pressure(&self, members: usize, lag: Duration) {
+        let members = u64::try_from(members).unwrap_or(u64::MAX);
+        self.pressed.record(members, &[]);
+        self.lag.record(lag.as_secs_f64(), &[]);
+    }
+
     /// Sets the number of open client connections.
     pub fn set_connections(&self, count: u64) {
         self.connections.record(count, &[]);
