dispatch: wait for a member's connections in turn, find the room after an outage

Cause: statements that wait for a connection of a host's pool were woken in any order. And a first trial of the regulator never came back from a member that had refused everything: with no answer there is no room to grow from (demand 0.6 of the room, still held back 9 s later), nor from a demand that ended, when fewer statements come than a decision wanted.

What would start too late is refused at once. A window of statements in flight follows the member's answers. The regulator lengthens its period where few statements come, and doubles the room while nothing is known of it.

--- a/crates/burdockslip_dispatch/src/regulator.rs
+++ b/crates/burdockslip_dispatch/src/regulator.rs
@@ -47,8 +47,27 @@
 /// The growth of the expected work in a period, which forgets an exceptionally quick answer.
 const WORK_GROWTH: f64 = 1.05;
 
-/// After how many periods without any statement the resource is forgotten.
-const MAX_IDLE_PERIODS: u32 = 7;
+/// How long a period is prolonged to see that many.
+const MAX_PERIOD: Duration = Duration::from_millis(1_800);
+
+/// The least room, as a part of the most work that was answered. A resource that refuses
+/// everything for a moment is used again soon.
+const LEAST_ROOM: f64 = 0.2;
+
+/// The least room of a resource that has not answered yet, as a part of the offered work.
+const LEAST_OFFERED: f64 = 0.05;
+
+/// The part of the most answered work below which the room grows fast.
+const FAR: f64 = 0.7;
+
+/// The part of the sent work below which what was answered says nothing about the room.
+const BLIND: f64 = 0.05;
+
+/// The growth of the room in a period while nothing is known about it.
+const BLIND_GROWTH: f64 = 1.0;
+
+/// What is left of the most answered work after a period.
+const BEST_DECAY: f64 = 0.97;
 
 /// The statements of a rank in the current period, and what it offers.
 #[derive(Debug)]
@@ -85,7 +104,13 @@
     /// Whether the last decision lowered the room. Hosts learn of it during the next
     /// period, whose answers say nothing about it.
     is_settling: bool,
-    idle_periods: u32,
+    /// The most work answered in a period, which is slowly forgotten.
+    best: f64,
+    /// Whether the resource refused everything when the room was last lowered, which does
+    /// not tell how much it serves.
+    is_blind: bool,
+    /// Whether no statement was offered in the last period.
+    is_idle: bool,
 }
 
 impl Default for Regulator {
@@ -98,7 +123,9 @@
             growth: GROWTH,
             answered: 0.0,
             is_settling: false,
-            idle_periods: 0,
+            best: 0.0,
+            is_blind: false,
+            is_idle: false,
         }
     }
 }
@@ -117,9 +144,10 @@
 
     /// Returns the statements that are held back, after a decision if it is time for one.
     pub fn decide(&mut self) -> Option<Holdback> {
-        if self.decided.elapsed() >= PERIOD {
+        let span = self.decided.elapsed();
+        if span >= PERIOD && (self.sample() >= MIN_SAMPLE || span >= MAX_PERIOD) {
             self.decided = now();
-            self.holdback = self.next_holdback();
+            self.holdback = self.next_holdback(span.div_duration_f64(PERIOD));
         }
         self.holdback
     }
@@ -129,9 +157,9 @@
         self.holdback
     }
 
-    /// Returns whether nothing is held back and no statement was counted for some periods.
+    /// Returns whether no statement was offered for a while.
     pub const fn is_idle(&self) -> bool {
-        self.holdback.is_none() && self.idle_periods >= MAX_IDLE_PERIODS
+        self.is_idle
     }
 
     /// Forgets the counts of the current period.
@@ -140,67 +168,96 @@
         self.decided = now();
     }
 
-    fn next_holdback(&mut self) -> Option<Holdback> {
+    /// Returns the number of statements sent in the current period.
+    fn sample(&self) -> u32 {
+        let sent = self.ranks.values().map(|counts| counts.current.sent());
+        sent.fold(0, u32::saturating_add)
+    }
+
+    /// Decides after a period that was longer by a factor of `periods`.
+    fn next_holdback(&mut self, periods: f64) -> Option<Holdback> {
+        let sample = self.sample();
         let mut work = Work::default();
-        let mut sample = 0_u32;
+        self.is_idle = true;
         for counts in self.ranks.values_mut() {
             let rank = counts.current.rank;
             let current = std::mem::replace(&mut counts.current, Observation::new(rank));
-            sample = sample.saturating_add(current.sent());
-            work.sent += counts.work * f64::from(current.sent());
-            work.refused += counts.work * f64::from(current.refused);
-            work.late += counts.work * f64::from(current.late);
-            let offered = f64::from(current.sent().saturating_add(current.held));
+            let work_of = |number: u32| counts.work * f64::from(number) / periods;
+            work.sent += work_of(current.sent());
+            work.refused += work_of(current.refused);
+            work.late += work_of(current.late);
+            let offered = f64::from(current.sent().saturating_add(current.held)) / periods;
+            self.is_idle &= offered == 0.0;
             counts.offered += NEWEST_WEIGHT * (offered - counts.offered);
             counts.work *= WORK_GROWTH;
             if let Some(quickest) = current.quickest {
                 counts.work = counts.work.min(quickest.as_secs_f64());
             }
         }
-        self.idle_periods = if sample > 0 { 0 } else { self.idle_periods + 1 };
-        if self.idle_periods >= MAX_IDLE_PERIODS {
+        if self.is_idle {
             self.ranks.clear();
             return None;
         }
-        if sample < MIN_SAMPLE {
-            return self.holdback;
-        }
-        if !self.adjust_room(&work) {
-            return None;
-        }
         let offered: Vec<_> = self
             .ranks
             .iter()
             .map(|(rank, counts)| (*rank, counts.offered * counts.work))
             .collect();
+        // Too few statements show no pressure, and more of them have to be sent to see it.
+        let is_limited = if sample < MIN_SAMPLE {
+            self.widen(periods)
+        } else {
+            self.adjust_room(&work, periods)
+        };
+        if !is_limited {
+            return None;
+        }
+        let total: f64 = offered.iter().map(|(_, work)| work).sum();
+        let least = (self.best * LEAST_ROOM).max(total * LEAST_OFFERED);
+        self.room = self.room.max(least);
         Holdback::divide(self.room, &offered)
     }
 
     /// Adjusts the room to what was answered of the work sent. Returns whether the
     /// room is limited.
-    fn adjust_room(&mut self, work: &Work) -> bool {
+    fn adjust_room(&mut self, work: &Work, periods: f64) -> bool {
         let was_settling = std::mem::take(&mut self.is_settling);
         let late_part = LATE_WEIGHT * work.late / work.sent;
         let pressure = work.refused / work.sent + late_part;
+        let answered = work.sent - work.refused;
+        self.best = answered.max(self.best * BEST_DECAY);
         if pressure > OVERLOADED {
             if !was_settling {
-                self.answered = work.sent - work.refused;
-                self.room = self.answered * (1.0 - late_part.min(MAX_LATE_CUT));
+                self.answered = answered;
+                self.is_blind = answered < work.sent * BLIND;
+                self.room = answered * (1.0 - late_part.min(MAX_LATE_CUT));
                 self.is_settling = true;
             }
             self.growth = GROWTH;
-        } else if self.holdback.is_none() {
-            return false;
         } else if pressure <= STEADY {
-            self.room *= 1.0 + self.growth;
-            // Only what is beyond the usual waits: more room is not tried at the cost of others.
-            if self
-                .holdback
-                .is_some_and(|holdback| holdback.rank.is_excess())
-            {
-                self.room = self.room.min(self.answered * EXCESS_PART);
-            }
-            self.growth = (self.growth * 1.5).min(MAX_GROWTH);
+            return self.widen(periods);
+        }
+        self.holdback.is_some() || self.is_settling
+    }
+
+    /// Widens the room after a period without pressure. Returns whether it is limited.
+    fn widen(&mut self, periods: f64) -> bool {
+        let Some(holdback) = self.holdback else {
+            return false;
+        };
+        let growth = if self.is_blind {
+            BLIND_GROWTH
+        } else if self.room < self.best * FAR {
+            MAX_GROWTH
+        } else {
+            self.growth
+        };
+        self.room *= (1.0 + growth).powf(periods);
+        self.growth = (self.growth * 1.5).min(MAX_GROWTH);
+        // Where only what is beyond the usual waits, more room is not tried at the cost of
+        // others.
+        if holdback.rank.is_excess() {
+            self.room = self.room.min(self.answered * EXCESS_PART);
         }
         true
     }
--- a/crates/burdockslip_dispatch/src/turns.rs
+++ b/crates/burdockslip_dispatch/src/turns.rs
@@ -123,7 +123,8 @@
             .collect()
     }
 
-    /// Corrects the charge of a finished statement to the measured time.
+    /// Corrects the charge of a finished statement to the measured time. The estimate is
+    /// zero for a statement that did not have to wait.
     pub fn finish(
         &mut self,
         rank: Rank,
@@ -131,9 +132,8 @@
         estimate: Duration,
         measured: Duration,
     ) {
-        if let Some(level) = self.levels.get_mut(&rank) {
-            level.finish(organisation, estimate, measured);
-        }
+        let level = self.levels.entry(rank).or_insert_with(new_level);
+        level.finish(organisation, estimate, measured);
     }
 
     /// Returns the expected time until a statement of `rank` that arrives now starts.
--- a/crates/burdockslip_dispatch/tests/pressure.rs
+++ b/crates/burdockslip_dispatch/tests/pressure.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_dispatch::{Answer, HostPressure, PressureReply, Rank, Regulators, Usual};
+use burdockslip_dispatch::{
+    Answer, HostPressure, Observation, PressureReply, Rank, Regulator, Regulators, Usual,
+};
 use burdockslip_runtime::{Instant, now, paused, random_range, sleep, spawn};
 use burdockslip_types::{MemberName, Organisation};
 
@@ -31,6 +33,7 @@
     slots: RefCell<Vec<Instant>>,
     /// The factor on the work of all statements.
     slowness: Cell<u32>,
+    is_refusing: Cell<bool>,
 }
 
 impl FakeMember {
@@ -38,7 +41,7 @@
     fn start(&self, work: Duration) -> Option<Instant> {
         let mut slots = self.slots.borrow_mut();
         slots.retain(|end| !end.is_past());
-        if slots.len() >= SLOTS + QUEUE {
+        if self.is_refusing.get() || slots.len() >= SLOTS + QUEUE {
             return None;
         }
         slots.sort();
@@ -317,3 +320,44 @@
         assert!(fleet.hosts.iter().all(|host| !host.is_pressed(&name())));
     });
 }
+
+/// Answers load: a member refuses everything for two seconds at the usual demand. It is
+/// used as before a few seconds later.
+#[test]
+fn member_that_refused_everything_is_used_again() {
+    paused::run(6, async {
+        let fleet = Fleet::new(true, Duration::from_secs(13));
+        fleet.start_reports();
+        let offering = Rc::clone(&fleet);
+        spawn(async move { offering.offer(0.6, "till", Duration::ZERO).await }).detach();
+        sleep(Duration::from_secs(6)).await;
+        fleet.member.is_refusing.set(true);
+        sleep(Duration::from_secs(2)).await;
+        assert!(fleet.hosts.iter().all(|host| host.is_pressed(&name())));
+        fleet.member.is_refusing.set(false);
+        sleep(DURATION).await;
+        assert!((0..3).all(|priority| fleet.served(priority) > 0.99));
+    });
+}
+
+/// Answers load: a demand that ends. Nothing is held back any more, although too few
+/// statements come to show how much room there is.
+#[test]
+fn few_statements_end_the_holdback() {
+    paused::run(1, async {
+        let mut regulator = Regulator::default();
+        let rank = Rank::of_priority(1);
+        for _ in 0..50 {
+            regulator.record(Observation::of(rank, Answer::Refused));
+        }
+        sleep(Duration::from_secs(1)).await;
+        assert!(regulator.decide().is_some());
+        for _ in 0..20 {
+            let answer = Answer::InTime(Duration::from_millis(14));
+            regulator.record(Observation::of(rank, answer));
+            sleep(Duration::from_millis(500)).await;
+            regulator.decide();
+        }
+        assert_eq!(regulator.decide(), None);
+    });
+}
--- a/crates/burdockslip_entry/src/pressure.rs
+++ b/crates/burdockslip_entry/src/pressure.rs
@@ -117,7 +117,8 @@
                 "pressure on this host changed"
             );
         }
-        cx.metrics.set_pressure(members.len(), pressure.lag());
+        cx.metrics
+            .set_pressure(members.len(), cx.pools.waiting(), pressure.lag());
         (self.members, self.host) = (members, host);
     }
 }
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -144,9 +144,16 @@
     let wait_until = job.wait_until();
     let deadline = job.connect_deadline();
     let was_paused = pool.is_paused();
-    let connection = pool
-        .acquire(&job.organisation, &job.state, wait_until, deadline)
-        .await;
+    let connection = if cx.pressure.is_on() {
+        let claim = pressure::claim(pool, job);
+        pool.acquire_in_turn(&claim, &job.state, deadline).await
+    } else {
+        pool.acquire(&job.organisation, &job.state, wait_until, deadline)
+            .await
+    };
+    if let Ok(Some(waited)) = connection.as_ref().map(PooledConnection::waited) {
+        cx.metrics.record_turn(&job.rank.label(), waited);
+    }
     connection.map_err(|report| {
         debug!(id = job.id(), member = %pool.member().name, error = ?report, "no connection available");
         let kind = *report.current_context();
--- a/crates/burdockslip_session/src/pressure.rs
+++ b/crates/burdockslip_session/src/pressure.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Consistency, Route};
-use burdockslip_dispatch::{Answer, Rank};
+use burdockslip_dispatch::{Answer, Claim, Rank};
 use burdockslip_runtime::{Instant, random_range};
 use burdockslip_statement::{Access, MemberError, MemberReply};
 use burdockslip_types::{ErrorKind, MemberName};
@@ -138,6 +138,16 @@
     cx.pressure.record(&pool.member().name, job.rank, answer);
 }
 
+/// Returns what a statement needs of the connections to a member.
+pub(crate) fn claim(pool: &MemberPool, job: &Job) -> Claim {
+    Claim {
+        rank: job.rank,
+        organisation: job.organisation.clone(),
+        latest: job.wait_until(),
+        cost: Duration::from_secs_f64(pool.health.latency_ms().max(0.0) / 1_000.0),
+    }
+}
+
 /// Counts what became of a statement that was sent to a member.
 pub(crate) fn record(
     cx: &Context,
@@ -146,12 +156,23 @@
     sent: Instant,
     reply: &MemberReply,
 ) {
+    if !cx.pressure.is_on() {
+        return;
+    }
     let after = sent.elapsed();
     let answer = match reply.result {
-        Ok(_) if after > job.route.latency_objective.mul_f64(LATE_FRACTION) => Answer::Late,
-        Ok(_) => Answer::InTime(after),
-        Err(MemberError::Busy) => Answer::Refused,
-        Err(_) => return,
+        Ok(_) if after > job.route.latency_objective.mul_f64(LATE_FRACTION) => Some(Answer::Late),
+        Ok(_) => Some(Answer::InTime(after)),
+        Err(MemberError::Busy) => Some(Answer::Refused),
+        Err(_) => None,
     };
-    cx.pressure.record(&pool.member().name, job.rank, answer);
+    match answer {
+        Some(Answer::Refused) => pool.window.narrow(),
+        Some(Answer::InTime(_)) => pool.window.widen(),
+        _ => {}
+    }
+    if let Some(answer) = answer {
+        cx.pressure.record(&pool.member().name, job.rank, answer);
+    }
+    pool.wake_next();
 }
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -48,6 +48,8 @@
     receipts: Counter<u64>,
     failover: Histogram<f64>,
     refusals: Counter<u64>,
+    turn: Histogram<f64>,
+    waiting: Gauge<u64>,
     pressed: Gauge<u64>,
     lag: Gauge<f64>,
     connections: Gauge<u64>,
@@ -118,6 +120,15 @@
                 "burdockslip_pressure_refusals",
                 "Operations refused before they were sent, by the room that was short and by rank.",
             ),
+            turn: histogram(
+                &meter,
+                "burdockslip_turn",
+                "Time that statements wait for their turn at a member, by rank.",
+            ),
+            waiting: meter
+                .u64_gauge("burdockslip_turn_queue")
+                .with_description("Statements that wait for their turn at a member.")
+                .build(),
             pressed: meter
                 .u64_gauge("burdockslip_pressure_members")
                 .with_description("Members from which statements are held back.")
@@ -209,11 +220,19 @@
         self.refusals.add(1, &[KeyValue::new("room", room), rank]);
     }
 
-    /// Sets the number of members from which statements are held back, and the average time
-    /// that ready tasks wait for processor time.
-    pub fn set_pressure(&self, members: usize, lag: Duration) {
-        let members = u64::try_from(members).unwrap_or(u64::MAX);
-        self.pressed.record(members, &[]);
+    /// Records how long a statement of a rank waited for its turn at a member.
+    pub fn record_turn(&self, rank: &str, wait: Duration) {
+        let rank = KeyValue::new("rank", rank.to_owned());
+        self.turn.record(wait.as_secs_f64(), &[rank]);
+    }
+
+    /// Sets the number of members from which statements are held back, the number of
+    /// statements that wait for their turn at a member, and the average time that ready
+    /// tasks wait for processor time.
+    pub fn set_pressure(&self, members: usize, waiting: usize, lag: Duration) {
+        let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+        self.pressed.record(count(members), &[]);
+        self.waiting.record(count(waiting), &[]);
         self.lag.record(lag.as_secs_f64(), &[]);
     }
 
--- a/crates/burdockslip_upstream/src/lib.rs
+++ b/crates/burdockslip_upstream/src/lib.rs
@@ -11,6 +11,7 @@
 mod pacer;
 mod pools;
 mod settings;
+mod turns;
 
 pub use connection::{Connection, PreparedStatement, SessionState};
 pub use framed::{Framed, ReceiveBudget};
--- a/crates/burdockslip_upstream/src/member_pool.rs
+++ b/crates/burdockslip_upstream/src/member_pool.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use burdockslip_directory::Member;
-use burdockslip_runtime::{Instant, Signal, timeout};
+use burdockslip_dispatch::{Claim, Window};
+use burdockslip_runtime::{Instant, Signal, now, timeout};
 use burdockslip_statement::Codec;
 use burdockslip_types::{ErrorKind, Organisation, Result};
 use error_stack::{Report, bail};
 
+use crate::turns::{Charge, Turns};
 use crate::{ConnectPacer, Connection, Health, SessionState};
 
 /// The timeout for opening a connection. A member takes about 12 ms, and longer
@@ -45,6 +47,9 @@
     sweeps: Cell<u32>,
     returned: Signal,
     pacer: ConnectPacer,
+    turns: Turns,
+    /// How many statements of this host the member can run at a time.
+    pub window: Window,
     /// The health of the member as seen by this host.
     pub health: Health,
 }
@@ -53,6 +58,8 @@
     /// Creates an empty pool with a share of one connection.
     pub fn new(codec: Codec, member: Rc<Member>) -> Self {
         Self {
+            window: Window::new(member.slots),
+            turns: Turns::default(),
             codec,
             member,
             idle: RefCell::default(),
@@ -155,6 +162,64 @@
         }
     }
 
+    /// Acquires a connection in the order of rank, organisation and remaining time; see
+    /// `docs/design/order-under-pressure.md`.
+    ///
+    /// # Errors
+    ///
+    /// See [`MemberPool::acquire`]. `QueueFull` is returned at once if the statement would
+    /// not get its turn by `claim.latest`.
+    pub async fn acquire_in_turn(
+        self: &Rc<Self>,
+        claim: &Claim,
+        state: &SessionState,
+        deadline: Instant,
+    ) -> Result<PooledConnection> {
+        let mut charge = Turns::start(claim);
+        // Statements that came before have the first turn.
+        let mut is_next = self.turns.len() == 0;
+        while !(is_next && self.has_room()) {
+            if self.pacer.is_paused() && self.open_count.get() == 0 {
+                bail!(ErrorKind::QueueFull);
+            }
+            let limit = u32::try_from(self.open_limit()).unwrap_or(u32::MAX);
+            let room = f64::from(limit).min(self.window.width());
+            charge = self.turns.wait(claim, room).await?;
+            is_next = true;
+        }
+        let organisation = &claim.organisation;
+        let acquired = self.acquire(organisation, state, now(), deadline).await;
+        match acquired {
+            Ok(mut connection) => {
+                connection.guard.charge = Some(charge);
+                Ok(connection)
+            }
+            Err(report) => {
+                self.wake_next();
+                Err(report)
+            }
+        }
+    }
+
+    /// Returns the number of statements that wait for their turn.
+    pub fn waiting(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Wakes the statement whose turn it is if there is room for it.
+    pub fn wake_next(&self) {
+        if self.turns.len() > 0 && self.has_room() {
+            self.turns.wake_next();
+        }
+    }
+
+    /// Returns whether one more statement may use a connection.
+    fn has_room(&self) -> bool {
+        let is_available =
+            !self.idle.borrow().is_empty() || self.open_count.get() < self.open_limit();
+        is_available && self.window.has_room(self.health.in_flight())
+    }
+
     /// Takes an idle connection of any organisation that has been open since `moment`
     /// or longer.
     pub fn take_open_since(self: &Rc<Self>, moment: Instant) -> Option<PooledConnection> {
@@ -206,7 +271,10 @@
     fn reuse(self: &Rc<Self>, connection: Connection) -> PooledConnection {
         PooledConnection {
             connection: Some(connection),
-            guard: OpenGuard(Rc::clone(self)),
+            guard: OpenGuard {
+                pool: Rc::clone(self),
+                charge: None,
+            },
         }
     }
 
@@ -274,6 +342,7 @@
     fn record_closed(&self) {
         self.open_count.set(self.open_count.get().saturating_sub(1));
         self.returned.notify();
+        self.wake_next();
     }
 }
 
@@ -287,18 +356,28 @@
 
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
-struct OpenGuard(Rc<MemberPool>);
+struct OpenGuard {
+    pool: Rc<MemberPool>,
+    /// What its use is charged to, if statements take turns.
+    charge: Option<Charge>,
+}
 
 impl OpenGuard {
     fn new(pool: &Rc<MemberPool>) -> Self {
         pool.open_count.set(pool.open_count.get() + 1);
-        Self(Rc::clone(pool))
+        Self {
+            pool: Rc::clone(pool),
+            charge: None,
+        }
     }
 }
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0.record_closed();
+        if let Some(charge) = self.charge.take() {
+            self.pool.turns.finish(&charge);
+        }
+        self.pool.record_closed();
     }
 }
 
@@ -313,7 +392,13 @@
 impl PooledConnection {
     /// Returns the pool from which the connection was acquired.
     pub fn pool(&self) -> &Rc<MemberPool> {
-        &self.guard.0
+        &self.guard.pool
+    }
+
+    /// Returns how long the statement waited for its turn, or `None` if statements do not
+    /// take turns.
+    pub fn waited(&self) -> Option<Duration> {
+        self.guard.charge.as_ref().map(|charge| charge.waited)
     }
 
     /// Returns the connection to the pool for reuse, or closes it if it takes much memory.
@@ -322,7 +407,7 @@
         if self.is_bulky() {
             return;
         }
-        let pool = Rc::clone(&self.guard.0);
+        let pool = Rc::clone(&self.guard.pool);
         if let Some(connection) = self.connection.take() {
             pool.open_count.set(pool.open_count.get() + 1);
             pool.idle.borrow_mut().push(connection);
--- a/crates/burdockslip_upstream/src/pools.rs
+++ b/crates/burdockslip_upstream/src/pools.rs
@@ -108,6 +108,12 @@
             .collect()
     }
 
+    /// Returns the number of statements that wait for their turn at a member.
+    pub fn waiting(&self) -> usize {
+        let pools = self.shared.pools.borrow();
+        pools.values().map(|pool| pool.waiting()).sum()
+    }
+
     /// Probes members that other hosts cannot reach.
     ///
     /// A host with no statements in flight to a member would not notice its
