--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -204,7 +204,7 @@
             suspected: self.supervisor.suspected(),
             permission: self.permission.lease_proof_age(),
             group_proofs: self.permission.group_proof_ages(),
-            pressure: self.pressure.answer(role.token, pressure),
+            pressure: wants_positions.then(|| self.pressure.answer(role.token, pressure)),
             positions: if wants_positions {
                 self.recent_positions()
             } else {
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -41,8 +41,9 @@
     pub group_proofs: Vec<(GroupName, Revision, Duration)>,
     /// The log positions of primaries, and how long ago they were queried.
     pub positions: Vec<(GroupName, LogPosition, Duration)>,
-    /// The members under pressure, and the organisations beyond their usual.
-    pub pressure: PressureReply,
+    /// The members under pressure, and the organisations beyond their usual; `None` for
+    /// reports between the regular ones.
+    pub pressure: Option<PressureReply>,
 }
 
 /// The exchange for reports to the coordinator.
--- a/crates/burdockslip_entry/src/pressure.rs
+++ b/crates/burdockslip_entry/src/pressure.rs
@@ -56,9 +56,11 @@
     }
 }
 
-/// Applies a reply of the coordinator.
-pub(crate) fn apply(cx: &Context, reply: PressureReply) {
-    if cx.pressure.is_on() {
+/// Applies a reply of the coordinator to a regular report.
+pub(crate) fn apply(cx: &Context, reply: Option<PressureReply>) {
+    if let Some(reply) = reply
+        && cx.pressure.is_on()
+    {
         cx.pressure.apply(reply);
     }
 }
