--- a/crates/burdockslip_dispatch/src/local.rs
+++ b/crates/burdockslip_dispatch/src/local.rs
@@ -88,6 +88,24 @@
         self.holdbacks.borrow().contains_key(member)
     }
 
+    /// Decides whether a read leaves the primary to statements that only it can serve: the
+    /// primary is under pressure, and one of `replicas` answers soon enough.
+    ///
+    /// `replicas` are the members that hold recent enough data, each with its usual latency,
+    /// and `limit` is the longest latency that the read allows.
+    pub fn spares_primary(
+        &self,
+        primary: &MemberName,
+        replicas: impl IntoIterator<Item = (MemberName, Duration)>,
+        rank: Rank,
+        limit: Duration,
+    ) -> bool {
+        let can_serve = |(replica, latency): (MemberName, Duration)| {
+            latency < limit && self.held(&replica, rank) < ALL / 2
+        };
+        self.is_pressed(primary) && replicas.into_iter().any(can_serve)
+    }
+
     /// Decides whether an operation may go to one of `members`, and counts it as held back
     /// otherwise. Without members the decision is left to others.
     pub fn admits(&self, members: &[MemberName], rank: Rank) -> bool {
--- a/crates/burdockslip_dispatch/src/regulators.rs
+++ b/crates/burdockslip_dispatch/src/regulators.rs
@@ -8,8 +8,9 @@
 
 use crate::{Holdback, Observation, Regulator};
 
-/// How long after the last sign of pressure all answers are asked for.
-const WATCH_SPAN: Duration = Duration::from_secs(10);
+/// How long after the last sign of pressure all answers are asked for, so that the next
+/// peak of the same day is met without the delay.
+const WATCH_SPAN: Duration = Duration::from_secs(30);
 
 /// The time in which all hosts learn that all answers are asked for. What they report
 /// before is one-sided: only hosts that saw pressure report.
--- a/crates/burdockslip_dispatch/tests/turns.rs
+++ b/crates/burdockslip_dispatch/tests/turns.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use burdockslip_dispatch::{Claim, HostPressure, Rank, TurnQueue, Window};
+use burdockslip_dispatch::{Claim, Holdback, HostPressure, PressureReply, Rank, TurnQueue, Window};
 use burdockslip_queue::Workload;
 use burdockslip_runtime::{now, paused, sleep};
-use burdockslip_types::{ErrorKind, Organisation};
+use burdockslip_types::{ErrorKind, MemberName, Organisation};
 
 /// Each item is a number that names the statement.
 #[derive(Debug)]
@@ -157,3 +157,32 @@
         assert_eq!(pressure.take_report().arrivals.len(), 0);
     });
 }
+
+/// Answers load: reads that a replica can serve stand in the way of what only the primary
+/// can. They leave it alone while it is under pressure and a replica answers soon enough.
+#[test]
+fn pressed_primary_is_left_to_its_own_work() {
+    paused::run(1, async {
+        let (primary, replica) = (MemberName::from("a"), MemberName::from("b"));
+        let rank = Rank::of_priority(1);
+        let limit = Duration::from_millis(125);
+        let pressure = HostPressure::new(true);
+        let spares = |latency| {
+            let replicas = [(replica.clone(), Duration::from_millis(latency))];
+            pressure.spares_primary(&primary, replicas, rank, limit)
+        };
+        assert!(!spares(20), "the primary is not under pressure");
+        let holdback = Holdback {
+            rank,
+            thousandths: 300,
+            passing: 10,
+        };
+        pressure.apply(PressureReply {
+            members: vec![(primary.clone(), holdback)],
+            ..PressureReply::default()
+        });
+        assert!(spares(20));
+        assert!(!spares(200), "the replica is too slow");
+        assert!(!pressure.spares_primary(&primary, [], rank, limit));
+    });
+}
--- a/crates/burdockslip_session/src/pressure.rs
+++ b/crates/burdockslip_session/src/pressure.rs
@@ -103,21 +103,23 @@
     }
 }
 
-/// Returns whether a read should leave the primary to statements that only it can serve:
-/// the primary is under pressure and a replica answers within the read's objective.
+/// Returns whether a read should leave the primary to statements that only it can serve.
 pub(crate) fn spares_primary(
     cx: &Context,
     job: &Job,
     primary: &Target,
     replicas: &[Target],
 ) -> bool {
-    let is_pressed = |target: &Target| cx.pressure.is_pressed(&target.pool.member().name);
-    let objective = job.route.latency_objective.as_secs_f64() * 1_000.0;
-    let can_serve = |target: &Target| {
-        cx.pressure.held(&target.pool.member().name, job.rank) == 0
-            && target.pool.health.latency_ms() < objective * LATE_FRACTION
-    };
-    cx.pressure.is_on() && is_pressed(primary) && replicas.iter().any(can_serve)
+    let limit = job.route.latency_objective.mul_f64(LATE_FRACTION);
+    let replicas = replicas.iter().map(|target| {
+        let pool = &target.pool;
+        (pool.member().name.clone(), latency(pool))
+    });
+    let primary = &primary.pool.member().name;
+    cx.pressure.is_on()
+        && cx
+            .pressure
+            .spares_primary(primary, replicas, job.rank, limit)
 }
 
 /// Returns whether a read that failed with `last` at the members in `tried` should not be
@@ -144,10 +146,15 @@
         rank: job.rank,
         organisation: job.organisation.clone(),
         latest: job.wait_until(),
-        cost: Duration::from_secs_f64(pool.health.latency_ms().max(0.0) / 1_000.0),
+        cost: latency(pool),
     }
 }
 
+/// Returns the average latency of a member.
+fn latency(pool: &MemberPool) -> Duration {
+    Duration::from_secs_f64(pool.health.latency_ms().max(0.0) / 1_000.0)
+}
+
 /// Counts what became of a statement that was sent to a member.
 pub(crate) fn record(
     cx: &Context,
