--- a/crates/burdockslip_dispatch/tests/pressure.rs
+++ b/crates/burdockslip_dispatch/tests/pressure.rs
@@ -234,10 +234,6 @@
     for load in [2.0, 4.0, 8.0] {
         let fleet = run(true, load);
         let (goodput, first, last) = (fleet.goodput(), fleet.served(0), fleet.served(2));
-        println!(
-            "load {load}: goodput {goodput:.3}, served {first:.3} {:.3} {last:.3}",
-            fleet.served(1)
-        );
         assert!(goodput > 0.9, "goodput {goodput} at {load}");
         assert!(
             first > 0.95,
@@ -254,13 +250,6 @@
 #[test]
 fn all_kinds_fall_alike_without_priorities() {
     let fleet = run(false, 4.0);
-    println!(
-        "off: goodput {:.3}, served {:.3} {:.3} {:.3}",
-        fleet.goodput(),
-        fleet.served(0),
-        fleet.served(1),
-        fleet.served(2)
-    );
     assert!(fleet.hosts.iter().all(|host| host.holdbacks().is_empty()));
     assert!(fleet.served(0) < 0.9);
 }
@@ -292,10 +281,8 @@
         fleet
     });
     let heavy = fleet.served_organisation("heavy");
-    println!("heavy {heavy:.3}");
     for number in 0..4 {
         let served = fleet.served_organisation(&format!("light-{number}"));
-        println!("light {served:.3}");
         assert!(served > 0.95, "served {served} of light-{number}");
     }
     assert!(heavy < 0.9);
--- a/crates/burdockslip_measure/benches/micro.rs
+++ b/crates/burdockslip_measure/benches/micro.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use burdockslip_catalogue::Catalogue;
+use burdockslip_dispatch::{Answer, Claim, Observation, Rank, Regulators, TurnQueue};
 use burdockslip_keys::{Token, TokenSecrets};
 use burdockslip_peer::{PeerPool, PeerServer, Router};
 use burdockslip_queue::{FairQueue, Settings, Workload};
 use burdockslip_runtime::{block_on, now};
-use burdockslip_types::{Exchange, HostId, LogPosition, Organisation};
+use burdockslip_types::{Exchange, HostId, LogPosition, MemberName, Organisation};
 use burdockslip_wire::{PreparedStatements, classify, query, split_frames, sync};
 use bytes::{Bytes, BytesMut};
 use criterion::{BenchmarkId, Criterion};
@@ -158,6 +159,47 @@
     group.finish();
 }
 
+/// Measures the decisions under pressure: a turn at a member's connections, and a report of
+/// a host at the coordinator.
+fn pressure(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("pressure");
+    let mut queue = TurnQueue::<Numbers>::default();
+    let claim = |priority: u8| Claim {
+        rank: Rank::of_priority(priority),
+        organisation: Organisation::from("organisation"),
+        latest: now() + Duration::from_hours(1),
+        cost: Duration::from_millis(4),
+    };
+    let claims = [claim(0), claim(1), claim(2)];
+    for (number, claim) in (0_u64..100).zip(claims.iter().cycle()) {
+        drop(queue.push(claim, 4.0, number));
+    }
+    group.bench_function("turn", |bencher| {
+        bencher.iter(|| {
+            drop(queue.push(&claims[1], 4.0, 0));
+            black_box(queue.pop());
+        });
+    });
+    let answer = Answer::InTime(Duration::from_millis(4));
+    let observation = Observation::of(Rank::of_priority(1), answer);
+    let report: Vec<_> = (0..24)
+        .map(|index| {
+            (
+                MemberName::from(format!("member-{index}")),
+                vec![observation],
+            )
+        })
+        .collect();
+    let mut regulators = Regulators::default();
+    group.bench_function("report", |bencher| {
+        bencher.iter(|| {
+            regulators.record(report.clone());
+            black_box(regulators.decide());
+        });
+    });
+    group.finish();
+}
+
 /// Measures a round trip between hosts: the request and the reply are each encoded, sent and
 /// decoded.
 fn peers(criterion: &mut Criterion) {
@@ -199,6 +241,7 @@
     tokens(&mut criterion);
     lookups(&mut criterion);
     queues(&mut criterion);
+    pressure(&mut criterion);
     peers(&mut criterion);
     criterion.final_summary();
 }
