dispatch: weigh ranks by mean time, count only what takes a slot

Cause: the work of a rank was its quickest answer. BEGIN takes no slot and answers in a round trip, so all ranks would have cost the same, and where work varies the quickest answer says little. Members in the tests had fixed work and hid both.

Change: the mean time of answers in time, in the recent period where it was shortest; only statements and commits count. Work in the tests varies between a fifth and nine fifths.

--- a/crates/burdockslip_dispatch/src/message.rs
+++ b/crates/burdockslip_dispatch/src/message.rs
@@ -20,8 +20,8 @@
         pub refused: u32,
         /// The number held back.
         pub held: u32,
-        /// The shortest time to an answer.
-        pub quickest: Option<Duration>,
+        /// The sum of the times to the answers in time.
+        pub time: Duration,
     }
 
     /// The part of a host's report that concerns pressure.
@@ -55,7 +55,7 @@
             late: 0,
             refused: 0,
             held: 0,
-            quickest: None,
+            time: Duration::ZERO,
         }
     }
 
@@ -65,7 +65,7 @@
         match answer {
             Answer::InTime(after) => {
                 one.answered = 1;
-                one.quickest = Some(after);
+                one.time = after;
             }
             Answer::Late => one.late = 1,
             Answer::Refused => one.refused = 1,
@@ -80,8 +80,7 @@
         self.late = self.late.saturating_add(other.late);
         self.refused = self.refused.saturating_add(other.refused);
         self.held = self.held.saturating_add(other.held);
-        let quickest = [self.quickest, other.quickest];
-        self.quickest = quickest.into_iter().flatten().min();
+        self.time = self.time.saturating_add(other.time);
     }
 
     /// Returns whether a statement was refused or answered late.
--- a/crates/burdockslip_dispatch/src/regulator.rs
+++ b/crates/burdockslip_dispatch/src/regulator.rs
@@ -42,9 +42,9 @@
 const MIN_SAMPLE: u32 = 4;
 
 /// The expected work of a statement before one was answered, in seconds.
-const INITIAL_WORK: f64 = 0.01;
+const INITIAL_WORK: f64 = 0.02;
 
-/// The growth of the expected work in a period, which forgets an exceptionally quick answer.
+/// The growth of the expected work in a period, which forgets exceptionally quick answers.
 const WORK_GROWTH: f64 = 1.05;
 
 /// How long a period is prolonged to see that many.
@@ -63,6 +63,10 @@
 /// The part of the sent work below which what was answered says nothing about the room.
 const BLIND: f64 = 0.05;
 
+/// The fraction of refused answers from which less is sent while nothing is known about the
+/// room. Some still stem from the time before.
+const BLIND_OVERLOADED: f64 = 0.5;
+
 /// The growth of the room in a period while nothing is known about it.
 const BLIND_GROWTH: f64 = 1.0;
 
@@ -76,7 +80,8 @@
     current: Observation,
     /// The average number of statements offered in a period.
     offered: f64,
-    /// The expected work of a statement in seconds: its quickest recent answer.
+    /// The expected work of a statement in seconds: the mean time to an answer in the
+    /// recent period in which it was shortest.
     work: f64,
 }
 
@@ -189,9 +194,9 @@
             let offered = f64::from(current.sent().saturating_add(current.held)) / periods;
             self.is_idle &= offered == 0.0;
             counts.offered += NEWEST_WEIGHT * (offered - counts.offered);
-            counts.work *= WORK_GROWTH;
-            if let Some(quickest) = current.quickest {
-                counts.work = counts.work.min(quickest.as_secs_f64());
+            if current.answered >= MIN_SAMPLE {
+                let mean = current.time.as_secs_f64() / f64::from(current.answered);
+                counts.work = mean.min(counts.work * WORK_GROWTH);
             }
         }
         if self.is_idle {
@@ -215,7 +220,9 @@
         let total: f64 = offered.iter().map(|(_, work)| work).sum();
         let least = (self.best * LEAST_ROOM).max(total * LEAST_OFFERED);
         self.room = self.room.max(least);
-        Holdback::divide(self.room, &offered)
+        let holdback = Holdback::divide(self.room, &offered);
+        self.is_blind &= holdback.is_some();
+        holdback
     }
 
     /// Adjusts the room to what was answered of the work sent. Returns whether the
@@ -226,7 +233,12 @@
         let pressure = work.refused / work.sent + late_part;
         let answered = work.sent - work.refused;
         self.best = answered.max(self.best * BEST_DECAY);
-        if pressure > OVERLOADED {
+        let overloaded = if self.is_blind {
+            BLIND_OVERLOADED
+        } else {
+            OVERLOADED
+        };
+        if pressure > overloaded {
             if !was_settling {
                 self.answered = answered;
                 self.is_blind = answered < work.sent * BLIND;
@@ -234,7 +246,7 @@
                 self.is_settling = true;
             }
             self.growth = GROWTH;
-        } else if pressure <= STEADY {
+        } else if self.is_blind || pressure <= STEADY {
             return self.widen(periods);
         }
         self.holdback.is_some() || self.is_settling
--- a/crates/burdockslip_dispatch/tests/pressure.rs
+++ b/crates/burdockslip_dispatch/tests/pressure.rs
@@ -127,7 +127,12 @@
             let host = &self.hosts[host];
             let rank = host.rank(&organisation, priority);
             let is_admitted = host.admits(&[name()], rank);
-            if is_admitted && let Some(end) = self.member.start(Duration::from_millis(work)) {
+            if is_admitted
+                && let Some(end) = self.member.start(
+                    Duration::from_millis(work) * u32::try_from(random_range(20..180)).unwrap()
+                        / 100,
+                )
+            {
                 let sent = now();
                 sleep(end.remaining()).await;
                 let after = sent.elapsed();
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -251,6 +251,8 @@
     let sent = now();
     let known = pool.health.position();
     pool.health.record_sent(is_commit);
+    // Other commands take no slot, so that their answers say nothing about the room.
+    let takes_slot = matches!(command, Command::Forward { .. } | Command::Execute { .. });
     let outcome = timeout_at(until, connection.call(command)).await;
     pool.health
         .record_ended(is_commit, matches!(outcome, Ok(Ok(_))));
@@ -262,6 +264,9 @@
         Ok(Ok(reply)) => {
             pool.health.record_answer(reply.position);
             record_reply(cx, &pool, job, sent, &reply);
+            if takes_slot {
+                pressure::record(cx, &pool, job, sent, &reply);
+            }
             return Ok(reply);
         }
         Ok(Err(_)) => SendError::Broken,
@@ -294,7 +299,6 @@
 }
 
 fn record_reply(cx: &Context, pool: &MemberPool, job: &Job, sent: Instant, reply: &MemberReply) {
-    pressure::record(cx, pool, job, sent, reply);
     match reply.result {
         Ok(_) => pool.health.record_latency(sent.elapsed()),
         Err(MemberError::Busy) => pool.health.mark_busy(),
