--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -20,6 +20,7 @@
 
 use crate::eviction::LastReports;
 use crate::messages::{HostReport, ReportReply};
+use crate::pressure::FleetPressure;
 use crate::registration::registered;
 use crate::relay::{MAX_RELAYED_AGE, SendBudget};
 
@@ -65,6 +66,7 @@
     cold: Option<ColdLimit>,
     positions: Rc<PositionHistory>,
     link: Rc<SendBudget>,
+    pressure: Rc<FleetPressure>,
     pub(crate) last_reports: Rc<LastReports>,
     /// Whether the last report was answered as an interim coordinator, to log changes.
     is_interim: Rc<Cell<bool>>,
@@ -92,6 +94,7 @@
             cold: limits.cold,
             positions,
             link: Rc::new(link),
+            pressure: Rc::default(),
             last_reports: Rc::default(),
             is_interim: Rc::default(),
         }
@@ -192,6 +195,7 @@
             demands,
             paced,
             wants_positions,
+            pressure,
         } = report;
         let view = self.fleet_view();
         let permits = self.permits(host, &role, &paced, &groups.suspects, &view);
@@ -215,6 +219,7 @@
             permission: self.permission.lease_proof_age(),
             group_proofs: self.permission.group_proof_ages(),
             is_interim: role.is_interim,
+            pressure: wants_positions.then(|| self.pressure.answer(role.token, pressure)),
             positions: if wants_positions {
                 self.recent_positions()
             } else {
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -27,7 +27,8 @@
 use crate::registration::Fleet;
 use crate::relay::SendBudget;
 use crate::{
-    EntrySettings, admission, changes, confirm, eviction, positions, registration, report, rival,
+    EntrySettings, admission, changes, confirm, eviction, positions, pressure, registration,
+    report, rival,
 };
 
 /// How often the age of the configuration is checked.
@@ -84,7 +85,7 @@
     grace: Duration,
     _listener: Listener,
     _servers: (AdminServer, AdminServer, PeerServer),
-    _tasks: [Task<()>; 7],
+    _tasks: [Task<()>; 8],
 }
 
 impl Host {
@@ -108,6 +109,7 @@
             rate_slack: settings.rate_slack,
             evacuation: settings.evacuation,
             cold: settings.cold,
+            is_prioritised: settings.is_prioritised,
         };
         let cx = Rc::new(Context::new(
             adapter.codec,
@@ -173,6 +175,7 @@
                 own,
             )),
             spawn(positions::run(Rc::clone(&cx), duty.clone())),
+            spawn(pressure::run(Rc::clone(&cx))),
             spawn(report::run(Rc::clone(&cx), host, coordinator, peers)),
             spawn(maintain(
                 Rc::clone(&cx),
--- a/crates/burdockslip_entry/src/lib.rs
+++ b/crates/burdockslip_entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod host;
 mod messages;
 mod positions;
+mod pressure;
 mod registration;
 mod relay;
 mod report;
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Changes;
+use burdockslip_dispatch::{PressureReply, PressureReport};
 use burdockslip_failover::{GroupReport, Reach};
 use burdockslip_pace::{MemberDemand, PaceGrant};
 use burdockslip_shares::{Demand, Grant};
@@ -21,6 +22,9 @@
     pub paced: Vec<MemberDemand>,
     /// Whether the host requests the log positions of primaries.
     pub wants_positions: bool,
+    /// The answers of members and the operations that arrived; empty while statements are
+    /// not served by priority.
+    pub pressure: PressureReport,
 }
 
 /// The coordinator's reply to a report.
@@ -45,6 +49,9 @@
     pub is_interim: bool,
     /// The log positions of primaries, and how long ago they were queried.
     pub positions: Vec<(GroupName, LogPosition, Duration)>,
+    /// The members under pressure, and the organisations beyond their usual; `None` for
+    /// reports between the regular ones.
+    pub pressure: Option<PressureReply>,
 }
 
 /// The exchange for reports to the coordinator.
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Configuration, Directory, OrganisationConfig, Route};
+use burdockslip_dispatch::HostPressure;
 use burdockslip_failover::Permission;
 use burdockslip_pace::{ColdLimit, Gate};
 use burdockslip_runtime::{Instant, Signal, Task, now, timeout_at};
@@ -47,6 +48,8 @@
     pub evacuation: Option<Duration>,
     /// The limit on statements to cold members; `None` if they are not limited.
     pub cold: Option<ColdLimit>,
+    /// Whether statements are served by the priority of their routes where room is short.
+    pub is_prioritised: bool,
 }
 
 /// The state that all sessions of a host share.
@@ -71,6 +74,8 @@
     pub positions: Rc<PositionHistory>,
     /// The metrics of the host.
     pub metrics: Metrics,
+    /// The pressure on members and on this host.
+    pub pressure: HostPressure,
     /// The limits of this host.
     pub limits: Limits,
     /// The place of this host among the availability zones and regions.
@@ -117,6 +122,7 @@
             tokens_granted: Rc::default(),
             positions: Rc::default(),
             metrics,
+            pressure: HostPressure::new(limits.is_prioritised),
             limits,
             locality,
             evacuation: EvacuationBound::new(limits.evacuation),
@@ -173,13 +179,13 @@
             Some(Ruling::Refused(span)) => {
                 info!(id, %organisation, span_ms = span.as_millis(), version = configuration.version,
                     "operation refused by the host that holds the zone's tokens");
-                self.metrics.count_refusal("relay");
+                self.metrics.count_rate_refusal("relay");
                 return Err(ErrorKind::RateExceeded);
             }
             None => {}
         }
         if !self.holds_share() {
-            self.metrics.count_refusal("cut_off");
+            self.metrics.count_rate_refusal("cut_off");
             return Err(ErrorKind::ConfigMissing);
         }
         match self.admit_locally(config).await {
@@ -187,7 +193,7 @@
             Err(refusal) => {
                 info!(id, %organisation, ?refusal, version = configuration.version,
                     "operation refused, rate exceeded");
-                self.metrics.count_refusal("own");
+                self.metrics.count_rate_refusal("own");
                 Err(ErrorKind::RateExceeded)
             }
         }
--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -15,6 +15,7 @@
 mod pacing;
 mod place;
 mod position;
+mod pressure;
 mod progress;
 mod read;
 mod receipt;
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Route;
+use burdockslip_dispatch::Rank;
 use burdockslip_runtime::{Instant, now, timeout_at};
 use burdockslip_statement::{Access, Command, MemberError, MemberReply};
 use burdockslip_types::{ErrorKind, LogPosition, MemberName, Organisation};
@@ -15,7 +16,7 @@
 use tracing::{debug, info, warn};
 
 use crate::context::{Context, wait_limit};
-use crate::{evacuation, pacing};
+use crate::{evacuation, pacing, pressure};
 
 /// The minimum time for setting up a connection or starting a transaction, even if
 /// the wait limit of the statement expires earlier. These commands take no slot at
@@ -43,6 +44,8 @@
     pub(crate) access: Access,
     pub(crate) route: Rc<Route>,
     pub(crate) organisation: Organisation,
+    /// The order in which the operation gives way to others.
+    pub(crate) rank: Rank,
     pub(crate) state: Rc<SessionState>,
     /// The position of the session's last commit, if the route guarantees that
     /// sessions read their own writes.
@@ -144,12 +147,25 @@
     pacing::wait_for_permit(cx, pool.member(), job).await?;
     let wait_until = job.wait_until();
     let deadline = job.connect_deadline();
-    let connection = pool
-        .acquire(&job.organisation, &job.state, wait_until, deadline)
-        .await;
+    let was_paused = pool.is_paused();
+    let connection = if cx.pressure.is_on() {
+        let claim = pressure::claim(pool, job);
+        pool.acquire_in_turn(&claim, &job.state, deadline).await
+    } else {
+        pool.acquire(&job.organisation, &job.state, wait_until, deadline)
+            .await
+    };
+    if let Ok(Some(waited)) = connection.as_ref().map(PooledConnection::waited) {
+        cx.metrics.record_turn(&job.rank.label(), waited);
+    }
     connection.map_err(|report| {
         debug!(id = job.id(), member = %pool.member().name, error = ?report, "no connection available");
-        SendError::NotSent(*report.current_context())
+        let kind = *report.current_context();
+        // While opening is paused, or before it begins, the member is not asked.
+        if !was_paused && (pool.is_paused() || kind == ErrorKind::ConnectionLost) {
+            pressure::record_unopened(cx, pool, job, kind);
+        }
+        SendError::NotSent(kind)
     })
 }
 
@@ -246,6 +262,8 @@
     let known = pool.health.position();
     pool.health.record_sent(is_commit);
     job.was_sent.set(true);
+    // Other commands take no slot, so that their answers say nothing about the room.
+    let takes_slot = matches!(command, Command::Forward { .. } | Command::Execute { .. });
     let outcome = timeout_at(until, connection.call(command)).await;
     pool.health
         .record_ended(is_commit, matches!(outcome, Ok(Ok(_))));
@@ -258,6 +276,9 @@
             pool.health.record_answer(reply.position);
             pacing::record(cx, pool.member(), sent, Ok(&reply));
             record_reply(cx, &pool, job, sent, &reply);
+            if takes_slot {
+                pressure::record(cx, &pool, job, sent, &reply);
+            }
             return Ok(reply);
         }
         Ok(Err(_)) => SendError::Broken,
--- a/crates/burdockslip_session/src/place.rs
+++ b/crates/burdockslip_session/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::context::{Context, wait_limit};
 use crate::outcome::Job;
-use crate::{evacuation, pacing, position, receipt};
+use crate::{evacuation, pacing, position, pressure, receipt};
 
 /// The factor on the cost of the primary for reads that a replica can also serve,
 /// because only the primary can serve writes.
@@ -139,10 +139,17 @@
     // The zone of an evacuated primary gets only what no replica elsewhere can serve.
     let is_outside = |target: &Target| cx.may_start(target.pool.member(), Role::Replica);
     let primary = primary.filter(|target| replicas.is_empty() || is_outside(target));
-    let scored = replicas
-        .into_iter()
-        .map(|target| (score(&target, 1.0), target))
-        .chain(primary.map(|target| (score(&target, PRIMARY_WEIGHT), target)));
+    let primary = primary.filter(|primary| !pressure::spares_primary(cx, job, primary, &replicas));
+    let primary_name = primary
+        .as_ref()
+        .map(|target| target.pool.member().name.clone());
+    let mut targets: Vec<_> = replicas.into_iter().chain(primary).collect();
+    pressure::retain_calm(cx, job, &mut targets, !tried.is_empty());
+    let scored = targets.into_iter().map(|target| {
+        let is_primary = Some(&target.pool.member().name) == primary_name.as_ref();
+        let weight = if is_primary { PRIMARY_WEIGHT } else { 1.0 };
+        (score(&target, weight), target)
+    });
     let mut scored: Vec<_> = scored.collect();
     scored.sort_by(|(left, _), (right, _)| left.total_cmp(right));
     // If all members are paced, the read waits at the best one.
--- a/crates/burdockslip_session/src/position.rs
+++ b/crates/burdockslip_session/src/position.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::Route;
+use burdockslip_dispatch::Rank;
 use burdockslip_runtime::{now, spawn, timeout};
 use burdockslip_statement::{Access, Command};
 use burdockslip_types::Organisation;
@@ -61,6 +62,7 @@
         access: Access::Read,
         route: Rc::clone(route),
         organisation: organisation.clone(),
+        rank: Rank::of_priority(0),
         state: Rc::default(),
         last_commit: None,
         started: now(),
--- a/crates/burdockslip_session/src/read.rs
+++ b/crates/burdockslip_session/src/read.rs
@@ -13,6 +13,7 @@
 use crate::context::Context;
 use crate::outcome::{self, Job, SendError, ServedReply, error_kind};
 use crate::place::{self, Target};
+use crate::pressure;
 
 /// The pause before members that were already tried are considered again.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
@@ -47,7 +48,8 @@
             tried.push(target.pool.member().name.clone());
             running.push(spawn(attempt(Rc::clone(cx), Rc::clone(job), target)));
         } else if running.is_empty() {
-            if job.wait_until().is_past() || attempts >= MAX_ATTEMPTS {
+            let is_final = pressure::forbids_repeat(cx, &tried, last);
+            if is_final || job.wait_until().is_past() || attempts >= MAX_ATTEMPTS {
                 return Err(last.unwrap_or_else(|| place::refusal_kind(cx, job)));
             }
             sleep(RETRY_PAUSE).await;
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -46,18 +46,59 @@
     proofs: Counter<u64>,
     commits: Counter<u64>,
     receipts: Counter<u64>,
-    refusals: Counter<u64>,
+    rate_refusals: Counter<u64>,
     returned: Counter<u64>,
     pace_permits: Counter<u64>,
     pace_refusals: Counter<u64>,
     paced_members: Gauge<u64>,
     failover: Histogram<f64>,
+    pressure: PressureInstruments,
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
     config_revision: Gauge<u64>,
     evacuated: Gauge<u64>,
 }
 
+/// The instruments of statements that wait or are refused because room is short.
+#[derive(Debug, Clone)]
+struct PressureInstruments {
+    refusals: Counter<u64>,
+    turn: Histogram<f64>,
+    waiting: Gauge<u64>,
+    pressed: Gauge<u64>,
+    lag: Gauge<f64>,
+}
+
+impl PressureInstruments {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            refusals: counter(
+                meter,
+                "burdockslip_pressure_refusals",
+                "Operations refused before they were sent, by the room that was short and by rank.",
+            ),
+            turn: histogram(
+                meter,
+                "burdockslip_turn",
+                "Time that statements wait for their turn at a member, by rank.",
+            ),
+            waiting: meter
+                .u64_gauge("burdockslip_turn_queue")
+                .with_description("Statements that wait for their turn at a member.")
+                .build(),
+            pressed: meter
+                .u64_gauge("burdockslip_pressure_members")
+                .with_description("Members from which statements are held back.")
+                .build(),
+            lag: meter
+                .f64_gauge("burdockslip_pressure_lag")
+                .with_unit("s")
+                .with_description("Average time that ready tasks wait for processor time.")
+                .build(),
+        }
+    }
+}
+
 impl Metrics {
     /// Creates the instruments and the exporter.
     ///
@@ -111,7 +152,7 @@
                 "burdockslip_receipts",
                 "Commits that needed the receipt of a replica, by whether it was confirmed.",
             ),
-            refusals: counter(
+            rate_refusals: counter(
                 &meter,
                 "burdockslip_rate_refusals",
                 "Operations refused for want of a rate token, by who refused them.",
@@ -140,6 +181,7 @@
                 "burdockslip_failover",
                 "Time of each phase of a change of primary.",
             ),
+            pressure: PressureInstruments::new(&meter),
             connections: meter
                 .u64_gauge("burdockslip_connections")
                 .with_description("Open client connections.")
@@ -212,8 +254,9 @@
     }
 
     /// Counts an operation that got no rate token, by the reason, such as `relay`.
-    pub fn count_refusal(&self, reason: &'static str) {
-        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    pub fn count_rate_refusal(&self, reason: &'static str) {
+        self.rate_refusals
+            .add(1, &[KeyValue::new("reason", reason)]);
     }
 
     /// Counts a rate token that was given back.
@@ -245,6 +288,31 @@
             .record(duration.as_secs_f64(), &[group, phase]);
     }
 
+    /// Counts an operation that was refused before it was sent, by the room that was short,
+    /// such as `member`, and by the rank of the operation.
+    pub fn count_pressure_refusal(&self, room: &'static str, rank: &str) {
+        let rank = KeyValue::new("rank", rank.to_owned());
+        self.pressure
+            .refusals
+            .add(1, &[KeyValue::new("room", room), rank]);
+    }
+
+    /// Records how long a statement of a rank waited for its turn at a member.
+    pub fn record_turn(&self, rank: &str, wait: Duration) {
+        let rank = KeyValue::new("rank", rank.to_owned());
+        self.pressure.turn.record(wait.as_secs_f64(), &[rank]);
+    }
+
+    /// Sets the number of members from which statements are held back, the number of
+    /// statements that wait for their turn at a member, and the average time that ready
+    /// tasks wait for processor time.
+    pub fn set_pressure(&self, members: usize, waiting: usize, lag: Duration) {
+        let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+        self.pressure.pressed.record(count(members), &[]);
+        self.pressure.waiting.record(count(waiting), &[]);
+        self.pressure.lag.record(lag.as_secs_f64(), &[]);
+    }
+
     /// Sets the number of open client connections.
     pub fn set_connections(&self, count: u64) {
         self.connections.record(count, &[]);
