store: order revisions and leases by the store's era

Cause: a store that comes back from an older copy gives out revisions and leases again, so that a bare number may stand for two changes. Change: a revision and a lease carry the era; the store in memory can be copied and restored, which starts the next era. A lease of another era has ended, and a watch from another era breaks.

--- a/crates/burdockslip_store/src/lib.rs
+++ b/crates/burdockslip_store/src/lib.rs
@@ -14,7 +14,7 @@
 mod watching;
 mod within;
 
-pub use memory::{CallCounts, Faults, MemoryStore};
+pub use memory::{CallCounts, Faults, MemoryStore, StoreCopy};
 pub use store::{
     Compare, Entry, Event, LeaseId, Operation, Page, Reply, Request, Store, Txn, TxnReply, Watch,
 };
--- a/crates/burdockslip_store/src/memory.rs
+++ b/crates/burdockslip_store/src/memory.rs
@@ -59,6 +59,15 @@
     state: Rc<RefCell<State>>,
 }
 
+/// The content of a store at a moment, from which it can be restored.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: Revision,
+    entries: BTreeMap<String, Stored>,
+    leases: BTreeMap<LeaseId, Lease>,
+    last_lease: u64,
+}
+
 #[derive(Default)]
 pub(crate) struct State {
     pub(crate) revision: u64,
@@ -71,16 +80,18 @@
     pub(crate) silenced: u64,
     entries: BTreeMap<String, Stored>,
     leases: BTreeMap<LeaseId, Lease>,
-    last_lease: i64,
+    last_lease: u64,
     waiters: Vec<oneshot::Sender<()>>,
 }
 
+#[derive(Debug, Clone)]
 struct Stored {
     value: Vec<u8>,
     revision: Revision,
     lease: Option<LeaseId>,
 }
 
+#[derive(Debug, Clone)]
 struct Lease {
     ttl: Duration,
     expires: Instant,
@@ -138,6 +149,38 @@
         self.notify();
     }
 
+    /// Copies the content.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.borrow();
+        StoreCopy {
+            revision: Revision(state.revision),
+            entries: state.entries.clone(),
+            leases: state.leases.clone(),
+            last_lease: state.last_lease,
+        }
+    }
+
+    /// Replaces the content with a copy and starts the next era: watches break, and
+    /// revisions and leases are given out again from where the copy was taken.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.borrow_mut();
+        let era = Revision(state.revision).era() + 1;
+        let renew = |revision: Revision| {
+            Revision::in_era(era, revision.number()).expect("a store in memory has few changes")
+        };
+        state.revision = renew(copy.revision).0;
+        state.entries.clone_from(&copy.entries);
+        for stored in state.entries.values_mut() {
+            stored.revision = renew(stored.revision);
+        }
+        state.leases.clone_from(&copy.leases);
+        state.last_lease = copy.last_lease;
+        state.log.clear();
+        state.generation += 1;
+        drop(state);
+        self.notify();
+    }
+
     /// Returns the number of calls since the store was built.
     pub fn calls(&self) -> CallCounts {
         self.state.borrow().calls
@@ -211,7 +254,8 @@
         {
             let mut state = self.state.borrow_mut();
             state.calls.watches += 1;
-            if state.faults.is_down || state.disconnected.contains(client) {
+            let is_known = after == Revision(0) || after.era() == state.era();
+            if state.faults.is_down || state.disconnected.contains(client) || !is_known {
                 bail!(ErrorKind::StoreUnavailable);
             }
         }
@@ -252,6 +296,10 @@
 }
 
 impl State {
+    fn era(&self) -> u64 {
+        Revision(self.revision).era()
+    }
+
     /// Ends the expired leases; returns whether any key was removed.
     pub(crate) fn expire(&mut self) -> bool {
         let expired: Vec<_> = self
@@ -278,14 +326,17 @@
             Request::Txn(txn) => Reply::Txn(self.txn(&txn)),
             Request::GrantLease(ttl) => {
                 self.last_lease += 1;
-                let id = LeaseId(self.last_lease);
+                let id = LeaseId::in_era(self.era(), self.last_lease)
+                    .expect("a store in memory has few leases");
                 let expires = now() + ttl;
                 self.leases.insert(id, Lease { ttl, expires });
                 Reply::Lease(id, ttl)
             }
             Request::KeepLease(id) => Reply::Lease(id, self.renew_lease(id)),
             Request::RevokeLease(id) => {
-                self.end_lease(id);
+                if id.era() == self.era() {
+                    self.end_lease(id);
+                }
                 Reply::Done
             }
         }
@@ -309,12 +360,13 @@
     }
 
     fn renew_lease(&mut self, id: LeaseId) -> Duration {
+        let era = self.era();
         match self.leases.get_mut(&id) {
-            Some(lease) => {
+            Some(lease) if id.era() == era => {
                 lease.expires = now() + lease.ttl;
                 lease.ttl
             }
-            None => Duration::ZERO,
+            _ => Duration::ZERO,
         }
     }
 
@@ -335,10 +387,16 @@
     }
 
     fn txn(&mut self, txn: &Txn) -> TxnReply {
-        let is_applied = txn.compares.iter().all(|compare| {
+        let era = self.era();
+        let has_lease = |operation: &Operation| match operation {
+            Operation::Put(_, _, Some(lease)) => lease.era() == era,
+            _ => true,
+        };
+        let are_equal = txn.compares.iter().all(|compare| {
             let Compare::Revision(key, revision) = compare;
             self.entries.get(key).map_or(Revision(0), |s| s.revision) == *revision
         });
+        let is_applied = are_equal && txn.operations.iter().all(has_lease);
         if is_applied {
             let next = Revision(self.revision + 1);
             let mut has_changed = false;
--- a/crates/burdockslip_store/src/store.rs
+++ b/crates/burdockslip_store/src/store.rs
@@ -11,6 +11,9 @@
 
 domain! {
     /// The identifier of a lease; keys attached to a lease are removed when it ends.
+    ///
+    /// It carries the era of the store in which the lease was granted, because the store
+    /// may give out its number again in another era; see `docs/design/store-era.md`.
     #[derive(Copy)]
     #[serde(transparent)]
     pub struct LeaseId(pub i64);
@@ -75,6 +78,29 @@
     }
 }
 
+impl LeaseId {
+    /// The bits of the number in an era.
+    const NUMBER_BITS: u32 = 46;
+
+    /// Returns the lease with `number` in an era, or `None` if the number is too large.
+    pub fn in_era(era: u64, number: u64) -> Option<Self> {
+        let era = i64::try_from(era).ok()?;
+        let number = i64::try_from(number).ok()?;
+        let is_small = number >> Self::NUMBER_BITS == 0 && era >> (63 - Self::NUMBER_BITS) == 0;
+        is_small.then_some(Self(era << Self::NUMBER_BITS | number))
+    }
+
+    /// Returns the era of the store in which the lease was granted.
+    pub const fn era(self) -> u64 {
+        self.0.cast_unsigned() >> Self::NUMBER_BITS
+    }
+
+    /// Returns the number of the lease in its era.
+    pub const fn number(self) -> u64 {
+        self.0.cast_unsigned() & ((1 << Self::NUMBER_BITS) - 1)
+    }
+}
+
 impl Event {
     /// Returns the revision of the change.
     pub const fn revision(&self) -> Revision {
--- a/crates/burdockslip_types/src/mark.rs
+++ b/crates/burdockslip_types/src/mark.rs
@@ -15,7 +15,11 @@
     #[serde(transparent)]
     pub struct LogIndex(pub u64);
 
-    /// The revision that the store assigns to a change of the configuration.
+    /// The revision that the store assigns to a change, ordered by the store's era and
+    /// then by the number that it has in this era.
+    ///
+    /// The era rises when the store comes back from an older copy and gives out numbers
+    /// again; see `docs/design/store-era.md`.
     #[derive(Copy, Default)]
     #[serde(transparent)]
     pub struct Revision(pub u64);
@@ -43,6 +47,30 @@
     }
 }
 
+impl Revision {
+    /// The bits of the number in an era. A revision of the first 2^17 eras is an integer
+    /// that every JSON reader represents exactly.
+    const NUMBER_BITS: u32 = 36;
+
+    /// Returns the revision with `number` in an era, or `None` if the number is too large.
+    pub const fn in_era(era: u64, number: u64) -> Option<Self> {
+        if number >> Self::NUMBER_BITS != 0 || era >> (u64::BITS - Self::NUMBER_BITS) != 0 {
+            return None;
+        }
+        Some(Self(era << Self::NUMBER_BITS | number))
+    }
+
+    /// Returns the era of the store.
+    pub const fn era(self) -> u64 {
+        self.0 >> Self::NUMBER_BITS
+    }
+
+    /// Returns the number that the store has given out in the era.
+    pub const fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+    }
+}
+
 impl LogPosition {
     /// Creates a position from a term and an index.
     pub const fn new(term: u64, index: u64) -> Self {
