directory: reload a store that came back from an older copy

Cause: revisions go back, so that a copy's records looked older than the known ones and a watch position stood for other changes. The directory enters a newer era at any answer or message, reloads the store, keeps what it knew of the system's own records, follows nobody in an earlier era, and neither takes nor confirms an older configuration. A member that was about to leave stays so. The first try kept a member leaving forever, because an unchanged record did not count as read in the new era; restored_member_still_leaves showed it.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -12,6 +12,7 @@
 use futures::future::LocalBoxFuture;
 use tracing::{info, warn};
 
+use crate::era::Eras;
 use crate::follow;
 use crate::recency::Recency;
 use crate::{Configuration, Member};
@@ -65,6 +66,8 @@
 /// A member and whether its record still exists.
 struct KnownMember {
     member: Rc<Member>,
+    /// The era of the store in which its record was last read.
+    era: u64,
     /// The moment at which the record was found to be missing.
     missing_since: Option<Instant>,
     /// The moment from which the member was known to be about to leave.
@@ -88,7 +91,9 @@
     pub(crate) applied: Cell<Revision>,
     pub(crate) recency: Recency,
     pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
-    is_loaded: Cell<bool>,
+    pub(crate) eras: Eras,
+    /// The newest version of the configuration that is known to exist.
+    newest_version: Cell<u64>,
     pub(crate) is_coordinator: Cell<bool>,
     changed: Signal,
 }
@@ -116,7 +121,8 @@
             applied: Cell::default(),
             recency: Recency::default(),
             relay: RefCell::default(),
-            is_loaded: Cell::new(false),
+            eras: Eras::default(),
+            newest_version: Cell::default(),
             is_coordinator: Cell::new(false),
             changed: Signal::default(),
         });
@@ -133,12 +139,45 @@
         self.shared.configuration.borrow().clone()
     }
 
-    /// Returns whether the whole store has been read at least once.
+    /// Returns whether the whole store has been read in its current era.
     ///
     /// The configuration may be available before. Until then, a record that is missing
     /// here may exist in the store.
     pub fn is_loaded(&self) -> bool {
-        self.shared.is_loaded.get()
+        self.shared.eras.is_loaded()
+    }
+
+    /// Returns the era of the store: the number of times that it has come back from an
+    /// older copy.
+    pub fn era(&self) -> u64 {
+        self.shared.eras.current()
+    }
+
+    /// Returns when the era became known, or `None` in the first one.
+    pub fn era_since(&self) -> Option<Instant> {
+        self.shared.eras.since()
+    }
+
+    /// Returns the latest era before the current one in which the whole store was read.
+    pub fn loaded_before(&self) -> Option<u64> {
+        self.shared.eras.loaded_before()
+    }
+
+    /// Returns the different values that the record under `key` had in earlier eras.
+    pub fn earlier_records(&self, key: &str) -> Vec<Entry> {
+        self.shared.eras.earlier(key)
+    }
+
+    /// Forgets the values that the record under `key` had in earlier eras.
+    pub fn forget_earlier(&self, key: &str) {
+        self.shared.eras.forget(key);
+    }
+
+    /// Records that a peer has a version of the configuration in force. Until this host
+    /// has it, too, nothing confirms its own.
+    pub fn expect_version(&self, version: u64) {
+        let newest = self.shared.newest_version.get().max(version);
+        self.shared.newest_version.set(newest);
     }
 
     /// Returns the time since the configuration was last confirmed to be the newest
@@ -267,7 +306,7 @@
 
     /// Returns the changes after `revision`, or `None` if the store has never been read.
     pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
-        let age = self.shared.recency.age()?;
+        let age = self.shared.recency.age().filter(|_| self.is_loaded())?;
         Some(self.shared.changes_since(revision, age))
     }
 
@@ -305,8 +344,29 @@
 }
 
 impl Shared {
+    /// Enters the era of a revision if it is newer than the known one. Returns whether the
+    /// revision is of the current era.
+    pub(crate) fn enter_era(&self, revision: Revision) -> bool {
+        let era = revision.era();
+        if era > self.eras.current() {
+            let entries = self.entries.borrow();
+            let is_own = |entry: &&Entry| {
+                entry.key != self.schema.configuration
+                    && !entry.key.starts_with(self.schema.members)
+            };
+            self.eras.enter(era, entries.values().filter(is_own).cloned());
+            drop(entries);
+            self.recency.reset();
+            self.changed.notify();
+        }
+        era == self.eras.current()
+    }
+
     /// Applies an entry unless a newer one is known.
     pub(crate) fn put(&self, entry: Entry) {
+        if !self.enter_era(entry.revision) {
+            return;
+        }
         let is_known = |known: &Entry| known.revision >= entry.revision;
         if self.entries.borrow().get(&entry.key).is_some_and(is_known) || self.is_deleted(&entry) {
             return;
@@ -314,7 +374,7 @@
         if entry.key == self.schema.configuration {
             self.apply_configuration(&entry);
         } else if let Some(name) = entry.key.strip_prefix(self.schema.members) {
-            self.apply_member(name, &entry.value);
+            self.apply_member(name, &entry);
         }
         self.entries.borrow_mut().insert(entry.key.clone(), entry);
         self.changed.notify();
@@ -323,7 +383,7 @@
     /// Removes a key that was deleted at `revision`.
     pub(crate) fn delete(&self, key: &str, revision: Revision) {
         let is_older = |known: &Entry| known.revision < revision;
-        if !self.entries.borrow().get(key).is_some_and(is_older) {
+        if !self.enter_era(revision) || !self.entries.borrow().get(key).is_some_and(is_older) {
             return;
         }
         self.entries.borrow_mut().remove(key);
@@ -336,29 +396,49 @@
 
     /// Replaces the local copy with the whole content of the store at `revision`.
     pub(crate) fn replace(&self, entries: Vec<Entry>, revision: Revision) {
+        if !self.enter_era(revision) {
+            return;
+        }
         let keys: Vec<_> = entries.iter().map(|entry| entry.key.clone()).collect();
         self.retain(&keys, revision);
         for entry in entries {
             self.put(entry);
         }
-        if !self.is_loaded.replace(true) {
-            // What was deleted before is unknown, and other hosts may still have it.
-            self.deletions_from.set(revision);
-        }
+        self.record_loaded(revision);
         self.advance(revision);
     }
 
     /// Applies the changes that a peer has forwarded.
-    pub(crate) fn apply_changes(&self, changes: Changes) {
+    ///
+    /// Returns whether they are from the current era. Those of an earlier one are ignored,
+    /// and those of a newer one have to include all keys.
+    pub(crate) fn apply_changes(&self, changes: Changes) -> bool {
+        if !self.enter_era(changes.revision) || !self.is_loaded() && changes.keys.is_none() {
+            return false;
+        }
         if let Some(keys) = &changes.keys {
             self.retain(keys, changes.revision);
         }
         for event in changes.events {
             self.apply_event(event);
         }
+        if changes.keys.is_some() {
+            self.record_loaded(changes.revision);
+        }
         self.applied.set(self.applied.get().max(changes.revision));
         self.recency.record_received(changes.revision);
         self.recency.record_newest(now() - changes.age);
+        true
+    }
+
+    /// Records that the whole store has been read at `revision`.
+    fn record_loaded(&self, revision: Revision) {
+        if !self.eras.is_loaded() {
+            self.eras.record_loaded();
+            // What was deleted before is unknown, and other hosts may still have it.
+            self.deletions_from.set(revision);
+            self.changed.notify();
+        }
     }
 
     /// Applies one change.
@@ -433,16 +513,34 @@
     }
 
     /// Records that the configuration was the newest one at `moment`.
-    pub(crate) fn confirm(&self, moment: Instant) {
+    ///
+    /// It is ignored while the store's copy of the configuration is older than one that
+    /// was in force before. Returns whether it was taken.
+    pub(crate) fn confirm(&self, moment: Instant) -> bool {
+        if !self.is_configuration_stored() {
+            return false;
+        }
         let latest = self
             .confirmed_at
             .get()
             .map_or(moment, |known| known.max(moment));
         self.confirmed_at.set(Some(latest));
+        true
+    }
+
+    /// Returns whether the version in force is the newest known one and is in the store
+    /// in its current era.
+    fn is_configuration_stored(&self) -> bool {
+        let known = self.configuration.borrow();
+        let era = self.eras.current();
+        known.as_ref().is_none_or(|configuration| {
+            era == 0 || configuration.version >= self.newest_version.get()
+                && self.configuration_revision.get().era() == era
+        })
     }
 
     pub(crate) fn is_loaded(&self) -> bool {
-        self.is_loaded.get()
+        self.eras.is_loaded()
     }
 
     /// Returns the time since the configuration was last confirmed.
@@ -454,7 +552,17 @@
         if entry.revision <= self.configuration_revision.get() {
             return;
         }
+        let is_restored = entry.revision.era() > self.configuration_revision.get().era();
         match (self.schema.read_configuration)(&entry.value) {
+            Ok(configuration)
+                if is_restored && configuration.version < self.newest_version.get() =>
+            {
+                warn!(
+                    version = configuration.version,
+                    newest = self.newest_version.get(),
+                    "restored configuration is older than the one in force, not taken"
+                );
+            }
             Ok(configuration) => {
                 info!(
                     version = configuration.version,
@@ -463,6 +571,8 @@
                     keys = configuration.keys.len(),
                     "configuration in force"
                 );
+                let newest = self.newest_version.get().max(configuration.version);
+                self.newest_version.set(newest);
                 self.configuration_revision.set(entry.revision);
                 *self.configuration.borrow_mut() = Some(Rc::new(configuration));
             }
@@ -474,10 +584,21 @@
         }
     }
 
-    fn apply_member(&self, name: &str, value: &[u8]) {
-        match (self.schema.read_member)(name, value) {
-            Ok(member) => {
+    fn apply_member(&self, name: &str, entry: &Entry) {
+        match (self.schema.read_member)(name, &entry.value) {
+            Ok(mut member) => {
                 let mut members = self.members.borrow_mut();
+                if let Some(known) = members.get_mut(&member.name)
+                    && known.era < entry.revision.era()
+                {
+                    // The copy may be older than what the member has reported since.
+                    if member.born < known.member.born {
+                        return;
+                    }
+                    member.is_draining |=
+                        known.member.is_draining && known.member.is_same_run(&member);
+                    known.era = entry.revision.era();
+                }
                 let known = members.get(&member.name);
                 if known
                     .is_some_and(|known| *known.member == member && known.missing_since.is_none())
@@ -501,6 +622,7 @@
                         .is_draining
                         .then(|| drained_before.unwrap_or_else(now)),
                     member: Rc::new(member),
+                    era: entry.revision.era(),
                     missing_since: None,
                 };
                 members.insert(known.member.name.clone(), known);
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -86,6 +86,9 @@
     let sent = now();
     let page = with_timeout(CALL_TIMEOUT, shared.store.range("")).await?;
     shared.replace(page.entries, page.revision);
+    if !shared.is_loaded() {
+        return Err(outdated());
+    }
     shared.recency.record_newest(sent);
     shared.confirm(sent);
     Ok(())
@@ -98,6 +101,10 @@
         // host registers, and each answer of a watch of the whole store would cost
         // a call.
         let prefix = follow_peer(shared).await;
+        if !shared.is_loaded() {
+            info!("store came back from an older copy, reloading it");
+            return;
+        }
         let opened = shared.store.watch(prefix, shared.applied.get());
         let outcome = match with_timeout(CALL_TIMEOUT, opened).await {
             Ok(watch) => follow_store(shared, watch, prefix).await,
@@ -114,12 +121,17 @@
 /// the keys that have to be watched at the store from then on.
 async fn follow_peer(shared: &Shared) -> &'static str {
     let relay = shared.relay.borrow().clone();
-    let Some((relay, leader_key)) = relay.filter(|_| shared.is_loaded()) else {
+    let Some((relay, leader_key)) = relay.filter(|_| shared.eras.was_loaded()) else {
         return "";
     };
     loop {
         match with_timeout(RELAY_TIMEOUT, relay(shared.applied.get())).await {
-            Ok(changes) => shared.apply_changes(changes),
+            Ok(changes) => {
+                if !shared.apply_changes(changes) {
+                    info!("peer follows another era of the store");
+                    return "";
+                }
+            }
             Err(report) => {
                 debug!(error = ?report, "peer forwards no changes");
                 let has_no_leader = *report.current_context() == ErrorKind::NoPrimary;
@@ -139,6 +151,9 @@
     let mut heard = opened;
     let until = opened + RELAY_PAUSE;
     loop {
+        if !shared.is_loaded() {
+            return Err(outdated());
+        }
         let is_coordinator = shared.is_coordinator.get();
         let wait = if is_coordinator {
             WATCH_CHECK
@@ -169,6 +184,10 @@
     }
 }
 
+fn outdated() -> Report<ErrorKind> {
+    dead_watch("store came back from an older copy")
+}
+
 fn dead_watch(reason: &'static str) -> Report<ErrorKind> {
     Report::new(ErrorKind::StoreUnavailable).attach(reason)
 }
@@ -192,9 +211,14 @@
         let key = shared.schema.configuration;
         match with_timeout(CALL_TIMEOUT, shared.store.range(key)).await {
             Ok(page) => {
+                let is_current = shared.enter_era(page.revision);
                 page.entries.into_iter().for_each(|entry| shared.put(entry));
-                shared.confirm(sent);
-                shared.recency.record_read(page.revision, sent);
+                if is_current {
+                    shared.recency.record_read(page.revision, sent);
+                }
+                if !is_current || !shared.confirm(sent) {
+                    sleep(CONFIRM_RETRY).await;
+                }
             }
             Err(error) => {
                 let age_ms = shared.configuration_age().map(|age| age.as_millis());
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod configuration;
 mod directory;
+mod era;
 mod follow;
 mod member;
 mod recency;
--- a/crates/burdockslip_directory/src/recency.rs
+++ b/crates/burdockslip_directory/src/recency.rs
@@ -26,6 +26,13 @@
 }
 
 impl Recency {
+    /// Forgets what was received in an earlier era of the store.
+    pub(crate) fn reset(&self) {
+        self.received.take();
+        self.missing.take();
+        self.newest_at.take();
+    }
+
     /// Returns how long ago, at most, the local copy had the newest state of the store,
     /// or `None` if it never had.
     pub(crate) fn age(&self) -> Option<Duration> {
