failover: withhold and bring back records after the store was restored

Cause: the fencing token, permissions and group records rest on revisions, which go back with an older copy of the store. Change: the duty has a key for each era and is claimed 1.25 s after the era became known; a tenure ends with its era. Group records carry a stamp of the tenure that wrote them; one of an earlier era gives no permission, and the coordinator brings back the newest one that any host knew, or one with everyone on the roster while hosts are silent. The first try let a candidate claim at once if it had started to wait before it heard of the era; holder_stops_although_its_record_is_in_the_copy showed it.

--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -194,8 +194,10 @@
             allocator_slot.get_or_insert_with(|| (role.token, Allocator::new(self.rate_slack)));
         let grants = allocator.grant(host, &demands, &view.limits, &view.hosts, role.is_interim);
         let age = self.directory.configuration_age();
+        let configuration = self.directory.configuration();
         Ok(ReportReply {
             grants,
+            version: configuration.map_or(0, |known| known.version),
             configuration: age.map(|age| (self.directory.configuration_revision(), age)),
             suspected: self.supervisor.suspected(),
             permission: self.permission.lease_proof_age(),
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -236,7 +236,7 @@
             following.clone().follow(revision)
         })
         .on(DutyExchange, move |_, ()| {
-            ready(Ok(directory.record(keys::DUTY)))
+            ready(Ok(directory.record(&keys::duty(directory.era()))))
         });
     admission::serve(router, cx, is_draining)
 }
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -25,6 +25,8 @@
 pub struct ReportReply {
     /// The tokens and the fractions of the organisations' rates granted to the host.
     pub grants: Vec<Grant>,
+    /// The version of the coordinator's configuration, zero if it has none.
+    pub version: u64,
     /// The revision of the coordinator's configuration, and how long ago the store
     /// confirmed that it is the newest one.
     pub configuration: Option<(Revision, Duration)>,
--- a/crates/burdockslip_entry/src/report.rs
+++ b/crates/burdockslip_entry/src/report.rs
@@ -87,7 +87,7 @@
         if is_full {
             last_full = Some(sent);
         }
-        let token = cx.directory.record(keys::DUTY).map(|entry| entry.revision);
+        let token = cx.directory.revision(&keys::duty(cx.directory.era()));
         if token != delivery.token {
             delivery = Delivery {
                 token,
@@ -106,10 +106,12 @@
         };
         let report = HostReport {
             groups: GroupReport {
+                era: cx.directory.era(),
                 suspects,
                 changing,
                 excluding: cx.permission.excluding(),
                 acknowledged,
+                knowledge: cx.permission.knowledge().filter(|_| is_full),
             },
             demands: cx.limiter.borrow_mut().demands(scope),
             wants_positions: is_full,
@@ -125,6 +127,7 @@
         if let Ok(reply) = outcome {
             // The ages are relative to the reply. Subtracted from the earlier moment at
             // which the report was sent, they can only make a proof look older.
+            cx.directory.expect_version(reply.version);
             if let Some((revision, age)) = reply.configuration {
                 cx.directory.confirm(revision, sent - age);
             }
@@ -167,8 +170,8 @@
     match timeout(REQUEST_TIMEOUT, client.call(&peer, ())).await {
         Ok(Ok(Some(entry))) => {
             let is_new = directory
-                .record(keys::DUTY)
-                .is_none_or(|known| known.revision < entry.revision);
+                .revision(&entry.key)
+                .is_none_or(|known| known < entry.revision);
             if is_new {
                 info!(%peer, revision = entry.revision.0, "received the coordinator from a peer");
                 directory.apply(entry);
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -7,7 +7,7 @@
 
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Instant, Signal, Task, now, random_range, sleep, sleep_until, spawn};
-use burdockslip_store::{Compare, LeaseId, Operation, Store, Txn, with_timeout};
+use burdockslip_store::{Compare, Entry, LeaseId, Operation, Store, Txn, with_timeout};
 use burdockslip_types::{HostId, Result, Revision, domain};
 use futures::future::{Either, select};
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -143,7 +143,7 @@
         self.shared
             .tenure
             .get()
-            .filter(|tenure| !tenure.until.is_past())
+            .filter(|tenure| !tenure.until.is_past() && self.shared.is_current(tenure))
     }
 
     /// Returns the token as long as no other host can hold the duty.
@@ -151,7 +151,8 @@
     /// This is longer than the tenure, because answers to reports need no margin
     /// for a call in flight.
     pub fn confirmed_token(&self) -> Option<Revision> {
-        let tenure = self.shared.tenure.get()?;
+        let tenure = self.shared.tenure.get();
+        let tenure = tenure.filter(|tenure| self.shared.is_current(tenure))?;
         let until = tenure.until + ANSWER_MARGIN;
         (!until.is_past()).then_some(tenure.token)
     }
@@ -169,7 +170,7 @@
             });
         }
         let tenure = self.shared.tenure.get().or(self.shared.expired.get())?;
-        let entry = self.shared.directory.record(keys::DUTY)?;
+        let entry = self.shared.duty_entry()?;
         let is_last = entry.revision == tenure.token && !self.shared.is_leaving.get();
         let until = tenure.until + INTERIM_SPAN;
         (is_last && !until.is_past()).then_some(CoordinatorRole {
@@ -207,8 +208,23 @@
         self.aside_until.get().is_some_and(|until| !until.is_past())
     }
 
+    fn duty_entry(&self) -> Option<Entry> {
+        self.directory.record(&keys::duty(self.directory.era()))
+    }
+
+    /// Returns whether a tenure is of the store's current era.
+    fn is_current(&self, tenure: &Tenure) -> bool {
+        tenure.token.era() == self.directory.era()
+    }
+
+    /// Returns when a holder of an earlier era of the store, whose lease is not in the
+    /// restored copy, can no longer hold the duty.
+    fn vacant_from(&self) -> Option<Instant> {
+        Some(self.directory.era_since()? + LEASE_TTL)
+    }
+
     fn duty_record(&self) -> Option<DutyRecord> {
-        let entry = self.directory.record(keys::DUTY)?;
+        let entry = self.duty_entry()?;
         records::decode(&entry.value).ok()
     }
 
@@ -242,7 +258,7 @@
 
     /// Returns whether nobody holds the duty, or only an earlier run of this host.
     fn is_vacant(&self) -> bool {
-        self.directory.record(keys::DUTY).is_none()
+        self.duty_entry().is_none()
             || self
                 .duty_record()
                 .is_none_or(|record| record.host == self.host)
@@ -279,11 +295,16 @@
             sleep_until(until).await;
             continue;
         }
+        if let Some(until) = shared.vacant_from() {
+            sleep_until(until).await;
+        }
         end_earlier_run(&shared).await;
         let (least, most) = CANDIDATE_DELAY_MS;
         let delay = Duration::from_millis(random_range(least..most));
         sleep(delay + shared.candidate_delay()).await;
-        if !shared.is_vacant() || shared.is_leaving.get() || shared.is_aside() {
+        // The store may have been restored meanwhile.
+        let is_early = shared.vacant_from().is_some_and(|from| !from.is_past());
+        if is_early || !shared.is_vacant() || shared.is_leaving.get() || shared.is_aside() {
             continue;
         }
         match claim(&shared).await {
@@ -316,25 +337,31 @@
 
 async fn claim(shared: &Shared) -> Result<Option<(LeaseId, Tenure)>> {
     let store = shared.directory.store();
+    let era = shared.directory.era();
+    let key = keys::duty(era);
+    let mut earlier = shared.directory.records(keys::DUTY);
+    earlier.retain(|entry| entry.key != key);
     let sent = now();
     let lease = with_timeout(CALL_TIMEOUT, store.grant_lease(LEASE_TTL)).await?;
     let record = DutyRecord {
         host: shared.host.clone(),
         lease,
     };
+    let claimed = Operation::Put(key.clone(), records::encode(&record)?, Some(lease));
+    // A restored record of an earlier era would let late writes of its holder pass.
+    let removed = earlier
+        .into_iter()
+        .map(|entry| Operation::Delete(entry.key));
     let reply = with_timeout(
         CALL_TIMEOUT,
         store.txn(Txn {
-            compares: vec![Compare::Revision(keys::DUTY.to_owned(), Revision(0))],
-            operations: vec![Operation::Put(
-                keys::DUTY.to_owned(),
-                records::encode(&record)?,
-                Some(lease),
-            )],
+            compares: vec![Compare::Revision(key, Revision(0))],
+            operations: std::iter::once(claimed).chain(removed).collect(),
         }),
     )
     .await;
-    let is_won = matches!(&reply, Ok(reply) if reply.is_applied);
+    let is_won =
+        matches!(&reply, Ok(reply) if reply.is_applied && reply.revision.era() == era);
     if !is_won {
         // A claim whose answer was lost may have been applied; it must not keep
         // the duty.
@@ -347,7 +374,7 @@
         token: reply.revision,
         until: sent + TENURE,
     };
-    Ok(reply.is_applied.then_some((lease, tenure)))
+    Ok(is_won.then_some((lease, tenure)))
 }
 
 /// Renews the lease until it ends or the duty is released.
@@ -361,6 +388,11 @@
     let started = now();
     loop {
         let seen = shared.release.epoch();
+        if !shared.is_current(&tenure) {
+            let era = shared.directory.era();
+            info!(fence = tenure.token.0, era, "duty lost, store was restored");
+            return;
+        }
         let is_weak = started.elapsed() > WEAK_TENURE && shared.is_weak();
         if shared.is_leaving.get() || is_weak || shared.is_aside() {
             shared.tenure.set(None);
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -9,13 +9,14 @@
 use burdockslip_directory::{Directory, Member};
 use burdockslip_runtime::{Instant, Signal, Task, now, sleep, spawn, timeout};
 use burdockslip_statement::MemberStatus;
-use burdockslip_store::LeaseId;
+use burdockslip_store::{Entry, LeaseId};
 use burdockslip_telemetry::Metrics;
 use burdockslip_types::{ErrorKind, GroupName, LogPosition, MemberName, Result, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
 use tracing::{info, warn};
 
+use crate::Knowledge;
 use crate::proof::{Proof, ProofSource};
 use crate::records::{self, GroupRecord, keys};
 use crate::witness;
@@ -109,25 +110,25 @@
 
     /// Returns the primary of a group if this host may currently use it.
     pub fn primary(&self, group: &GroupName) -> Option<MemberName> {
-        let record = self.shared.record(group)?;
+        let record = self.shared.stable_record(group)?;
         let member = self.shared.directory.member(&record.primary);
         let is_emptied = member.is_some_and(|member| record.is_emptied(&member));
-        let is_usable = record.is_stable() && !is_emptied && self.is_proved(group);
+        let is_usable = !is_emptied && self.is_proved(group);
         is_usable.then(|| record.primary.clone())
     }
 
     /// Returns the primary of a group according to its record, whether or not this host
     /// may currently use it; `None` while it is being replaced.
     pub fn recorded_primary(&self, group: &GroupName) -> Option<MemberName> {
-        let record = self.shared.record(group)?;
-        record.is_stable().then(|| record.primary.clone())
+        let record = self.shared.stable_record(group)?;
+        Some(record.primary.clone())
     }
 
     /// Returns the term in which a member leads according to the group's record, or `None`
     /// if it is not the primary, or is being replaced.
     pub fn recorded_term(&self, group: &GroupName, member: &MemberName) -> Option<Term> {
-        let record = self.shared.record(group)?;
-        (record.is_stable() && record.primary == *member).then_some(record.term)
+        let record = self.shared.stable_record(group)?;
+        (record.primary == *member).then_some(record.term)
     }
 
     /// Returns the newest proof for a group.
@@ -176,7 +177,7 @@
     /// primary, but not name the members that are excluded.
     pub fn accept_group_proof(&self, group: &GroupName, revision: Revision, moment: Instant) {
         if let Some((record, known)) = self.shared.record_and_revision(group)
-            && record.is_stable()
+            && self.shared.is_stable(&record)
             && known == revision
         {
             let source = ProofSource::CoordinatorReplica;
@@ -214,6 +215,37 @@
         configuration.groups.keys().filter_map(held).collect()
     }
 
+    /// Returns what this host knew of the groups before the store was restored, or `None`
+    /// if it never was. What it knew of a group is forgotten once its record is settled.
+    pub fn knowledge(&self) -> Option<Knowledge> {
+        let directory = &self.shared.directory;
+        let era = directory.era();
+        let configuration = directory.configuration();
+        let groups = configuration.iter().flat_map(|known| known.groups.keys());
+        if era == 0 {
+            return None;
+        }
+        let mut records = Vec::new();
+        for group in groups {
+            let key = keys::group(group);
+            let is_settled = |record: Rc<GroupRecord>| record.is_settled(era);
+            if self.shared.record(group).is_some_and(is_settled) {
+                directory.forget_earlier(&key);
+                continue;
+            }
+            let earlier = directory.earlier_records(&key);
+            let read = |entry: &Entry| GroupRecord::read(&entry.value).ok();
+            let known = earlier.iter().filter_map(read);
+            records.extend(known.map(|record| (group.clone(), record)));
+        }
+        let before = directory.loaded_before();
+        Some(Knowledge {
+            era,
+            before,
+            records,
+        })
+    }
+
     /// Returns the groups whose records exclude members, with the revisions of these
     /// records. A member leaves the roster only after all hosts have reported this.
     pub fn excluding(&self) -> Vec<(GroupName, Revision)> {
@@ -253,8 +285,10 @@
         let Some(registered) = self.shared.registered_since.get() else {
             return false;
         };
+        let era_since = self.shared.directory.era_since();
+        let from = era_since.map_or(registered, |since| since.max(registered));
         self.proof(group)
-            .is_some_and(|proof| proof.at >= registered && proof.age() < PERMISSION_TTL)
+            .is_some_and(|proof| proof.at >= from && proof.age() < PERMISSION_TTL)
     }
 }
 
@@ -265,6 +299,16 @@
 }
 
 impl Shared {
+    /// Returns the record of a group if it names the primary to use: it was written since
+    /// the store was last restored, and no change of primary is in progress.
+    pub(crate) fn stable_record(&self, group: &GroupName) -> Option<Rc<GroupRecord>> {
+        self.record(group).filter(|record| self.is_stable(record))
+    }
+
+    pub(crate) fn is_stable(&self, record: &GroupRecord) -> bool {
+        record.is_stable() && record.is_settled(self.directory.era())
+    }
+
     pub(crate) fn record(&self, group: &GroupName) -> Option<Rc<GroupRecord>> {
         self.record_and_revision(group).map(|(record, _)| record)
     }
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -15,9 +15,9 @@
 use futures::future::{LocalBoxFuture, join_all};
 use tracing::{info, warn};
 
-use crate::records::{self, GroupRecord, keys};
+use crate::records::{self, GroupRecord, Stamp, keys};
 use crate::roster::merge;
-use crate::{AcknowledgedCommit, Duty, Tenure, Withdrawals};
+use crate::{AcknowledgedCommit, Duty, Restoration, Tenure, Withdrawals};
 
 /// The timeout of a control command to a member.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -68,6 +68,10 @@
     pub(crate) promote: PromoteFn,
     /// The number of consecutive orders that failed.
     pub(crate) failed_orders: Rc<Cell<u32>>,
+    /// The number of group records that this host has written.
+    pub(crate) written: Rc<Cell<u64>>,
+    /// What hosts knew before the store was restored.
+    pub(crate) restoration: Rc<RefCell<Restoration>>,
     /// Which hosts know of the changes in progress.
     pub(crate) withdrawals: Rc<RefCell<Withdrawals>>,
     /// The last commit of each group that hosts have reported to have acknowledged.
@@ -149,6 +153,7 @@
             excluded: Vec::new(),
             lost: Vec::new(),
             held: None,
+            stamp: Stamp::default(),
         };
         self.write(group, &record, Revision(0)).await?;
         info!(%group, %primary, term = status.term.0, "primary adopted");
@@ -199,7 +204,15 @@
         record: &GroupRecord,
         known: Revision,
     ) -> Result<Revision> {
-        self.put(&keys::group(group), records::encode(record)?, known)
+        let count = self.written.get();
+        self.written.set(count + 1);
+        let token = self.tenure()?.token;
+        let stamp = Stamp { token, count };
+        let stamped = GroupRecord {
+            stamp,
+            ..record.clone()
+        };
+        self.put(&keys::group(group), records::encode(&stamped)?, known)
             .await
     }
 
@@ -211,7 +224,7 @@
             STORE_TIMEOUT,
             self.directory.store().txn(Txn {
                 compares: vec![
-                    Compare::Revision(keys::DUTY.to_owned(), tenure.token),
+                    Compare::Revision(keys::duty(tenure.token.era()), tenure.token),
                     Compare::Revision(key.to_owned(), known),
                 ],
                 operations: vec![Operation::Put(key.to_owned(), value.clone(), None)],
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use burdockslip_directory::Member;
-use burdockslip_types::{ErrorKind, MemberName, Result, Term, Zone, domain};
+use burdockslip_types::{ErrorKind, MemberName, Result, Revision, Term, Zone, domain};
 use error_stack::ResultExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -22,12 +22,24 @@
     pub const ROOT: &str = "burdockslip/";
     /// The prefix of the hosts' registrations, each under the host's lease.
     pub const HOSTS: &str = "burdockslip/hosts/";
-    /// The key of the duty: the record of the coordinator, attached to its lease.
+    /// The prefix of the keys of the duty, one for each era of the store.
     pub const DUTY: &str = "burdockslip/duty";
     /// The key of the fence: the ID of a lease that all hosts renew. Revoking this
     /// lease withdraws every permission to use a primary.
     pub const FENCE: &str = "burdockslip/fence";
 
+    /// Returns the key of the duty in an era of the store: the record of the coordinator,
+    /// attached to its lease.
+    ///
+    /// Writes compare it, so that one that was sent in an earlier era finds no duty; see
+    /// `docs/design/store-era.md`.
+    pub fn duty(era: u64) -> String {
+        if era == 0 {
+            return DUTY.to_owned();
+        }
+        format!("{DUTY}.{era}")
+    }
+
     /// Returns the key of a group's record.
     pub fn group(group: &GroupName) -> String {
         format!("burdockslip/groups/{group}")
@@ -35,6 +47,15 @@
 }
 
 domain! {
+    /// When a record was written, ordered over all eras of the store.
+    #[derive(Copy, Default)]
+    pub struct Stamp {
+        /// The token of the tenure that wrote it.
+        pub token: Revision,
+        /// The number of records that the holder had written before.
+        pub count: u64,
+    }
+
     /// The primary of a database group and the members that may replace it.
     pub struct GroupRecord {
         /// The primary, or the one that is being replaced.
@@ -58,6 +79,8 @@
         /// The term at which replicas are stopped while the primary is being
         /// replaced; `None` while no change of primary is in progress.
         pub held: Option<Term>,
+        /// When the record was written.
+        pub stamp: Stamp,
     }
 
     /// The record with which a host announces itself to its peers.
@@ -158,6 +181,12 @@
         });
     }
 
+    /// Returns whether the record was written in `era` of the store. One that came with an
+    /// older copy may have been replaced by a later one that is lost.
+    pub const fn is_settled(&self, era: u64) -> bool {
+        self.stamp.token.era() == era
+    }
+
     /// Returns whether no change of primary is in progress.
     pub const fn is_stable(&self) -> bool {
         self.held.is_none()
--- a/crates/burdockslip_failover/src/report.rs
+++ b/crates/burdockslip_failover/src/report.rs
@@ -2,6 +2,8 @@
 
 use burdockslip_types::{GroupName, LogPosition, MemberName, Revision, Term, domain};
 
+use crate::Knowledge;
+
 impl AcknowledgedCommit {
     /// Returns the later of two commits.
     #[must_use]
@@ -16,6 +18,8 @@
 domain! {
     /// The state of a host that concerns primaries and their replacement.
     pub struct GroupReport {
+        /// The era of the store that the host knows.
+        pub era: u64,
         /// The members that the host suspects to be lost.
         pub suspects: Vec<MemberName>,
         /// The groups of which the host knows that their primary is being replaced, with
@@ -26,6 +30,8 @@
         pub excluding: Vec<(GroupName, Revision)>,
         /// The last commits that the host has acknowledged to clients.
         pub acknowledged: Vec<(GroupName, AcknowledgedCommit)>,
+        /// What the host knew before the store was restored, if it was.
+        pub knowledge: Option<Knowledge>,
     }
 
     /// The last commit of a group that was acknowledged to a client, between two positions.
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -9,13 +9,13 @@
 use burdockslip_directory::Directory;
 use burdockslip_runtime::{Instant, Task, now, sleep, spawn};
 use burdockslip_store::Entry;
-use burdockslip_types::{GroupName, HostId, MemberName, Result};
+use burdockslip_types::{GroupName, HostId, MemberName, Result, Revision};
 use burdockslip_upstream::Pools;
 use tracing::{debug, info, warn};
 
 use crate::promotion::{PromoteFn, Promotion};
 use crate::records::{GroupRecord, keys};
-use crate::{Duty, GroupReport, Votes, roster};
+use crate::{Decision, Duty, GroupReport, Votes, roster};
 
 /// How often the groups are checked.
 const TICK: Duration = Duration::from_millis(60);
@@ -68,6 +68,8 @@
                 duty,
                 promote,
                 failed_orders: Rc::default(),
+                written: Rc::default(),
+                restoration: Rc::default(),
                 withdrawals: Rc::default(),
                 acknowledged: Rc::default(),
             },
@@ -87,8 +89,17 @@
     pub fn report(&self, host: HostId, report: GroupReport) {
         let promotion = &self.shared.promotion;
         let mut withdrawals = promotion.withdrawals.borrow_mut();
-        withdrawals.record_report(&host, report.changing);
-        withdrawals.record_known(&host, report.excluding);
+        if report.era == promotion.directory.era() {
+            withdrawals.record_report(&host, report.changing);
+            withdrawals.record_known(&host, report.excluding);
+        } else {
+            // It may act on records that the restored store does not have.
+            withdrawals.record_report(&host, Vec::new());
+        }
+        if let Some(knowledge) = report.knowledge {
+            let mut restoration = promotion.restoration.borrow_mut();
+            restoration.record(host.clone(), knowledge);
+        }
         let mut acknowledged = promotion.acknowledged.borrow_mut();
         for (group, commit) in report.acknowledged {
             let known = acknowledged.entry(group).or_insert(commit);
@@ -113,19 +124,20 @@
 async fn run(shared: Rc<Shared>) {
     let mut ticks = 0_u32;
     let mut registered_at = None;
+    let mut era = shared.promotion.directory.era();
     loop {
         sleep(TICK).await;
+        let known = std::mem::replace(&mut era, shared.promotion.directory.era());
+        if known != era {
+            shared.promotion.withdrawals.borrow_mut().start_era();
+            shared.end_tenure();
+        }
         if registered_at.is_none_or(|at: Instant| at.elapsed() >= REGISTERED_PERIOD) {
             registered_at = Some(now());
             shared.promotion.record_registered();
         }
         if shared.promotion.duty.tenure().is_none() {
-            shared.changes.borrow_mut().clear();
-            shared.joins.borrow_mut().clear();
-            shared.updates.borrow_mut().clear();
-            shared.receiving.borrow_mut().clear();
-            shared.votes.borrow_mut().reset();
-            shared.promotion.withdrawals.borrow_mut().end_tenure();
+            shared.end_tenure();
             continue;
         }
         if shared.leave_minority() {
@@ -148,6 +160,17 @@
 }
 
 impl Shared {
+    /// Ends all work and forgets what hosts have reported.
+    fn end_tenure(&self) {
+        self.changes.borrow_mut().clear();
+        self.joins.borrow_mut().clear();
+        self.updates.borrow_mut().clear();
+        self.receiving.borrow_mut().clear();
+        self.votes.borrow_mut().reset();
+        self.promotion.withdrawals.borrow_mut().end_tenure();
+        self.promotion.restoration.borrow_mut().clear();
+    }
+
     /// Returns whether a change of primary may be replacing the fence. A change that
     /// runs for longer is waiting for members and has replaced the fence before.
     fn is_replacing_fence(&self) -> bool {
@@ -175,11 +198,22 @@
         if self.changes.borrow().contains_key(group) {
             return;
         }
-        let Some(entry) = self.promotion.directory.record(&keys::group(group)) else {
+        let entry = self.promotion.directory.record(&keys::group(group));
+        let record = entry.as_ref().map(|entry| GroupRecord::read(&entry.value));
+        let era = self.promotion.directory.era();
+        let is_settled = |record: &Result<GroupRecord>| {
+            let known = record.as_ref().ok();
+            known.is_some_and(|record| record.is_settled(era))
+        };
+        if era > 0 && !record.as_ref().is_some_and(is_settled) {
+            self.restore(group, entry, record.and_then(Result::ok));
+            return;
+        }
+        let Some((entry, record)) = entry.zip(record) else {
             self.start_change(group, None, "no record");
             return;
         };
-        let record = match GroupRecord::read(&entry.value) {
+        let record = match record {
             Ok(record) => record,
             Err(error) => {
                 warn!(%group, ?error, "group record unreadable");
@@ -201,6 +235,46 @@
         }
     }
 
+    /// Spawns a task that brings back the record of a group after the store was restored, or
+    /// waits for what hosts know of it.
+    fn restore(
+        self: &Rc<Self>,
+        group: &GroupName,
+        entry: Option<Entry>,
+        copy: Option<GroupRecord>,
+    ) {
+        let directory = &self.promotion.directory;
+        let waited = directory.era_since().map_or(Duration::ZERO, Instant::elapsed);
+        let hosts = self.promotion.withdrawals.borrow().hosts();
+        let restoration = self.promotion.restoration.borrow();
+        let era = directory.era();
+        let decision = restoration.decide(group, copy.as_ref(), &hosts, era, waited);
+        drop(restoration);
+        let record = match decision {
+            Decision::Wait => return,
+            Decision::Adopt if entry.is_none() => {
+                self.start_change(group, None, "no record");
+                return;
+            }
+            Decision::Adopt => {
+                warn!(%group, "group record unreadable");
+                return;
+            }
+            Decision::Restore(record) => record,
+        };
+        let known = entry.map_or(Revision(0), |entry| entry.revision);
+        let (shared, name) = (Rc::clone(self), group.clone());
+        let task = spawn(async move {
+            if let Err(error) = shared.promotion.restore(&name, record, known).await {
+                info!(group = %name, ?error, "group record not brought back");
+                sleep(RETRY_PAUSE).await;
+            }
+            shared.changes.borrow_mut().remove(&name);
+        });
+        let change = (now(), task);
+        self.changes.borrow_mut().insert(group.clone(), change);
+    }
+
     /// Spawns a task that adds registered members to the roster, unless one is running for
     /// the group. An update may take seconds, in which they already receive commits.
     fn start_join(self: &Rc<Self>, group: &GroupName, entry: Entry) {
--- a/crates/burdockslip_failover/src/withdrawals.rs
+++ b/crates/burdockslip_failover/src/withdrawals.rs
@@ -8,7 +8,7 @@
 
 /// How long after it was last registered, or last reported, a host may still use a
 /// primary. A host whose registration was removed learns of it within 5 s and stops.
-const HOST_SPAN: Duration = Duration::from_secs(6);
+pub(crate) const HOST_SPAN: Duration = Duration::from_secs(6);
 
 /// The hosts that may have a permission, and the changes that each of them has reported
 /// to know; a host that knows of a change does not use the old primary.
@@ -36,6 +36,18 @@
         self.known.clear();
     }
 
+    /// Forgets what hosts have reported and since when registrations have been followed,
+    /// because the store was restored: registrations may be missing from its copy.
+    pub fn start_era(&mut self) {
+        self.end_tenure();
+        self.since = None;
+    }
+
+    /// Returns the hosts that may have a permission.
+    pub fn hosts(&self) -> Vec<HostId> {
+        self.hosts.keys().cloned().collect()
+    }
+
     /// Records the hosts that are registered. Has to be called regularly.
     pub fn record_registered(&mut self, hosts: impl IntoIterator<Item = HostId>) {
         let moment = now();
--- a/crates/burdockslip_failover/src/witness.rs
+++ b/crates/burdockslip_failover/src/witness.rs
@@ -56,7 +56,7 @@
         is_complete = true;
         for group in configuration.groups.keys() {
             let known = shared.record_and_revision(group);
-            let known = known.filter(|(record, _)| record.is_stable());
+            let known = known.filter(|(record, _)| shared.is_stable(record));
             let Some((record, revision)) = known else {
                 is_complete = false;
                 continue;
--- a/crates/burdockslip_failover/tests/duty.rs
+++ b/crates/burdockslip_failover/tests/duty.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Configuration, Directory, Schema};
-use burdockslip_failover::{Duty, Registration};
-use burdockslip_runtime::{paused, sleep};
-use burdockslip_store::{Faults, MemoryStore, Store};
-use burdockslip_types::{ErrorKind, HostId, Zone};
+use burdockslip_failover::{Duty, Registration, keys};
+use burdockslip_runtime::{now, paused, sleep};
+use burdockslip_store::{Compare, Faults, MemoryStore, Operation, Store, Txn};
+use burdockslip_types::{ErrorKind, HostId, Revision, Zone};
 use error_stack::Report;
 
 const SCHEMA: Schema = Schema {
@@ -254,3 +254,77 @@
         assert!(duty.tenure().is_some());
     });
 }
+
+/// Guards against a holder of an earlier era that goes on after the store was restored,
+/// against a claim before its tenure has surely ended, and against a token that goes back.
+#[test]
+fn restored_store_starts_a_new_tenure() {
+    paused::run(3, async {
+        let store = store();
+        let copy = store.copy();
+        let first = open(&store, "a");
+        sleep(Duration::from_secs(1)).await;
+        let token = first.1.tenure().expect("the only candidate holds it").token;
+        store.disconnect("a");
+        store.restore(&copy);
+        let restored = now();
+        let second = open(&store, "b");
+        loop {
+            sleep(Duration::from_millis(10)).await;
+            if let Some(tenure) = second.1.tenure() {
+                assert!(first.1.tenure().is_none(), "two hosts hold the duty");
+                assert!(tenure.token > token, "the token went back");
+                assert!(tenure.token.number() <= token.number(), "numbers are given out again");
+                break;
+            }
+        }
+        assert!(restored.elapsed() >= Duration::from_millis(1_250));
+    });
+}
+
+/// Guards against a holder that goes on because the copy has its lease.
+#[test]
+fn holder_stops_although_its_record_is_in_the_copy() {
+    paused::run(3, async {
+        let store = store();
+        let (directory, duty) = open(&store, "a");
+        sleep(Duration::from_secs(1)).await;
+        let token = duty.tenure().expect("the only candidate holds it").token;
+        let copy = store.copy();
+        sleep(Duration::from_millis(600)).await;
+        store.restore(&copy);
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(directory.era(), 1);
+        assert!(duty.tenure().is_none(), "held on a lease of the earlier era");
+        sleep(ELECTION_TIME).await;
+        assert!(duty.tenure().expect("it is claimed again").token > token);
+        assert!(directory.record(&keys::duty(0)).is_none(), "the copy's record is removed");
+    });
+}
+
+/// Guards against a write of an earlier era that is applied because its numbers were given
+/// out again.
+#[test]
+fn late_write_of_an_earlier_era_is_not_applied() {
+    paused::run(3, async {
+        let store = store();
+        let copy = store.copy();
+        let (_, duty) = open(&store, "a");
+        sleep(Duration::from_secs(1)).await;
+        let token = duty.tenure().expect("the only candidate holds it").token;
+        store.restore(&copy);
+        sleep(ELECTION_TIME).await;
+        let compare = |key, token| {
+            let compares = vec![Compare::Revision(key, token)];
+            let operations = vec![Operation::Put("late".to_owned(), Vec::new(), None)];
+            Txn { compares, operations }
+        };
+        let client = store.client("late");
+        // As the platform's store applies it: by numbers, without the era.
+        let same = Revision::in_era(1, token.number()).expect("it is small");
+        for token in [token, same] {
+            let reply = client.txn(compare(keys::duty(0), token)).await;
+            assert!(!reply.expect("the store answers").is_applied);
+        }
+    });
+}
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Configuration, Directory, GroupConfig, Member, Role, Schema};
-use burdockslip_failover::{GroupRecord, Permission};
+use burdockslip_failover::{GroupRecord, Permission, Stamp};
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_statement::Codec;
 use burdockslip_store::{Faults, MemoryStore};
@@ -65,6 +65,7 @@
         excluded: Vec::new(),
         lost: Vec::new(),
         held: None,
+        stamp: Stamp::default(),
     }
 }
 
@@ -200,3 +201,46 @@
         assert_eq!(permission.primary(&group()), None);
     });
 }
+
+/// Guards against the use of a primary that a restored store names: a later one may be
+/// lost with the writes since the copy.
+#[test]
+fn restored_record_gives_no_permission() {
+    paused::run(1, async {
+        let store = store().await;
+        let copy = store.copy();
+        let directory = Directory::spawn(store.client("host"), SCHEMA);
+        let pools = Pools::spawn(CODEC, directory.clone());
+        let metrics = Metrics::new().expect("the metrics can be registered");
+        let permission = Permission::spawn(directory, pools, metrics);
+        let primary = || permission.primary(&group());
+        permission.set_registered(Some(now()));
+        sleep(Duration::from_secs(1)).await;
+        assert!(primary().is_some());
+        assert!(permission.knowledge().is_none(), "the store was never restored");
+
+        let later = GroupRecord {
+            term: Term(2),
+            ..group_record()
+        };
+        store.put("burdockslip/groups/ledger", &encode(&later));
+        sleep(Duration::from_secs(1)).await;
+        store.restore(&copy);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(primary(), None, "used by a record of an earlier era");
+        let knowledge = permission.knowledge().expect("the store was restored");
+        assert_eq!((knowledge.era, knowledge.before), (1, Some(0)));
+        assert_eq!(knowledge.records, [(group(), later.clone())]);
+
+        let token = Revision::in_era(1, 9).expect("it is small");
+        let settled = GroupRecord {
+            stamp: Stamp { token, count: 0 },
+            ..later
+        };
+        store.put("burdockslip/groups/ledger", &encode(&settled));
+        sleep(Duration::from_secs(1)).await;
+        assert!(primary().is_some(), "brought back");
+        let knowledge = permission.knowledge().expect("the store was restored");
+        assert!(knowledge.records.is_empty());
+    });
+}
