entry: report records of an earlier era, count groups that are not settled

Cause: operators see neither the era nor which groups wait for their record, and a version that no host has seen may be lost with the writes since the copy.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -77,31 +77,31 @@
 pub(crate) struct Shared {
     pub(crate) schema: Schema,
     pub(crate) store: Store,
-    configuration: RefCell<Option<Rc<Configuration>>>,
-    configuration_revision: Cell<Revision>,
+    pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    pub(crate) configuration_revision: Cell<Revision>,
     /// The latest moment at which the configuration was the newest one.
     confirmed_at: Cell<Option<Instant>>,
     members: RefCell<HashMap<MemberName, KnownMember>>,
-    entries: RefCell<BTreeMap<String, Entry>>,
+    pub(crate) entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
     deletions: RefCell<VecDeque<(Revision, String)>>,
     /// The revision after which `deletions` is complete.
-    deletions_from: Cell<Revision>,
+    pub(crate) deletions_from: Cell<Revision>,
     /// The revision up to which all changes have been applied.
     pub(crate) applied: Cell<Revision>,
     pub(crate) recency: Recency,
     pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
     pub(crate) eras: Eras,
     /// The newest version of the configuration that is known to exist.
-    newest_version: Cell<u64>,
+    pub(crate) newest_version: Cell<u64>,
     pub(crate) is_coordinator: Cell<bool>,
-    changed: Signal,
+    pub(crate) changed: Signal,
 }
 
 /// Keeps a local copy of the store up to date until the last clone is dropped.
 #[derive(Clone)]
 pub struct Directory {
-    shared: Rc<Shared>,
+    pub(crate) shared: Rc<Shared>,
     _following: Rc<(Task<()>, Task<()>)>,
 }
 
@@ -147,39 +147,6 @@
         self.shared.eras.is_loaded()
     }
 
-    /// Returns the era of the store: the number of times that it has come back from an
-    /// older copy.
-    pub fn era(&self) -> u64 {
-        self.shared.eras.current()
-    }
-
-    /// Returns when the era became known, or `None` in the first one.
-    pub fn era_since(&self) -> Option<Instant> {
-        self.shared.eras.since()
-    }
-
-    /// Returns the latest era before the current one in which the whole store was read.
-    pub fn loaded_before(&self) -> Option<u64> {
-        self.shared.eras.loaded_before()
-    }
-
-    /// Returns the different values that the record under `key` had in earlier eras.
-    pub fn earlier_records(&self, key: &str) -> Vec<Entry> {
-        self.shared.eras.earlier(key)
-    }
-
-    /// Forgets the values that the record under `key` had in earlier eras.
-    pub fn forget_earlier(&self, key: &str) {
-        self.shared.eras.forget(key);
-    }
-
-    /// Records that a peer has a version of the configuration in force. Until this host
-    /// has it, too, nothing confirms its own.
-    pub fn expect_version(&self, version: u64) {
-        let newest = self.shared.newest_version.get().max(version);
-        self.shared.newest_version.set(newest);
-    }
-
     /// Returns the time since the configuration was last confirmed to be the newest
     /// one, or `None` if it never was.
     pub fn configuration_age(&self) -> Option<Duration> {
@@ -344,24 +311,6 @@
 }
 
 impl Shared {
-    /// Enters the era of a revision if it is newer than the known one. Returns whether the
-    /// revision is of the current era.
-    pub(crate) fn enter_era(&self, revision: Revision) -> bool {
-        let era = revision.era();
-        if era > self.eras.current() {
-            let entries = self.entries.borrow();
-            let is_own = |entry: &&Entry| {
-                entry.key != self.schema.configuration
-                    && !entry.key.starts_with(self.schema.members)
-            };
-            self.eras.enter(era, entries.values().filter(is_own).cloned());
-            drop(entries);
-            self.recency.reset();
-            self.changed.notify();
-        }
-        era == self.eras.current()
-    }
-
     /// Applies an entry unless a newer one is known.
     pub(crate) fn put(&self, entry: Entry) {
         if !self.enter_era(entry.revision) {
@@ -431,16 +380,6 @@
         true
     }
 
-    /// Records that the whole store has been read at `revision`.
-    fn record_loaded(&self, revision: Revision) {
-        if !self.eras.is_loaded() {
-            self.eras.record_loaded();
-            // What was deleted before is unknown, and other hosts may still have it.
-            self.deletions_from.set(revision);
-            self.changed.notify();
-        }
-    }
-
     /// Applies one change.
     pub(crate) fn apply_event(&self, event: Event) {
         match event {
@@ -517,7 +456,7 @@
     /// It is ignored while the store's copy of the configuration is older than one that
     /// was in force before. Returns whether it was taken.
     pub(crate) fn confirm(&self, moment: Instant) -> bool {
-        if !self.is_configuration_stored() {
+        if !self.is_configuration_stored(moment) {
             return false;
         }
         let latest = self
@@ -528,17 +467,6 @@
         true
     }
 
-    /// Returns whether the version in force is the newest known one and is in the store
-    /// in its current era.
-    fn is_configuration_stored(&self) -> bool {
-        let known = self.configuration.borrow();
-        let era = self.eras.current();
-        known.as_ref().is_none_or(|configuration| {
-            era == 0 || configuration.version >= self.newest_version.get()
-                && self.configuration_revision.get().era() == era
-        })
-    }
-
     pub(crate) fn is_loaded(&self) -> bool {
         self.eras.is_loaded()
     }
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -27,6 +27,10 @@
 /// The pause after a failed confirmation.
 const CONFIRM_RETRY: Duration = Duration::from_millis(800);
 
+/// The pause after a read that does not confirm the configuration, because the store was
+/// restored and its copy may be older.
+const REWRITE_PAUSE: Duration = Duration::from_millis(250);
+
 /// The timeout of a call to the store; a slow store takes up to about 0.5 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -217,7 +221,7 @@
                     shared.recency.record_read(page.revision, sent);
                 }
                 if !is_current || !shared.confirm(sent) {
-                    sleep(CONFIRM_RETRY).await;
+                    sleep(REWRITE_PAUSE).await;
                 }
             }
             Err(error) => {
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -462,7 +462,11 @@
         directory.apply(before);
         assert_eq!(value("own/kept"), Some(b"old".to_vec()), "brought back");
         let reused = store.put("own/other", b"next");
-        assert_eq!(reused.number(), lost.number() - 1, "numbers are given out again");
+        assert_eq!(
+            reused.number(),
+            lost.number() - 1,
+            "numbers are given out again"
+        );
         assert!(reused > lost, "and are newer nevertheless");
     });
 }
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -292,6 +292,8 @@
                 .map_or(0, |configuration| configuration.version);
             cx.metrics
                 .set_connections(u64::try_from(cx.open_sessions.get()).unwrap_or(u64::MAX));
+            cx.metrics
+                .set_store_era(cx.directory.era(), cx.permission.unsettled());
             cx.metrics.set_config(
                 version,
                 cx.directory.configuration_age().unwrap_or_default(),
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -360,8 +360,7 @@
         }),
     )
     .await;
-    let is_won =
-        matches!(&reply, Ok(reply) if reply.is_applied && reply.revision.era() == era);
+    let is_won = matches!(&reply, Ok(reply) if reply.is_applied && reply.revision.era() == era);
     if !is_won {
         // A claim whose answer was lost may have been applied; it must not keep
         // the duty.
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -246,6 +246,21 @@
         })
     }
 
+    /// Returns the number of groups without a record of the store's current era, which have
+    /// no primary to use.
+    pub fn unsettled(&self) -> usize {
+        let era = self.shared.directory.era();
+        let Some(configuration) = self.shared.directory.configuration() else {
+            return 0;
+        };
+        let is_settled = |group: &&GroupName| {
+            let record = self.shared.record(group);
+            record.is_some_and(|record| record.is_settled(era))
+        };
+        let groups = configuration.groups.keys();
+        groups.filter(|group| !is_settled(group)).count()
+    }
+
     /// Returns the groups whose records exclude members, with the revisions of these
     /// records. A member leaves the roster only after all hosts have reported this.
     pub fn excluding(&self) -> Vec<(GroupName, Revision)> {
@@ -306,7 +321,9 @@
     }
 
     pub(crate) fn is_stable(&self, record: &GroupRecord) -> bool {
-        record.is_stable() && record.is_settled(self.directory.era())
+        let is_settled = record.is_settled(self.directory.era());
+        // Without the whole store the own registration may be missing.
+        record.is_stable() && is_settled && self.directory.is_loaded()
     }
 
     pub(crate) fn record(&self, group: &GroupName) -> Option<Rc<GroupRecord>> {
--- a/crates/burdockslip_failover/src/restoration.rs
+++ b/crates/burdockslip_failover/src/restoration.rs
@@ -54,8 +54,16 @@
         self.hosts.clear();
     }
 
-    /// Records what a host has reported to know.
-    pub fn record(&mut self, host: HostId, knowledge: Knowledge) {
+    /// Records what a host has reported to know. What it reported before counts as well: it
+    /// may have restarted since.
+    pub fn record(&mut self, host: HostId, mut knowledge: Knowledge) {
+        let known = self.hosts.remove(&host);
+        let known = known.filter(|known| known.era == knowledge.era);
+        for record in known.into_iter().flat_map(|known| known.records) {
+            if !knowledge.records.contains(&record) {
+                knowledge.records.push(record);
+            }
+        }
         self.hosts.insert(host, knowledge);
     }
 
@@ -120,10 +128,7 @@
 /// Returns whether the members of a group show that no later change of primary than the
 /// record's has begun: all of them answer, the primary leads in the known term, and nobody
 /// is stopped or in a later term.
-pub(crate) fn confirms(
-    record: &GroupRecord,
-    statuses: &HashMap<MemberName, MemberStatus>,
-) -> bool {
+pub(crate) fn confirms(record: &GroupRecord, statuses: &HashMap<MemberName, MemberStatus>) -> bool {
     let confirms = |member: &Member| {
         let status = statuses.get(&member.name);
         status.is_some_and(|status| {
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -206,7 +206,8 @@
             known.is_some_and(|record| record.is_settled(era))
         };
         if era > 0 && !record.as_ref().is_some_and(is_settled) {
-            self.restore(group, entry, record.and_then(Result::ok));
+            let copy = record.as_ref().and_then(|record| record.as_ref().ok());
+            self.restore(group, entry, copy);
             return;
         }
         let Some((entry, record)) = entry.zip(record) else {
@@ -241,14 +242,16 @@
         self: &Rc<Self>,
         group: &GroupName,
         entry: Option<Entry>,
-        copy: Option<GroupRecord>,
+        copy: Option<&GroupRecord>,
     ) {
         let directory = &self.promotion.directory;
-        let waited = directory.era_since().map_or(Duration::ZERO, Instant::elapsed);
+        let waited = directory
+            .era_since()
+            .map_or(Duration::ZERO, Instant::elapsed);
         let hosts = self.promotion.withdrawals.borrow().hosts();
         let restoration = self.promotion.restoration.borrow();
         let era = directory.era();
-        let decision = restoration.decide(group, copy.as_ref(), &hosts, era, waited);
+        let decision = restoration.decide(group, copy, &hosts, era, waited);
         drop(restoration);
         let record = match decision {
             Decision::Wait => return,
--- a/crates/burdockslip_failover/tests/duty.rs
+++ b/crates/burdockslip_failover/tests/duty.rs
@@ -274,7 +274,10 @@
             if let Some(tenure) = second.1.tenure() {
                 assert!(first.1.tenure().is_none(), "two hosts hold the duty");
                 assert!(tenure.token > token, "the token went back");
-                assert!(tenure.token.number() <= token.number(), "numbers are given out again");
+                assert!(
+                    tenure.token.number() <= token.number(),
+                    "numbers are given out again"
+                );
                 break;
             }
         }
@@ -295,10 +298,16 @@
         store.restore(&copy);
         sleep(Duration::from_millis(400)).await;
         assert_eq!(directory.era(), 1);
-        assert!(duty.tenure().is_none(), "held on a lease of the earlier era");
+        assert!(
+            duty.tenure().is_none(),
+            "held on a lease of the earlier era"
+        );
         sleep(ELECTION_TIME).await;
         assert!(duty.tenure().expect("it is claimed again").token > token);
-        assert!(directory.record(&keys::duty(0)).is_none(), "the copy's record is removed");
+        assert!(
+            directory.record(&keys::duty(0)).is_none(),
+            "the copy's record is removed"
+        );
     });
 }
 
@@ -317,7 +326,10 @@
         let compare = |key, token| {
             let compares = vec![Compare::Revision(key, token)];
             let operations = vec![Operation::Put("late".to_owned(), Vec::new(), None)];
-            Txn { compares, operations }
+            Txn {
+                compares,
+                operations,
+            }
         };
         let client = store.client("late");
         // As the platform's store applies it: by numbers, without the era.
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -217,7 +217,10 @@
         permission.set_registered(Some(now()));
         sleep(Duration::from_secs(1)).await;
         assert!(primary().is_some());
-        assert!(permission.knowledge().is_none(), "the store was never restored");
+        assert!(
+            permission.knowledge().is_none(),
+            "the store was never restored"
+        );
 
         let later = GroupRecord {
             term: Term(2),
--- a/crates/burdockslip_failover/tests/restoration.rs
+++ b/crates/burdockslip_failover/tests/restoration.rs
@@ -125,7 +125,11 @@
             assert!(restored.excluded.is_empty());
             for number in 1..=3 {
                 let member = member(number);
-                assert!(restored.roster.contains(&member), "{} is missing", member.name);
+                assert!(
+                    restored.roster.contains(&member),
+                    "{} is missing",
+                    member.name
+                );
             }
             assert!(restored.stamp >= known.stamp.max(copy.stamp));
         }
--- a/crates/burdockslip_store/src/store.rs
+++ b/crates/burdockslip_store/src/store.rs
@@ -79,8 +79,9 @@
 }
 
 impl LeaseId {
-    /// The bits of the number in an era.
-    const NUMBER_BITS: u32 = 46;
+    /// The bits of the number in an era, as many as an integer has that every JSON reader
+    /// represents exactly.
+    const NUMBER_BITS: u32 = 53;
 
     /// Returns the lease with `number` in an era, or `None` if the number is too large.
     pub fn in_era(era: u64, number: u64) -> Option<Self> {
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -49,6 +49,8 @@
     failover: Histogram<f64>,
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
+    store_era: Gauge<u64>,
+    unsettled_groups: Gauge<u64>,
     config_revision: Gauge<u64>,
 }
 
@@ -123,6 +125,14 @@
                 .u64_gauge("burdockslip_config_revision")
                 .with_description("Revision of the configuration in force.")
                 .build(),
+            store_era: meter
+                .u64_gauge("burdockslip_store_era")
+                .with_description("How often the store has come back from an older copy.")
+                .build(),
+            unsettled_groups: meter
+                .u64_gauge("burdockslip_unsettled_groups")
+                .with_description("Groups whose records have not been brought back since.")
+                .build(),
             _provider: provider,
             registry,
         })
@@ -197,6 +207,14 @@
         self.config_age.record(age.as_secs_f64(), &[]);
     }
 
+    /// Sets the era of the store and the number of groups whose records are not settled
+    /// in it.
+    pub fn set_store_era(&self, era: u64, unsettled: usize) {
+        self.store_era.record(era, &[]);
+        let unsettled = u64::try_from(unsettled).unwrap_or(u64::MAX);
+        self.unsettled_groups.record(unsettled, &[]);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
