directory: apply the last change of the leader's record

Cause: a watch of the leader's record alone returned after its first event and started from the same revision again. With two changes of the record it delivered the first one in a busy loop and never the last, so hosts did not learn of the coordinator after a restore that had left an earlier record. Change: all pending events are applied, and only news end the watch. The candidate removes records of earlier eras in a call of its own, because the token has to be the revision of the claim alone. Hosts spread their reads of a restored store, and renew nothing until the fence is of the era.

--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -27,6 +27,10 @@
 /// The pause after a failed confirmation.
 const CONFIRM_RETRY: Duration = Duration::from_millis(800);
 
+/// The span over which the hosts of a fleet spread their reads of a restored store, in
+/// milliseconds. Nobody takes the duty before.
+const RELOAD_SPREAD_MS: u64 = 600;
+
 /// The pause after a read that does not confirm the configuration, because the store was
 /// restored and its copy may be older.
 const REWRITE_PAUSE: Duration = Duration::from_millis(250);
@@ -63,6 +67,9 @@
     let mut is_reachable = true;
     let mut pause = FIRST_RETRY;
     loop {
+        if shared.eras.was_loaded() && !shared.is_loaded() {
+            sleep(Duration::from_millis(random_range(0..RELOAD_SPREAD_MS))).await;
+        }
         match load(&shared).await {
             Ok(()) => {
                 pause = FIRST_RETRY;
@@ -154,12 +161,15 @@
     let opened = now();
     let mut heard = opened;
     let until = opened + RELAY_PAUSE;
+    let mut has_news = false;
     loop {
         if !shared.is_loaded() {
             return Err(outdated());
         }
         let is_coordinator = shared.is_coordinator.get();
-        let wait = if is_coordinator {
+        let wait = if has_news {
+            Duration::ZERO
+        } else if is_coordinator {
             WATCH_CHECK
         } else {
             until.remaining()
@@ -168,9 +178,13 @@
             Ok(Some(Ok(Event::Progress(_)))) if !prefix.is_empty() => {}
             Ok(Some(Ok(event))) => {
                 let revision = event.revision();
+                let known = shared.changed.epoch();
                 shared.apply_event(event);
                 if !prefix.is_empty() {
-                    return Ok(());
+                    // Such a watch starts from the same revision again, with changes that
+                    // have been applied, and the last one counts.
+                    has_news |= shared.changed.epoch() != known;
+                    continue;
                 }
                 shared.recency.record_received(revision);
                 shared.recency.record_newest(opened);
@@ -178,6 +192,7 @@
             }
             Ok(Some(Err(error))) => return Err(error),
             Ok(None) => return Err(dead_watch("watch ended")),
+            Err(_) if has_news => return Ok(()),
             Err(_) if shared.recency.is_behind() => {
                 return Err(dead_watch("watch misses changes that a read has shown"));
             }
--- a/crates/burdockslip_directory/tests/directory.rs
+++ b/crates/burdockslip_directory/tests/directory.rs
@@ -521,3 +521,28 @@
         assert!(host.record("own/next").is_some(), "the store is followed");
     });
 }
+
+/// Guards against a host without a leader that applies the first change of the leader's
+/// record again and again, and never the last one.
+#[test]
+fn last_change_of_the_leader_is_followed() {
+    paused::run(1, async {
+        let store = MemoryStore::new();
+        store.put("config", b"3");
+        store.put("own/leader", b"old");
+        let directory = open(&store);
+        let relay: Relay = Rc::new(|_| async { bail!(ErrorKind::NoPrimary) }.boxed_local());
+        directory.set_relay(relay, "own/leader");
+        sleep(Duration::from_secs(2)).await;
+        store.delete("own/leader");
+        wait().await;
+        assert!(directory.record("own/leader").is_none());
+        let before = store.calls().watches;
+        sleep(Duration::from_secs(5)).await;
+        let opened = store.calls().watches - before;
+        assert!(opened <= 6, "{opened} watches were opened in 5 s");
+        store.put("own/leader.1", b"new");
+        wait().await;
+        assert!(directory.record("own/leader.1").is_some());
+    });
+}
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -285,6 +285,26 @@
     );
 }
 
+/// Removes the records of earlier eras that the restored store has, whose holders' late
+/// writes would be applied otherwise. Returns whether none is left.
+async fn remove_earlier_eras(shared: &Shared) -> bool {
+    let key = keys::duty(shared.directory.era());
+    let mut earlier = shared.directory.records(keys::DUTY);
+    earlier.retain(|entry| entry.key != key);
+    if earlier.is_empty() {
+        return true;
+    }
+    let operations = earlier
+        .into_iter()
+        .map(|entry| Operation::Delete(entry.key));
+    let txn = Txn {
+        compares: Vec::new(),
+        operations: operations.collect(),
+    };
+    let outcome = with_timeout(CALL_TIMEOUT, shared.directory.store().txn(txn)).await;
+    outcome.is_ok_and(|reply| reply.is_applied && reply.revision.era() == shared.directory.era())
+}
+
 async fn run(shared: Rc<Shared>) {
     loop {
         wait_vacant(&shared).await;
@@ -299,6 +319,10 @@
             sleep_until(until).await;
         }
         end_earlier_run(&shared).await;
+        if !remove_earlier_eras(&shared).await {
+            sleep(RENEW_PERIOD).await;
+            continue;
+        }
         let (least, most) = CANDIDATE_DELAY_MS;
         let delay = Duration::from_millis(random_range(least..most));
         sleep(delay + shared.candidate_delay()).await;
@@ -339,24 +363,17 @@
     let store = shared.directory.store();
     let era = shared.directory.era();
     let key = keys::duty(era);
-    let mut earlier = shared.directory.records(keys::DUTY);
-    earlier.retain(|entry| entry.key != key);
     let sent = now();
     let lease = with_timeout(CALL_TIMEOUT, store.grant_lease(LEASE_TTL)).await?;
     let record = DutyRecord {
         host: shared.host.clone(),
         lease,
     };
-    let claimed = Operation::Put(key.clone(), records::encode(&record)?, Some(lease));
-    // A restored record of an earlier era would let late writes of its holder pass.
-    let removed = earlier
-        .into_iter()
-        .map(|entry| Operation::Delete(entry.key));
     let reply = with_timeout(
         CALL_TIMEOUT,
         store.txn(Txn {
-            compares: vec![Compare::Revision(key, Revision(0))],
-            operations: std::iter::once(claimed).chain(removed).collect(),
+            compares: vec![Compare::Revision(key.clone(), Revision(0))],
+            operations: vec![Operation::Put(key, records::encode(&record)?, Some(lease))],
         }),
     )
     .await;
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -460,7 +460,9 @@
 
     fn fence(&self) -> Option<LeaseId> {
         let entry = self.directory.record(keys::FENCE)?;
-        records::decode(&entry.value).ok()
+        let lease: LeaseId = records::decode(&entry.value).ok()?;
+        // The coordinator replaces one that came with an older copy of the store.
+        (lease.era() == self.directory.era()).then_some(lease)
     }
 
     /// Renews the lease behind all permissions, or reloads the records if it has
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -8,7 +8,7 @@
 use burdockslip_directory::{Directory, Member};
 use burdockslip_runtime::{Instant, now, sleep, timeout};
 use burdockslip_statement::{Command, MemberStatus};
-use burdockslip_store::{Compare, Entry, Operation, Txn, with_timeout};
+use burdockslip_store::{Compare, Entry, LeaseId, Operation, Txn, with_timeout};
 use burdockslip_types::{ErrorKind, GroupName, HostId, MemberName, Result, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::{Report, bail, ensure};
@@ -176,6 +176,13 @@
         self.replace_fence().await
     }
 
+    /// Returns whether the fence is from an earlier era of the store.
+    pub(crate) fn has_outdated_fence(&self) -> bool {
+        let entry = self.directory.record(keys::FENCE);
+        let lease = entry.and_then(|entry| records::decode::<LeaseId>(&entry.value).ok());
+        lease.is_some_and(|lease| lease.era() != self.directory.era())
+    }
+
     pub(crate) async fn withdraw_permissions(&self) -> Result<()> {
         let store = self.directory.store();
         if let Some(entry) = self.directory.record(keys::FENCE) {
--- a/crates/burdockslip_failover/src/supervisor.rs
+++ b/crates/burdockslip_failover/src/supervisor.rs
@@ -143,7 +143,8 @@
         if shared.leave_minority() {
             continue;
         }
-        if ticks.is_multiple_of(FENCE_TICKS)
+        let is_due = ticks.is_multiple_of(FENCE_TICKS) || shared.promotion.has_outdated_fence();
+        if is_due
             && !shared.is_replacing_fence()
             && let Err(error) = shared.promotion.ensure_fence().await
         {
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -242,6 +242,12 @@
         };
         store.put("burdockslip/groups/ledger", &encode(&settled));
         sleep(Duration::from_secs(1)).await;
+        assert_eq!(primary(), None, "no proof without a fence of the era");
+        let client = store.client("test");
+        let fence = client.grant_lease(Duration::from_mins(10)).await;
+        let fence = fence.expect("the store answers");
+        store.put("burdockslip/fence", &encode(&fence));
+        sleep(Duration::from_secs(1)).await;
         assert!(primary().is_some(), "brought back");
         let knowledge = permission.knowledge().expect("the store was restored");
         assert!(knowledge.records.is_empty());
