--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -13,6 +13,7 @@
 use tracing::{info, warn};
 
 use crate::cold::ColdTime;
+use crate::era::Eras;
 use crate::evacuation::Evacuations;
 use crate::follow;
 use crate::recency::Recency;
@@ -75,6 +76,8 @@
 /// A member and whether its record still exists.
 struct KnownMember {
     member: Rc<Member>,
+    /// The era of the store in which its record was last read.
+    era: u64,
     /// The moment at which the record was found to be missing.
     missing_since: Option<Instant>,
     /// The moment from which the member was known to be about to leave.
@@ -87,8 +90,8 @@
 pub(crate) struct Shared {
     pub(crate) schema: Schema,
     pub(crate) store: Store,
-    configuration: RefCell<Option<Rc<Configuration>>>,
-    configuration_revision: Cell<Revision>,
+    pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    pub(crate) configuration_revision: Cell<Revision>,
     /// The latest moment at which the configuration was the newest one.
     confirmed_at: Cell<Option<Instant>>,
     /// The latest of these moments of which the store or the coordinator told this host.
@@ -97,24 +100,26 @@
     evacuations: Evacuations,
     /// The start of the last known run of each member, also of those without a record.
     runs: RefCell<HashMap<MemberName, u64>>,
-    entries: RefCell<BTreeMap<String, Entry>>,
+    pub(crate) entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
     deletions: RefCell<VecDeque<(Revision, String)>>,
     /// The revision after which `deletions` is complete.
-    deletions_from: Cell<Revision>,
+    pub(crate) deletions_from: Cell<Revision>,
     /// The revision up to which all changes have been applied.
     pub(crate) applied: Cell<Revision>,
     pub(crate) recency: Recency,
     pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
-    is_loaded: Cell<bool>,
+    pub(crate) eras: Eras,
+    /// The newest version of the configuration that is known to exist.
+    pub(crate) newest_version: Cell<u64>,
     pub(crate) is_coordinator: Cell<bool>,
-    changed: Signal,
+    pub(crate) changed: Signal,
 }
 
 /// Keeps a local copy of the store up to date until the last clone is dropped.
 #[derive(Clone)]
 pub struct Directory {
-    shared: Rc<Shared>,
+    pub(crate) shared: Rc<Shared>,
     _following: Rc<(Task<()>, Task<()>)>,
 }
 
@@ -137,7 +142,8 @@
             applied: Cell::default(),
             recency: Recency::default(),
             relay: RefCell::default(),
-            is_loaded: Cell::new(false),
+            eras: Eras::default(),
+            newest_version: Cell::default(),
             is_coordinator: Cell::new(false),
             changed: Signal::default(),
         });
@@ -154,12 +160,12 @@
         self.shared.configuration.borrow().clone()
     }
 
-    /// Returns whether the whole store has been read at least once.
+    /// Returns whether the whole store has been read in its current era.
     ///
     /// The configuration may be available before. Until then, a record that is missing
     /// here may exist in the store.
     pub fn is_loaded(&self) -> bool {
-        self.shared.is_loaded.get()
+        self.shared.eras.is_loaded()
     }
 
     /// Returns the time since the configuration was last confirmed to be the newest
@@ -341,7 +347,7 @@
 
     /// Returns the changes after `revision`, or `None` if the store has never been read.
     pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
-        let age = self.shared.recency.age()?;
+        let age = self.shared.recency.age().filter(|_| self.is_loaded())?;
         Some(self.shared.changes_since(revision, age))
     }
 
@@ -381,6 +387,9 @@
 impl Shared {
     /// Applies an entry unless a newer one is known.
     pub(crate) fn put(&self, entry: Entry) {
+        if !self.enter_era(entry.revision) {
+            return;
+        }
         let is_known = |known: &Entry| known.revision >= entry.revision;
         if self.entries.borrow().get(&entry.key).is_some_and(is_known) || self.is_deleted(&entry) {
             return;
@@ -388,7 +397,7 @@
         if entry.key == self.schema.configuration {
             self.apply_configuration(&entry);
         } else if let Some(name) = entry.key.strip_prefix(self.schema.members) {
-            self.apply_member(name, &entry.value);
+            self.apply_member(name, &entry);
         } else if let Some(zone) = entry.key.strip_prefix(self.schema.evacuations) {
             self.apply_evacuation(zone, &entry.value);
         }
@@ -399,14 +408,18 @@
     /// Removes a key that was deleted at `revision`.
     pub(crate) fn delete(&self, key: &str, revision: Revision) {
         let is_older = |known: &Entry| known.revision < revision;
-        if !self.entries.borrow().get(key).is_some_and(is_older) {
+        if !self.enter_era(revision) || !self.entries.borrow().get(key).is_some_and(is_older) {
             return;
         }
         self.entries.borrow_mut().remove(key);
         if let Some(name) = key.strip_prefix(self.schema.members) {
             self.mark_missing(name);
         } else if let Some(zone) = key.strip_prefix(self.schema.evacuations) {
-            self.evacuations.end(zone);
+            if self.is_loaded() || self.eras.since().is_none() {
+                self.evacuations.end(zone);
+            } else {
+                self.evacuations.end_unless_renewed(zone);
+            }
         }
         self.record_deletion(revision, key);
         self.changed.notify();
@@ -414,30 +427,41 @@
 
     /// Replaces the local copy with the whole content of the store at `revision`.
     pub(crate) fn replace(&self, entries: Vec<Entry>, revision: Revision) {
+        if !self.enter_era(revision) {
+            return;
+        }
         let keys: Vec<_> = entries.iter().map(|entry| entry.key.clone()).collect();
         self.retain(&keys, revision);
         for entry in entries {
             self.put(entry);
         }
-        if !self.is_loaded.replace(true) {
-            // What was deleted before is unknown, and other hosts may still have it.
-            self.deletions_from.set(revision);
+        if self.record_loaded(revision) {
             self.log_evacuations();
         }
         self.advance(revision);
     }
 
     /// Applies the changes that a peer has forwarded.
-    pub(crate) fn apply_changes(&self, changes: Changes) {
+    ///
+    /// Returns whether they are from the current era. Those of an earlier one are ignored,
+    /// and those of a newer one have to include all keys.
+    pub(crate) fn apply_changes(&self, changes: Changes) -> bool {
+        if !self.enter_era(changes.revision) || !self.is_loaded() && changes.keys.is_none() {
+            return false;
+        }
         if let Some(keys) = &changes.keys {
             self.retain(keys, changes.revision);
         }
         for event in changes.events {
             self.apply_event(event);
         }
+        if changes.keys.is_some() {
+            self.record_loaded(changes.revision);
+        }
         self.applied.set(self.applied.get().max(changes.revision));
         self.recency.record_received(changes.revision);
         self.recency.record_newest(now() - changes.age);
+        true
     }
 
     /// Applies one change.
@@ -512,17 +536,26 @@
     }
 
     /// Records that the configuration was the newest one at `moment`.
-    pub(crate) fn confirm(&self, moment: Instant) {
+    ///
+    /// It is ignored while the store's copy of the configuration is older than one that
+    /// was in force before. Returns whether it was taken.
+    pub(crate) fn confirm(&self, moment: Instant) -> bool {
+        if !self.is_configuration_stored(moment) {
+            return false;
+        }
         set_latest(&self.contact_at, moment);
         self.confirm_configuration(moment);
+        true
     }
 
     fn confirm_configuration(&self, moment: Instant) {
-        set_latest(&self.confirmed_at, moment);
+        if self.is_configuration_stored(moment) {
+            set_latest(&self.confirmed_at, moment);
+        }
     }
 
     pub(crate) fn is_loaded(&self) -> bool {
-        self.is_loaded.get()
+        self.eras.is_loaded()
     }
 
     /// Returns the time since the configuration was last confirmed.
@@ -534,7 +567,17 @@
         if entry.revision <= self.configuration_revision.get() {
             return;
         }
+        let is_restored = entry.revision.era() > self.configuration_revision.get().era();
         match (self.schema.read_configuration)(&entry.value) {
+            Ok(configuration)
+                if is_restored && configuration.version < self.newest_version.get() =>
+            {
+                warn!(
+                    version = configuration.version,
+                    newest = self.newest_version.get(),
+                    "restored configuration is older than the one in force, not taken"
+                );
+            }
             Ok(configuration) => {
                 info!(
                     version = configuration.version,
@@ -543,6 +586,8 @@
                     keys = configuration.keys.len(),
                     "configuration in force"
                 );
+                let newest = self.newest_version.get().max(configuration.version);
+                self.newest_version.set(newest);
                 self.configuration_revision.set(entry.revision);
                 *self.configuration.borrow_mut() = Some(Rc::new(configuration));
             }
@@ -554,15 +599,26 @@
         }
     }
 
-    fn apply_member(&self, name: &str, value: &[u8]) {
-        match (self.schema.read_member)(name, value) {
-            Ok(MemberRecord { member, cold }) => {
+    fn apply_member(&self, name: &str, entry: &Entry) {
+        match (self.schema.read_member)(name, &entry.value) {
+            Ok(MemberRecord { mut member, cold }) => {
                 let mut members = self.members.borrow_mut();
+                if let Some(known) = members.get_mut(&member.name)
+                    && known.era < entry.revision.era()
+                {
+                    // The copy may be older than what the member has reported since.
+                    if member.born < known.member.born {
+                        return;
+                    }
+                    member.is_draining |=
+                        known.member.is_draining && known.member.is_same_run(&member);
+                    known.era = entry.revision.era();
+                }
                 let known = members.get_mut(&member.name);
                 let is_new_run = self.record_run(&member);
                 let seen = match &known {
                     Some(known) if known.member.born == member.born => known.seen,
-                    _ => (is_new_run && self.is_loaded.get()).then(now),
+                    _ => (is_new_run && self.is_loaded()).then(now),
                 };
                 if let Some(known) = known
                     && *known.member == member
@@ -591,6 +647,7 @@
                         .is_draining
                         .then(|| drained_before.unwrap_or_else(now)),
                     member: Rc::new(member),
+                    era: entry.revision.era(),
                     missing_since: None,
                 };
                 known.cold.set(&known.member.name, cold);
--- a/crates/burdockslip_directory/src/evacuation.rs
+++ b/crates/burdockslip_directory/src/evacuation.rs
@@ -4,10 +4,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use burdockslip_runtime::Instant;
+use burdockslip_runtime::{Instant, now};
 use burdockslip_types::{Result, Zone};
 use tracing::{info, warn};
 
+/// How long an evacuation goes on whose record the store has lost. The operators write again
+/// what is lost; see `docs/design/store-era.md`.
+const RESTORED_SPAN: Duration = Duration::from_secs(10);
+
 /// A request to send nothing to the members of an availability zone.
 #[derive(Debug)]
 struct Evacuation {
@@ -15,12 +19,18 @@
     /// not have the request; `None` if there was no such moment.
     unknown_at: Option<Instant>,
     is_logged: bool,
+    /// When it ends unless its record is written again, as the store has lost the record.
+    ends_at: Option<Instant>,
 }
 
 impl Evacuation {
     fn age(&self) -> Duration {
         self.unknown_at.map_or(Duration::MAX, Instant::elapsed)
     }
+
+    fn is_over(&self) -> bool {
+        self.ends_at.is_some_and(Instant::is_past)
+    }
 }
 
 /// The zones that are evacuated, by the records in the store.
@@ -45,13 +55,25 @@
             warn!(zone, ?error, "evacuation unreadable, ignored");
             return;
         }
-        self.zones
-            .borrow_mut()
-            .entry(Zone::from(zone))
-            .or_insert(Evacuation {
-                unknown_at: newest_at,
-                is_logged: false,
-            });
+        let mut zones = self.zones.borrow_mut();
+        let known = zones.entry(Zone::from(zone)).or_insert(Evacuation {
+            unknown_at: newest_at,
+            is_logged: false,
+            ends_at: None,
+        });
+        known.ends_at = None;
+    }
+
+    /// Ends the evacuation of a zone later, because the store has come back without its
+    /// record.
+    pub(crate) fn end_unless_renewed(&self, zone: &str) {
+        if let Some(known) = self.zones.borrow_mut().get_mut(&Zone::from(zone)) {
+            warn!(
+                zone,
+                "record of an evacuation lost by the store, kept for a while"
+            );
+            known.ends_at = Some(now() + RESTORED_SPAN);
+        }
     }
 
     /// Ends the evacuation of a zone whose record is gone.
@@ -83,16 +105,20 @@
 
     /// Returns how long ago, at most, the evacuation of a zone was requested.
     pub(crate) fn age(&self, zone: &Zone) -> Option<Duration> {
-        self.zones.borrow().get(zone).map(Evacuation::age)
+        let zones = self.zones.borrow();
+        let known = zones.get(zone).filter(|known| !known.is_over());
+        known.map(Evacuation::age)
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.zones.borrow().is_empty()
+        self.zones.borrow().values().all(Evacuation::is_over)
     }
 
     /// Returns the evacuated zones, sorted.
     pub(crate) fn zones(&self) -> Vec<Zone> {
-        self.zones.borrow().keys().cloned().collect()
+        let zones = self.zones.borrow();
+        let lasting = zones.iter().filter(|(_, known)| !known.is_over());
+        lasting.map(|(zone, _)| zone.clone()).collect()
     }
 }
 
--- a/crates/burdockslip_directory/src/follow.rs
+++ b/crates/burdockslip_directory/src/follow.rs
@@ -27,6 +27,14 @@
 /// The pause after a failed confirmation.
 const CONFIRM_RETRY: Duration = Duration::from_millis(800);
 
+/// The span over which the hosts of a fleet spread their reads of a restored store, in
+/// milliseconds. Nobody takes the duty before.
+const RELOAD_SPREAD_MS: u64 = 600;
+
+/// The pause after a read that does not confirm the configuration, because the store was
+/// restored and its copy may be older.
+const REWRITE_PAUSE: Duration = Duration::from_millis(250);
+
 /// The timeout of a call to the store; a slow store takes up to about 0.5 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -59,6 +67,9 @@
     let mut is_reachable = true;
     let mut pause = FIRST_RETRY;
     loop {
+        if shared.eras.was_loaded() && !shared.is_loaded() {
+            sleep(Duration::from_millis(random_range(0..RELOAD_SPREAD_MS))).await;
+        }
         match load(&shared).await {
             Ok(()) => {
                 pause = FIRST_RETRY;
@@ -86,6 +97,9 @@
     let sent = now();
     let page = with_timeout(CALL_TIMEOUT, shared.store.range("")).await?;
     shared.replace(page.entries, page.revision);
+    if !shared.is_loaded() {
+        return Err(outdated());
+    }
     shared.recency.record_newest(sent);
     shared.confirm(sent);
     Ok(())
@@ -98,6 +112,10 @@
         // host registers, and each answer of a watch of the whole store would cost
         // a call.
         let prefix = follow_peer(shared).await;
+        if !shared.is_loaded() {
+            info!("store came back from an older copy, reloading it");
+            return;
+        }
         let opened = shared.store.watch(prefix, shared.applied.get());
         let outcome = match with_timeout(CALL_TIMEOUT, opened).await {
             Ok(watch) => follow_store(shared, watch, prefix).await,
@@ -114,12 +132,17 @@
 /// the keys that have to be watched at the store from then on.
 async fn follow_peer(shared: &Shared) -> &'static str {
     let relay = shared.relay.borrow().clone();
-    let Some((relay, leader_key)) = relay.filter(|_| shared.is_loaded()) else {
+    let Some((relay, leader_key)) = relay.filter(|_| shared.eras.was_loaded()) else {
         return "";
     };
     loop {
         match with_timeout(RELAY_TIMEOUT, relay(shared.applied.get())).await {
-            Ok(changes) => shared.apply_changes(changes),
+            Ok(changes) => {
+                if !shared.apply_changes(changes) {
+                    info!("peer follows another era of the store");
+                    return "";
+                }
+            }
             Err(report) => {
                 debug!(error = ?report, "peer forwards no changes");
                 let has_no_leader = *report.current_context() == ErrorKind::NoPrimary;
@@ -138,9 +161,15 @@
     let opened = now();
     let mut heard = opened;
     let until = opened + RELAY_PAUSE;
+    let mut has_news = false;
     loop {
+        if !shared.is_loaded() {
+            return Err(outdated());
+        }
         let is_coordinator = shared.is_coordinator.get();
-        let wait = if is_coordinator {
+        let wait = if has_news {
+            Duration::ZERO
+        } else if is_coordinator {
             WATCH_CHECK
         } else {
             until.remaining()
@@ -150,9 +179,13 @@
             Ok(Some(Ok(event))) => {
                 let revision = event.revision();
                 let is_complete = matches!(event, Event::Progress(_));
+                let known = shared.changed.epoch();
                 shared.apply_event(event);
                 if !prefix.is_empty() {
-                    return Ok(());
+                    // Such a watch starts from the same revision again, with changes that
+                    // have been applied, and the last one counts.
+                    has_news |= shared.changed.epoch() != known;
+                    continue;
                 }
                 shared.recency.record_received(revision);
                 // Before it, changes of the time before the watch may still be missing.
@@ -163,6 +196,7 @@
             }
             Ok(Some(Err(error))) => return Err(error),
             Ok(None) => return Err(dead_watch("watch ended")),
+            Err(_) if has_news => return Ok(()),
             Err(_) if shared.recency.is_behind() => {
                 return Err(dead_watch("watch misses changes that a read has shown"));
             }
@@ -173,6 +207,10 @@
     }
 }
 
+fn outdated() -> Report<ErrorKind> {
+    dead_watch("store came back from an older copy")
+}
+
 fn dead_watch(reason: &'static str) -> Report<ErrorKind> {
     Report::new(ErrorKind::StoreUnavailable).attach(reason)
 }
@@ -196,9 +234,14 @@
         let key = shared.schema.configuration;
         match with_timeout(CALL_TIMEOUT, shared.store.range(key)).await {
             Ok(page) => {
+                let is_current = shared.enter_era(page.revision);
                 page.entries.into_iter().for_each(|entry| shared.put(entry));
-                shared.confirm(sent);
-                shared.recency.record_read(page.revision, sent);
+                if is_current {
+                    shared.recency.record_read(page.revision, sent);
+                }
+                if !is_current || !shared.confirm(sent) {
+                    sleep(REWRITE_PAUSE).await;
+                }
             }
             Err(error) => {
                 let age_ms = shared.configuration_age().map(|age| age.as_millis());
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod configuration;
 mod directory;
+mod era;
 mod evacuation;
 mod follow;
 mod member;
--- a/crates/burdockslip_entry/src/coordinator.rs
+++ b/crates/burdockslip_entry/src/coordinator.rs
@@ -211,9 +211,11 @@
         // What other hosts have confirmed is not passed on, because the receiver takes it for
         // contact with the store and goes on using its share of the rates.
         let age = self.directory.contact_age();
+        let configuration = self.directory.configuration();
         Ok(ReportReply {
             grants,
             permits,
+            version: configuration.map_or(0, |known| known.version),
             configuration: age.map(|age| (self.directory.configuration_revision(), age)),
             suspected: self.supervisor.suspected(),
             permission: self.permission.lease_proof_age(),
--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -257,7 +257,7 @@
             following.clone().follow(revision)
         })
         .on(DutyExchange, move |_, ()| {
-            ready(Ok(directory.record(keys::DUTY)))
+            ready(Ok(directory.record(&keys::duty(directory.era()))))
         })
         .on(ReachExchange, move |_, ()| {
             ready(Ok(rival::reach(&reached)))
@@ -327,6 +327,8 @@
             let paced = cx.gate.borrow().paced_count();
             cx.metrics
                 .set_paced_members(u64::try_from(paced).unwrap_or(u64::MAX));
+            cx.metrics
+                .set_store_era(cx.directory.era(), cx.permission.unsettled());
             cx.metrics.set_config(
                 version,
                 cx.directory.configuration_age().unwrap_or_default(),
--- a/crates/burdockslip_entry/src/messages.rs
+++ b/crates/burdockslip_entry/src/messages.rs
@@ -34,6 +34,8 @@
     pub grants: Vec<Grant>,
     /// The permits for each paced member; `None` if another coordinator may exist.
     pub permits: Option<Vec<PaceGrant>>,
+    /// The version of the coordinator's configuration, zero if it has none.
+    pub version: u64,
     /// The revision of the coordinator's configuration, and how long ago the store
     /// confirmed that it is the newest one.
     pub configuration: Option<(Revision, Duration)>,
--- a/crates/burdockslip_entry/src/rival.rs
+++ b/crates/burdockslip_entry/src/rival.rs
@@ -69,7 +69,8 @@
     let mut known: Option<(Revision, Instant)> = None;
     loop {
         sleep(CHECK_PERIOD).await;
-        let token = cx.directory.record(keys::DUTY).map(|entry| entry.revision);
+        let duty = keys::duty(cx.directory.era());
+        let token = cx.directory.revision(&duty);
         // A new coordinator is given the same time as an earlier one.
         if known.map(|(token, _)| token) != token {
             known = token.map(|token| (token, now()));
@@ -148,7 +149,7 @@
     let replaced = known.map_or(Revision(0), |entry| entry.revision);
     let txn = Txn {
         compares: vec![
-            Compare::Revision(keys::DUTY.to_owned(), rival.token),
+            Compare::Revision(keys::duty(rival.token.era()), rival.token),
             Compare::Revision(keys::RIVAL.to_owned(), replaced),
         ],
         operations: vec![Operation::Put(
--- a/crates/burdockslip_failover/src/lib.rs
+++ b/crates/burdockslip_failover/src/lib.rs
@@ -16,6 +16,7 @@
 mod proof;
 mod records;
 mod report;
+mod restoration;
 mod rivalry;
 mod roster;
 mod supervisor;
@@ -30,8 +31,9 @@
 pub use permission::{PERMISSION_TTL, Permission};
 pub use promotion::{PromoteFn, PromotionReply};
 pub use proof::{Proof, ProofSource};
-pub use records::{GroupRecord, Registration, keys};
+pub use records::{GroupRecord, Registration, Stamp, keys};
 pub use report::{AcknowledgedCommit, GroupReport};
+pub use restoration::{Decision, Knowledge, Restoration};
 pub use rivalry::{
     Reach, Rival, SAMPLE_SIZE, Standing, UNANSWERED_SPAN, Verdict, is_outranked, is_rival, judge,
     project,
--- a/crates/burdockslip_failover/tests/evacuation.rs
+++ b/crates/burdockslip_failover/tests/evacuation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdockslip_directory::{Member, Role};
-use burdockslip_failover::{GroupRecord, LogAnswer, Settling, newest_member, successors};
+use burdockslip_failover::{GroupRecord, LogAnswer, Settling, Stamp, newest_member, successors};
 use burdockslip_runtime::{paused, sleep};
 use burdockslip_statement::MemberStatus;
 use burdockslip_types::{GroupName, LogPosition, Term, Zone};
@@ -37,6 +37,7 @@
         excluded: Vec::new(),
         lost: Vec::new(),
         held: None,
+        stamp: Stamp::default(),
     }
 }
 
--- a/crates/burdockslip_telemetry/src/metrics.rs
+++ b/crates/burdockslip_telemetry/src/metrics.rs
@@ -48,17 +48,46 @@
     receipts: Counter<u64>,
     rate_refusals: Counter<u64>,
     returned: Counter<u64>,
-    pace_permits: Counter<u64>,
-    pace_refusals: Counter<u64>,
-    paced_members: Gauge<u64>,
+    pace: PaceInstruments,
     failover: Histogram<f64>,
     pressure: PressureInstruments,
     connections: Gauge<u64>,
     config_age: Gauge<f64>,
+    store_era: Gauge<u64>,
+    unsettled_groups: Gauge<u64>,
     config_revision: Gauge<u64>,
     evacuated: Gauge<u64>,
 }
 
+/// The instruments of members that start, recover or are cold.
+#[derive(Debug, Clone)]
+struct PaceInstruments {
+    permits: Counter<u64>,
+    refusals: Counter<u64>,
+    members: Gauge<u64>,
+}
+
+impl PaceInstruments {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            permits: counter(
+                meter,
+                "burdockslip_pace_permits",
+                "Permits for statements to paced members that the coordinator granted.",
+            ),
+            refusals: counter(
+                meter,
+                "burdockslip_pace_refusals",
+                "Statements that the pace of their member left no room for.",
+            ),
+            members: meter
+                .u64_gauge("burdockslip_paced_members")
+                .with_description("Members that start, recover or are cold.")
+                .build(),
+        }
+    }
+}
+
 /// The instruments of statements that wait or are refused because room is short.
 #[derive(Debug, Clone)]
 struct PressureInstruments {
@@ -162,20 +191,7 @@
                 "burdockslip_tokens_returned",
                 "Rate tokens given back by operations that were not sent to a member.",
             ),
-            pace_permits: counter(
-                &meter,
-                "burdockslip_pace_permits",
-                "Permits for statements to paced members that the coordinator granted.",
-            ),
-            pace_refusals: counter(
-                &meter,
-                "burdockslip_pace_refusals",
-                "Statements that the pace of their member left no room for.",
-            ),
-            paced_members: meter
-                .u64_gauge("burdockslip_paced_members")
-                .with_description("Members that start, recover or are cold.")
-                .build(),
+            pace: PaceInstruments::new(&meter),
             failover: histogram(
                 &meter,
                 "burdockslip_failover",
@@ -199,6 +215,14 @@
                 .u64_gauge("burdockslip_evacuated_zones")
                 .with_description("Availability zones to which nothing more is sent.")
                 .build(),
+            store_era: meter
+                .u64_gauge("burdockslip_store_era")
+                .with_description("How often the store has come back from an older copy.")
+                .build(),
+            unsettled_groups: meter
+                .u64_gauge("burdockslip_unsettled_groups")
+                .with_description("Groups whose records have not been brought back since.")
+                .build(),
             _provider: provider,
             registry,
         })
@@ -266,18 +290,18 @@
 
     /// Counts permits for statements to paced members that this host received.
     pub fn count_pace_permits(&self, count: u64) {
-        self.pace_permits.add(count, &[]);
+        self.pace.permits.add(count, &[]);
     }
 
     /// Counts a statement to a group that the pace of its member left no room for.
     pub fn count_pace_refusal(&self, group: &GroupName) {
         let group = KeyValue::new("group", group.as_str().to_owned());
-        self.pace_refusals.add(1, &[group]);
+        self.pace.refusals.add(1, &[group]);
     }
 
     /// Sets the number of members that this host paces.
     pub fn set_paced_members(&self, count: u64) {
-        self.paced_members.record(count, &[]);
+        self.pace.members.record(count, &[]);
     }
 
     /// Records the duration of one phase of a failover, such as `detection`.
@@ -331,6 +355,14 @@
         self.evacuated.record(zones, &[]);
     }
 
+    /// Sets the era of the store and the number of groups whose records are not settled
+    /// in it.
+    pub fn set_store_era(&self, era: u64, unsettled: usize) {
+        self.store_era.record(era, &[]);
+        let unsettled = u64::try_from(unsettled).unwrap_or(u64::MAX);
+        self.unsettled_groups.record(unsettled, &[]);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
