pace: ramp members that get warm

Cause: the longest time of a ramp counted from the start of the cold time, so a member that was cold for more than 20 s was not paced at all afterwards; and a record that ends the cold time early was not followed. Change: the times of a ramp count from when the member is warm; a host's report that it is cold counts for 1.3 s.

--- a/crates/burdockslip_pace/src/ramp.rs
+++ b/crates/burdockslip_pace/src/ramp.rs
@@ -54,6 +54,9 @@
 /// can expect of it.
 const MAX_SPAN: Duration = Duration::from_secs(20);
 
+/// The longest cold time that counts in a report.
+const MAX_COLD: Duration = Duration::from_hours(1);
+
 /// How long the demand of a host counts after its last report.
 const DEMAND_VALIDITY: Duration = Duration::from_millis(1_300);
 
@@ -102,6 +105,10 @@
     counted: Instant,
     has_set_back: bool,
     was_cold: bool,
+    /// When a host last reported that the member is cold, and until when.
+    reported_cold: Option<(Instant, Instant)>,
+    /// Since when the member has not been cold.
+    warm: Instant,
     /// Since when the rate has been above the demand with healthy answers.
     satisfied: Option<Instant>,
     wanted: Instant,
@@ -132,6 +139,8 @@
             demand: 0.0,
             counted: now(),
             has_set_back: false,
+            reported_cold: None,
+            warm: now(),
             satisfied: None,
             wanted: now(),
             logged: (now(), rate),
@@ -152,12 +161,16 @@
         };
     }
 
-    /// Takes over what the coordinator itself knows about the run.
+    /// Takes over what the coordinator itself knows about the run. The member is also cold
+    /// as long as a host reports that it is: it may know a newer record, or not yet know one
+    /// that ends the cold time early.
     pub(crate) fn refresh(&mut self, sighting: &Sighting) {
-        let cold_until = self.sighting.cold_until.filter(|until| !until.is_past());
-        // A newer record that ends the cold time early is not known to all hosts yet.
+        let reported = self
+            .reported_cold
+            .filter(|(at, _)| at.elapsed() < DEMAND_VALIDITY)
+            .map(|(_, until)| until);
         self.sighting = Sighting {
-            cold_until: cold_until.max(sighting.cold_until),
+            cold_until: sighting.cold_until.max(reported),
             ..sighting.clone()
         };
     }
@@ -165,8 +178,9 @@
     /// Records the demand of a host and the answers that it got.
     pub(crate) fn record(&mut self, host: &HostId, demand: &MemberDemand) {
         if !demand.cold.is_zero() {
-            let until = Some(now() + demand.cold);
-            self.sighting.cold_until = self.sighting.cold_until.max(until);
+            let until = now() + demand.cold.min(MAX_COLD);
+            self.reported_cold = Some((now(), until));
+            self.sighting.cold_until = self.sighting.cold_until.max(Some(until));
         }
         self.feedback.record(demand);
         let rate = to_rate(demand.rate);
@@ -193,12 +207,20 @@
             // What was granted before the member was cold is not within the limit.
             self.bucket.empty();
         }
+        if self.was_cold && !is_cold {
+            // Its answers were slow because it was cold.
+            self.has_set_back = false;
+            self.feedback = Feedback::new();
+        }
         self.was_cold = is_cold;
+        if is_cold {
+            (self.warm, self.wanted, self.satisfied) = (now(), now(), None);
+        }
         if let Some(sample) = self.feedback.take_sample() {
             let hosts = u32::try_from(hosts).map_or(0.0, f64::from);
             self.adjust(sample, hosts);
         }
-        let elapsed = self.started.elapsed();
+        let elapsed = self.warm.elapsed();
         let is_over = self
             .satisfied
             .is_some_and(|since| since.elapsed() >= END_SPAN)
@@ -206,7 +228,7 @@
             || elapsed >= MAX_SPAN;
         if is_over && !is_cold {
             info!(member = %self.sighting.member, rate = self.rate, demand = self.demand,
-                after_ms = elapsed.as_millis(), "pace of a member ended");
+                after_ms = self.started.elapsed().as_millis(), "pace of a member ended");
         }
         is_over && !is_cold
     }
--- a/crates/burdockslip_pace/tests/pace.rs
+++ b/crates/burdockslip_pace/tests/pace.rs
@@ -349,6 +349,24 @@
     }
 }
 
+/// Load: a member has been cold for longer than any ramp lasts, and hosts ask for far more
+/// than it got. It is not flooded when it gets warm, and is soon at full rate.
+#[test]
+fn member_that_gets_warm_is_ramped() {
+    paused::run(1, async {
+        let mut fleet = Fleet::new(40, sighting(limited(), Duration::from_secs(25)));
+        fleet.upstream.slots = 40.0;
+        fleet.sighting.slots = 40;
+        fleet.run(900, Duration::from_millis(25_010)).await;
+        fleet.run(900, Duration::from_millis(200)).await;
+        let first = fleet.sent.iter().rev().take(20).sum::<usize>();
+        assert!(first < 60, "{first}");
+        fleet.run(900, Duration::from_millis(2_300)).await;
+        let rate = Fleet::mean(&fleet.sent, 1);
+        assert!(fleet.free_count() == 40 || rate > 600, "{rate}");
+    });
+}
+
 /// Load: a member takes four times as long as the others after its start, and hosts ask
 /// for six times what it can run.
 #[test]
@@ -471,7 +489,7 @@
         let demand = MemberDemand {
             member: fleet.sighting.member.clone(),
             born: 1,
-            cold: Duration::MAX / 4,
+            cold: Duration::MAX,
             rate: f32::NAN,
             waiting: u32::MAX,
             prefetch: u32::MAX,
