entry: a host that may not use its share of the rates is not ready

Cause: other hosts may confirm the configuration of a host that reaches neither the store nor the coordinator, so it stayed ready while it refused operations for want of a share.

Change: readiness needs the share; a log line for such refusals. Candidates make way only for a rival that hears half of the hosts.

--- a/crates/burdockslip_entry/src/host.rs
+++ b/crates/burdockslip_entry/src/host.rs
@@ -37,7 +37,8 @@
 const GAUGE_TICKS: u32 = 50;
 
 /// The age of the configuration from which the host is not ready, so that new
-/// clients are sent to other hosts. Requests are still authorised up to 4.7 s.
+/// clients are sent to other hosts. Requests are still authorised up to 4.7 s. A host
+/// that may not use its share of the rates is not ready either.
 const READY_AGE: Duration = Duration::from_secs(3);
 
 /// The fraction of the grace period after which sessions without a transaction are
@@ -287,6 +288,7 @@
         host: host.clone(),
         zone: zone.clone(),
         is_ready: !is_draining.get()
+            && cx.holds_share()
             && cx
                 .directory
                 .configuration_age()
--- a/crates/burdockslip_failover/src/duty.rs
+++ b/crates/burdockslip_failover/src/duty.rs
@@ -247,9 +247,11 @@
     }
 
     /// Returns how long this host, as a candidate, leaves the duty to larger hosts and to
-    /// the one that the previous holder made way for.
+    /// a rival of the previous holder that hears most hosts.
     fn candidate_delay(&self) -> Duration {
-        match self.rival() {
+        let registered = self.directory.count(keys::HOSTS);
+        let rival = self.rival().filter(|rival| rival.heard * 2 >= registered);
+        match rival {
             Some(rival) if rival.host == self.host => Duration::ZERO,
             Some(_) => RIVAL_DELAY + self.rank_delay(),
             None => self.rank_delay(),
--- a/crates/burdockslip_session/src/context.rs
+++ b/crates/burdockslip_session/src/context.rs
@@ -166,6 +166,8 @@
             None => {}
         }
         if !self.holds_share() {
+            info!(id, %organisation, version = configuration.version,
+                "operation refused, host is cut off");
             self.metrics.count_refusal("cut_off");
             return Err(ErrorKind::ConfigMissing);
         }
@@ -257,7 +259,7 @@
 
     /// Returns whether this host may use its tokens and its fractions of the rates. The
     /// coordinator gives them to others some seconds after it has last heard this host.
-    fn holds_share(&self) -> bool {
+    pub fn holds_share(&self) -> bool {
         let store_age = self.directory.contact_age();
         self.limiter.borrow().holds_share(store_age)
     }
