--- a/crates/burdockslip_dispatch/src/regulator.rs
+++ b/crates/burdockslip_dispatch/src/regulator.rs
@@ -25,7 +25,7 @@
 const MAX_LATE_CUT: f64 = 0.12;
 
 /// The growth of the number of statements that may be sent in the first period without
-/// pressure; it doubles in each further one.
+/// pressure; it grows by half in each further one.
 const GROWTH: f64 = 0.04;
 
 /// The largest growth in a period.
