dispatch: value a period by its own answers

Cause: burdockslip_dispatch::turns::busy_host_refuses_the_least_urgent failed since ranks are weighed by mean time (nothing refused). The first period was valued with the initial work of a statement, twenty times the measured one, so the most work ever answered, and with it the least room, stayed too high for a minute.

Change: the work of a rank is updated before its statements are valued.

--- a/crates/burdockslip_dispatch/src/regulator.rs
+++ b/crates/burdockslip_dispatch/src/regulator.rs
@@ -187,6 +187,10 @@
         for counts in self.ranks.values_mut() {
             let rank = counts.current.rank;
             let current = std::mem::replace(&mut counts.current, Observation::new(rank));
+            if current.answered >= MIN_SAMPLE {
+                let mean = current.time.as_secs_f64() / f64::from(current.answered);
+                counts.work = mean.min(counts.work * WORK_GROWTH);
+            }
             let work_of = |number: u32| counts.work * f64::from(number) / periods;
             work.sent += work_of(current.sent());
             work.refused += work_of(current.refused);
@@ -194,10 +198,6 @@
             let offered = f64::from(current.sent().saturating_add(current.held)) / periods;
             self.is_idle &= offered == 0.0;
             counts.offered += NEWEST_WEIGHT * (offered - counts.offered);
-            if current.answered >= MIN_SAMPLE {
-                let mean = current.time.as_secs_f64() / f64::from(current.answered);
-                counts.work = mean.min(counts.work * WORK_GROWTH);
-            }
         }
         if self.is_idle {
             self.ranks.clear();
