--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -12,10 +12,10 @@
 use futures::future::LocalBoxFuture;
 use tracing::{info, warn};
 
-use crate::cold::ColdTime;
 use crate::era::Eras;
 use crate::evacuation::Evacuations;
 use crate::follow;
+use crate::known_member::KnownMember;
 use crate::recency::Recency;
 use crate::{Configuration, Member, MemberRecord};
 
@@ -26,10 +26,6 @@
 /// the way of a request to the upstream.
 pub const KEY_VALIDITY: Duration = Duration::from_millis(4_700);
 
-/// How long a member stays usable after its record was deleted. Records that expire
-/// during an outage of the store are back within about 2 s.
-const MISSING_GRACE: Duration = Duration::from_millis(2_500);
-
 /// The keys under which the operator's records are stored, and the functions of an
 /// adapter that decode them.
 #[derive(Debug, Clone, Copy)]
@@ -49,9 +45,6 @@
     pub read_evacuation: fn(&[u8]) -> Result<()>,
 }
 
-/// The maximum number of members whose last run is remembered.
-const MAX_RUNS: usize = 4_096;
-
 /// The maximum number of deletions kept for other hosts; each takes about 60 bytes.
 const MAX_DELETIONS: usize = 256;
 
@@ -73,20 +66,6 @@
 /// there are any.
 pub type Relay = Rc<dyn Fn(Revision) -> LocalBoxFuture<'static, Result<Changes>>>;
 
-/// A member and whether its record still exists.
-struct KnownMember {
-    member: Rc<Member>,
-    /// The era of the store in which its record was last read.
-    era: u64,
-    /// The moment at which the record was found to be missing.
-    missing_since: Option<Instant>,
-    /// The moment from which the member was known to be about to leave.
-    draining_since: Option<Instant>,
-    /// When this run was first seen; `None` if it was there when the store was first read.
-    seen: Option<Instant>,
-    cold: ColdTime,
-}
-
 pub(crate) struct Shared {
     pub(crate) schema: Schema,
     pub(crate) store: Store,
@@ -96,10 +75,10 @@
     confirmed_at: Cell<Option<Instant>>,
     /// The latest of these moments of which the store or the coordinator told this host.
     contact_at: Cell<Option<Instant>>,
-    members: RefCell<HashMap<MemberName, KnownMember>>,
-    evacuations: Evacuations,
+    pub(crate) members: RefCell<HashMap<MemberName, KnownMember>>,
+    pub(crate) evacuations: Evacuations,
     /// The start of the last known run of each member, also of those without a record.
-    runs: RefCell<HashMap<MemberName, u64>>,
+    pub(crate) runs: RefCell<HashMap<MemberName, u64>>,
     pub(crate) entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
     deletions: RefCell<VecDeque<(Revision, String)>>,
@@ -377,13 +356,6 @@
     }
 }
 
-impl KnownMember {
-    fn is_usable(&self) -> bool {
-        self.missing_since
-            .is_none_or(|at| at.elapsed() < MISSING_GRACE)
-    }
-}
-
 impl Shared {
     /// Applies an entry unless a newer one is known.
     pub(crate) fn put(&self, entry: Entry) {
@@ -598,107 +570,6 @@
             ),
         }
     }
-
-    fn apply_member(&self, name: &str, entry: &Entry) {
-        match (self.schema.read_member)(name, &entry.value) {
-            Ok(MemberRecord { mut member, cold }) => {
-                let mut members = self.members.borrow_mut();
-                if let Some(known) = members.get_mut(&member.name)
-                    && known.era < entry.revision.era()
-                {
-                    // The copy may be older than what the member has reported since.
-                    if member.born < known.member.born {
-                        return;
-                    }
-                    member.is_draining |=
-                        known.member.is_draining && known.member.is_same_run(&member);
-                    known.era = entry.revision.era();
-                }
-                let known = members.get_mut(&member.name);
-                let is_new_run = self.record_run(&member);
-                let seen = match &known {
-                    Some(known) if known.member.born == member.born => known.seen,
-                    _ => (is_new_run && self.is_loaded()).then(now),
-                };
-                if let Some(known) = known
-                    && *known.member == member
-                    && known.missing_since.is_none()
-                {
-                    known.cold.set(&member.name, cold);
-                    return;
-                }
-                let known = members.get(&member.name);
-                info!(
-                    member = name,
-                    group = %member.group,
-                    address = %member.address,
-                    role = ?member.role,
-                    draining = member.is_draining,
-                    born = member.born,
-                    "member record changed"
-                );
-                let drained_before = known
-                    .filter(|known| known.member.born == member.born)
-                    .and_then(|known| known.draining_since);
-                let mut known = KnownMember {
-                    seen,
-                    cold: known.map(|known| known.cold).unwrap_or_default(),
-                    draining_since: member
-                        .is_draining
-                        .then(|| drained_before.unwrap_or_else(now)),
-                    member: Rc::new(member),
-                    era: entry.revision.era(),
-                    missing_since: None,
-                };
-                known.cold.set(&known.member.name, cold);
-                members.insert(known.member.name.clone(), known);
-            }
-            Err(error) => {
-                warn!(member = name, ?error, "member record unreadable");
-                self.mark_missing(name);
-            }
-        }
-    }
-
-    fn apply_evacuation(&self, zone: &str, value: &[u8]) {
-        let newest_at = self.recency.age().map(|age| now() - age);
-        let read = (self.schema.read_evacuation)(value);
-        self.evacuations.begin(zone, read, newest_at);
-        // The members may not have been read yet.
-        if self.is_loaded() {
-            self.log_evacuations();
-        }
-    }
-
-    fn log_evacuations(&self) {
-        let members = self.members.borrow();
-        let count = |zone: &Zone| {
-            let standing = members.values().filter(|known| known.member.zone == *zone);
-            standing.filter(|known| known.is_usable()).count()
-        };
-        self.evacuations.log_new(count);
-    }
-
-    /// Records the run of a member and returns whether it was unknown. The records of
-    /// members that run on may be gone for some time.
-    fn record_run(&self, member: &Member) -> bool {
-        let mut runs = self.runs.borrow_mut();
-        if runs.len() >= MAX_RUNS {
-            runs.clear();
-        }
-        runs.insert(member.name.clone(), member.born) != Some(member.born)
-    }
-
-    fn mark_missing(&self, name: &str) {
-        let mut members = self.members.borrow_mut();
-        members.retain(|_, known| known.is_usable());
-        if let Some(known) = members.get_mut(name)
-            && known.missing_since.is_none()
-        {
-            info!(member = name, "member record gone");
-            known.missing_since = Some(now());
-        }
-    }
 }
 
 fn set_latest(cell: &Cell<Option<Instant>>, moment: Instant) {
--- a/crates/burdockslip_directory/src/lib.rs
+++ b/crates/burdockslip_directory/src/lib.rs
@@ -11,6 +11,7 @@
 mod era;
 mod evacuation;
 mod follow;
+mod known_member;
 mod member;
 mod recency;
 
