--- a/crates/burdockslip_entry/src/changes.rs
+++ b/crates/burdockslip_entry/src/changes.rs
@@ -5,11 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_directory::{Changes, Directory, Relay};
-use burdockslip_failover::{Registration, keys};
+use burdockslip_directory::{Changes, Relay};
+use burdockslip_failover::Registration;
 use burdockslip_peer::PeerPool;
 use burdockslip_runtime::{sleep, timeout};
-use burdockslip_store::with_timeout;
 use burdockslip_types::{ErrorKind, HostId, PeerClient, Result, Revision, Zone};
 use error_stack::{bail, ensure};
 use futures::FutureExt;
@@ -40,16 +39,6 @@
 /// on the link.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How often the registration of a coordinator is read that this host does not know. A
-/// coordinator may take the duty just before it is registered.
-const FIND_ATTEMPTS: u32 = 3;
-
-/// The pause between two of these reads.
-const FIND_PAUSE: Duration = Duration::from_millis(120);
-
-/// The timeout of such a read.
-const FIND_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Returns the relay that requests changes from a host of the own availability zone or
 /// from the coordinator.
 pub(crate) fn relay(
@@ -73,7 +62,6 @@
                 None => learn_coordinator(&coordinator, &relays, &hosts, &duties).await?,
             };
             ensure!(holder != host, ErrorKind::Conflict);
-            find(&coordinator.directory, &holder).await?;
             if let Some(relay) = relays.choose(&hosts, Some(&holder)) {
                 match follow(&client, &relay, revision, RELAY_TIMEOUT).await {
                     Ok(changes) if changes.age < MAX_RELAYED_AGE => return Ok(changes),
@@ -122,30 +110,6 @@
     bail!(ErrorKind::NoPrimary)
 }
 
-/// Reads the registration of the coordinator unless it is known. A host that has just
-/// started knows the duty's record alone; a watch of the whole store would answer for each
-/// host of a fleet that starts.
-///
-/// Fails with `ConnectionLost` if the coordinator is not registered, and with
-/// `StoreUnavailable` if the store does not answer.
-async fn find(directory: &Directory, holder: &HostId) -> Result<()> {
-    let key = format!("{}{holder}", keys::HOSTS);
-    for attempt in 0..FIND_ATTEMPTS {
-        if directory.revision(&key).is_some() {
-            return Ok(());
-        }
-        if attempt > 0 {
-            sleep(FIND_PAUSE).await;
-        }
-        with_timeout(FIND_TIMEOUT, directory.refresh(&key)).await?;
-    }
-    ensure!(
-        directory.revision(&key).is_some(),
-        ErrorKind::ConnectionLost
-    );
-    Ok(())
-}
-
 async fn follow(
     client: &PeerClient<FollowExchange>,
     host: &HostId,
