--- a/review/stand-ins-3/standin.py
+++ b/review/stand-ins-3/standin.py
@@ -127,6 +127,21 @@
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             self.delete(key)
 
+    def copy(self):
+        leases = {lease: ttl for lease, (ttl, _) in self.leases.items()}
+        items = {key: dict(item) for key, item in self.items.items()}
+        return self.revision, items, leases, self.next_lease
+
+    def restore(self, copy):
+        """Comes back from a copy. Revisions and leases are given out again from there."""
+        self.revision, items, leases, self.next_lease = copy
+        self.items = {key: dict(item) for key, item in items.items()}
+        self.leases = {lease: (ttl, now() + ttl) for lease, ttl in leases.items()}
+        self.events = [event for event in self.events if event["revision"] <= self.revision]
+        self.era += 1
+        self.record.line(f"RESTORED era {self.era} revision {self.revision}")
+        self.notify()
+
     async def expire(self):
         while True:
             await asyncio.sleep(0.02)
@@ -294,7 +309,7 @@
     def __init__(self, name, record, store):
         self.name, self.record, self.store = name, record, store
         self.members = {}
-        # (member, statement id, tenant, text, applied position, time)
+        # (member, statement id, tenant, text, applied position, session values)
         self.runs = []
         # The position of each commit by the id of its write or COMMIT.
         self.commits = {}
@@ -493,10 +508,12 @@
 
     def ran(self, member, state, query, text):
         position = member.applied()
-        self.runs.append((member.name, query, state.get("tenant"), text, position, now()))
+        self.runs.append(
+            (member.name, query, state.get("tenant"), text, position, dict(state["values"]))
+        )
         self.record.line(
             f"RUN {self.name} {member.name} id {query} tenant {state.get('tenant')} "
-            f"log {text_of(position)}: {text}"
+            f"log {text_of(position)} values {state['values']}: {text}"
         )
 
     async def commit(self, member, writes, query):
@@ -533,6 +550,18 @@
             f"{len(member.connections)}"
         )
 
+    def drain(self, member):
+        """Begins the planned shutdown of a member, which serves for `drainMs` and exits."""
+        member.state = "draining"
+        self.write_record(member)
+        self.record.line(f"DRAINING {member.name}")
+        asyncio.get_running_loop().call_later(7.5, self.leave, member)
+
+    def leave(self, member):
+        self.crash(member.name)
+        member.log, member.received_at, member.applied_count = [], [], 0
+        self.store.delete(f"servers/{member.name}")
+
     def crash(self, name):
         member = self.members[name]
         member.is_up = False
@@ -559,7 +588,7 @@
             headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
             body = json.loads(await reader.readexactly(int(headers.get("content-length", 0))))
             holder, token = headers.get("x-duty-holder"), headers.get("x-fencing-token")
-            self.orders.append((holder, token, body))
+            self.orders.append((now(), holder, int(token), body))
             self.record.line(f"ORDER {holder} token {token} {body}")
             service = self.services.get(body["service"])
             member = service.members.get(body["id"]) if service else None
@@ -573,11 +602,15 @@
 # Hosts ------------------------------------------------------------------------------------
 
 
+next_port = 20000 + (os.getpid() * 64) % 9000
+
+
 def free_ports(count):
-    """Finds consecutive free ports outside of the ephemeral range."""
-    first = 20000 + (os.getpid() * 64) % 9000
+    """Finds consecutive free ports outside of the ephemeral range, new ones in each call."""
+    global next_port
     while True:
-        sockets = []
+        first, sockets = next_port, []
+        next_port += count
         try:
             for port in range(first, first + count):
                 sock = socket.socket()
@@ -585,7 +618,7 @@
                 sock.bind((LOOPBACK, port))
             return first
         except OSError:
-            first += count
+            pass
         finally:
             for sock in sockets:
                 sock.close()
@@ -595,7 +628,7 @@
     """An entry host, started with the command of the deploy file."""
 
     def __init__(self, name, store, cloud, folder, record, zone="zone-a"):
-        self.name, self.record, self.zone = name, record, zone
+        self.name, self.record, self.zone, self.cpu_share = name, record, zone, 0.17
         self.store, self.cloud, self.folder = store, cloud, Path(folder)
         self.process = None
 
@@ -640,7 +673,7 @@
 front = "{self.front}"
 ready = "{self.ready}"
 [limits]
-cpuShare = 0.17
+cpuShare = {self.cpu_share}
 cores = 1
 memoryMb = 182
 maxFds = 3010
@@ -871,7 +904,7 @@
         for host in self.hosts.values():
             if not await host.wait_ready():
                 return False
-        return True
+        return all(host.process.returncode is None for host in self.hosts.values())
 
     async def stop(self, keep_logs=False):
         for host in self.hosts.values():
