session: keep the last commit of each group

Cause: the session kept the group and position of one commit; a commit in another group replaced both. The trace is in the postmortem: the read asked for floor=1/1 while the session's commit in that group was 1/2, and the log printed own=1/1, the position of the other group.

Change: a position for each group, raised only; the log line shows that of the statement's group.

--- a/crates/burdockslip_session/src/lib.rs
+++ b/crates/burdockslip_session/src/lib.rs
@@ -11,6 +11,7 @@
 mod freshness;
 mod locality;
 mod outcome;
+mod own_commits;
 mod pace;
 mod pacing;
 mod place;
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -16,6 +16,7 @@
 use crate::budget::{self, StateCharge};
 use crate::context::Context;
 use crate::outcome::{Job, ServedReply, Work, error_kind};
+use crate::own_commits::OwnCommits;
 use crate::tokens::Token;
 use crate::transaction::OpenTransaction;
 use crate::{place, pressure, read, write};
@@ -33,8 +34,7 @@
     state: Rc<SessionState>,
     /// The memory that the state takes.
     charge: StateCharge,
-    /// The last commit of the session: its group and log position.
-    last_commit: Option<(GroupName, LogPosition)>,
+    own_commits: OwnCommits,
     transaction: Option<OpenTransaction>,
     /// Whether the transaction was rolled back and the client has not ended it yet.
     has_failed: bool,
@@ -83,7 +83,7 @@
             key,
             organisation,
             state: Rc::default(),
-            last_commit: None,
+            own_commits: OwnCommits::default(),
             transaction: None,
             has_failed: false,
             rank: Rank::of_priority(route.priority),
@@ -459,9 +459,7 @@
             && let Some(position) = reply.position
         {
             self.committed = Some(position);
-            let last = self.last_commit.take().filter(|(last, _)| last == group);
-            let position = last.map_or(position, |(_, last)| last.max(position));
-            self.last_commit = Some((group.clone(), position));
+            self.own_commits.record(group, position);
         }
     }
 
@@ -473,10 +471,7 @@
                 ..
             }
         );
-        let last_commit = self
-            .last_commit
-            .as_ref()
-            .filter(|(group, _)| reads_own_writes && *group == route.group);
+        let last_commit = self.own_commits.last(&route.group);
         Rc::new(Job {
             id,
             work,
@@ -485,7 +480,7 @@
             organisation: self.organisation.clone(),
             rank: self.rank,
             state: Rc::clone(&self.state),
-            last_commit: last_commit.map(|(_, position)| *position),
+            last_commit: last_commit.filter(|_| reads_own_writes),
             started: self.started,
             was_sent: Cell::default(),
         })
@@ -510,7 +505,7 @@
             took_ms = took.as_millis(),
             member = member.as_ref().map(MemberName::as_str),
             floor = floor.flatten().map(tracing::field::display),
-            own = self.last_commit.as_ref().map(|(_, position)| tracing::field::display(position)),
+            own = self.own_commits.last(&route.group).map(tracing::field::display),
             position = response.position.map(tracing::field::display),
             commit = committed.map(tracing::field::display),
             proof = proof.as_ref().map(|proof| proof.source.name()),
