session: commit in the group where the transaction was opened

Callers saw: COMMIT was answered with INDOUBT, although the commit was kept, if the route had moved to another group since BEGIN.

Cause: COMMIT ran on the transaction's connection, but with the route of the moment. The permission that has to be valid after the acknowledgement was looked up for the other group, whose primary is another member, so the acknowledgement was withheld.

Change: COMMIT uses the route at BEGIN, as the other statements of a transaction do; log lines and metrics name its group, too.

--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -186,13 +186,15 @@
                 | Statement::Deallocate(_)
         );
         let id = query.id.clone();
+        let open = self.transaction.as_ref();
+        let used = Rc::clone(open.map_or(&route, |transaction| &transaction.route));
         let response = if self.has_failed {
             self.handle_failed(&statement)
         } else {
             self.dispatch(&route, query, statement).await
         };
         if is_upstream || response.result.is_err() {
-            self.record(&id, &route, &response);
+            self.record(&id, &used, &response);
         }
         Handled::continues(response)
     }
@@ -265,7 +267,7 @@
     ) -> ClientResponse {
         match statement {
             Statement::Begin(access) => self.begin(route, access, &query).await,
-            Statement::Commit => self.commit(route, query).await,
+            Statement::Commit => self.commit(query).await,
             Statement::Rollback => self.roll_back(query),
             Statement::Direct(access) => {
                 let work = Work::Direct(query.text);
@@ -346,14 +348,16 @@
         self.cx.admit(&self.organisation, id_text(id)).await
     }
 
-    async fn commit(&mut self, route: &Rc<Route>, query: Query) -> ClientResponse {
+    /// Commits the open transaction in the group where it was opened, to which the route may
+    /// no longer lead.
+    async fn commit(&mut self, query: Query) -> ClientResponse {
         let Some(transaction) = self.transaction.take() else {
             return ClientResponse::failed(ErrorKind::Protocol, TransactionStatus::Idle);
         };
-        let group = transaction.route.group.clone();
-        let job = self.job(route, query.id, Work::Direct(query.text), Access::Write);
+        let route = Rc::clone(&transaction.route);
+        let job = self.job(&route, query.id, Work::Direct(query.text), Access::Write);
         let reply = transaction.commit(&self.cx, &job).await;
-        self.record_commit(&group, &reply);
+        self.record_commit(&route.group, &reply);
         let mut response = self.respond(reply);
         if response.result == Err(ErrorKind::NoPrimary) {
             response.result = Err(ErrorKind::TransactionAborted);
