failover: log the lease that permissions rest on

Change: the coordinator logs the revisions of the group's record and of the fence once permissions are withdrawn, and that of the record of the new primary; each host logs the records that it has when its first proof of another lease arrives.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -239,6 +239,11 @@
         self.shared.evacuations.age(zone)
     }
 
+    /// Returns the revision up to which the local copy includes all changes.
+    pub fn applied(&self) -> Revision {
+        self.shared.applied.get()
+    }
+
     /// Returns whether any availability zone is evacuated.
     pub fn is_evacuating(&self) -> bool {
         !self.shared.evacuations.is_empty()
--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -59,6 +59,8 @@
     records: RefCell<HashMap<GroupName, (Revision, Rc<GroupRecord>)>>,
     /// The newest proof that the lease behind all permissions was alive.
     lease_proof: RefCell<Option<Proof>>,
+    /// The lease of the newest proof, to log changes.
+    proved_lease: Cell<Option<LeaseId>>,
     /// The newest proof of each group from its members, with the revision of the record
     /// whose primary they confirmed.
     group_proofs: RefCell<HashMap<GroupName, (Revision, Proof)>>,
@@ -92,6 +94,7 @@
             metrics,
             records: RefCell::default(),
             lease_proof: RefCell::default(),
+            proved_lease: Cell::default(),
             group_proofs: RefCell::default(),
             on_replicas: RefCell::default(),
             member_tasks: RefCell::default(),
@@ -378,11 +381,36 @@
         if proof.as_ref().is_some_and(|known| known.at >= moment) {
             return;
         }
+        let name = source.name();
         *proof = Some(Proof { at: moment, source });
         drop(proof);
+        self.log_lease(name);
         self.log_lease_proof();
     }
 
+    /// Logs the first proof of another lease, with the records that this host uses under it.
+    fn log_lease(&self, proof: &str) {
+        let lease = self.fence();
+        if self.proved_lease.replace(lease) == lease {
+            return;
+        }
+        let revision = self.directory.revision(keys::FENCE);
+        let records: Vec<_> = self
+            .directory
+            .records(keys::GROUPS)
+            .iter()
+            .map(text)
+            .collect();
+        info!(
+            lease = lease.map(|lease| lease.0),
+            fence = revision.map(|revision| revision.0),
+            applied = self.directory.applied().0,
+            proof,
+            records = records.join(" "),
+            "permission rests on another lease"
+        );
+    }
+
     pub(crate) fn record_group_proof(
         &self,
         group: &GroupName,
@@ -500,6 +528,17 @@
     }
 }
 
+/// Returns the group, the revision and the state of a group's record for log lines.
+fn text(entry: &Entry) -> String {
+    let group = entry.key.strip_prefix(keys::GROUPS).unwrap_or_default();
+    let state = match GroupRecord::read(&entry.value) {
+        Ok(record) if record.is_stable() => "stable",
+        Ok(_) => "changing",
+        Err(_) => "unreadable",
+    };
+    format!("{group}={}:{state}", entry.revision.0)
+}
+
 async fn renew(shared: Rc<Shared>) {
     let mut seen = shared.proof_wanted.epoch();
     loop {
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -98,6 +98,9 @@
         let mut revision = self.write(group, &record, entry.revision).await?;
         self.withdraw_permissions().await?;
         let fenced = now();
+        let fence = self.directory.revision(keys::FENCE);
+        info!(%group, record = revision.0, held = held.0, fence = fence.map(|fence| fence.0),
+            "permissions withdrawn");
         let choice = self
             .choose_member(group, &mut record, &mut revision, held, fenced)
             .await?;
@@ -113,13 +116,14 @@
             ..record
         };
         record.join(&self.directory.members(group));
-        self.write(group, &record, revision).await?;
+        let revision = self.write(group, &record, revision).await?;
         self.withdrawals.borrow_mut().finish(group);
         info!(
             %group,
             old = %old,
             primary = %chosen.name,
             term = term.0,
+            record = revision.0,
             took_ms = started.elapsed().as_millis(),
             "change of primary finished"
         );
--- a/crates/burdockslip_failover/src/records.rs
+++ b/crates/burdockslip_failover/src/records.rs
@@ -30,6 +30,8 @@
     /// The key of the fence: the ID of a lease that all hosts renew. Revoking this
     /// lease withdraws every permission to use a primary.
     pub const FENCE: &str = "burdockslip/fence";
+    /// The prefix of the records of groups.
+    pub const GROUPS: &str = "burdockslip/groups/";
 
     /// Returns the key of the duty in an era of the store: the record of the coordinator,
     /// attached to its lease.
@@ -45,7 +47,7 @@
 
     /// Returns the key of a group's record.
     pub fn group(group: &GroupName) -> String {
-        format!("burdockslip/groups/{group}")
+        format!("{GROUPS}{group}")
     }
 }
 
