directory: forward the state at the stated revision

Cause: the coordinator applies its own writes ahead of its watch and leaves them out of what it forwards. Its copy kept one version of each record, so such a write hid the version before it, which the watch had delivered: it was not forwarded either, but the fence was, and the peer was told that it had all changes up to a later revision.

Change: versions that are replaced ahead of the applied revision are kept until it passes the newer ones, and changes are the state at exactly the applied revision. This also covers relays, the middle of a batch of the watch, and deletions that are followed by a write ahead.

Why it works: permissions rest on "who knows a fence knows all records before it", which the revision of forwarded changes stands for; it is now true for every order in which versions arrive.

--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -6,15 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use burdockslip_runtime::{Instant, Signal, Task, now, spawn};
+use burdockslip_runtime::{Instant, Signal, Task, spawn};
 use burdockslip_store::{Entry, Event, Store};
-use burdockslip_types::{GroupName, MemberName, Result, Revision, Zone, domain};
-use futures::future::LocalBoxFuture;
+use burdockslip_types::{GroupName, MemberName, Result, Revision, Zone};
 use tracing::{info, warn};
 
+use crate::changes::Relay;
 use crate::era::Eras;
 use crate::evacuation::Evacuations;
 use crate::follow;
+use crate::history::History;
 use crate::known_member::KnownMember;
 use crate::recency::Recency;
 use crate::{Configuration, Member, MemberRecord};
@@ -48,24 +49,6 @@
 /// The maximum number of deletions kept for other hosts; each takes about 60 bytes.
 const MAX_DELETIONS: usize = 256;
 
-domain! {
-    /// Changes of the store that a peer forwards.
-    pub struct Changes {
-        /// The last change of each key, by revision.
-        pub events: Vec<Event>,
-        /// All existing keys, if the peer does not know which ones were deleted.
-        pub keys: Option<Vec<String>>,
-        /// The revision up to which all changes are included.
-        pub revision: Revision,
-        /// How long ago, at most, this was the newest state of the store.
-        pub age: Duration,
-    }
-}
-
-/// Requests the changes after a revision from a peer, which waits for some time until
-/// there are any.
-pub type Relay = Rc<dyn Fn(Revision) -> LocalBoxFuture<'static, Result<Changes>>>;
-
 pub(crate) struct Shared {
     pub(crate) schema: Schema,
     pub(crate) store: Store,
@@ -81,11 +64,15 @@
     pub(crate) runs: RefCell<HashMap<MemberName, u64>>,
     pub(crate) entries: RefCell<BTreeMap<String, Entry>>,
     /// The revisions and keys of the latest deletions, for other hosts.
-    deletions: RefCell<VecDeque<(Revision, String)>>,
+    pub(crate) deletions: RefCell<VecDeque<(Revision, String)>>,
     /// The revision after which `deletions` is complete.
     pub(crate) deletions_from: Cell<Revision>,
     /// The revision up to which all changes have been applied.
     pub(crate) applied: Cell<Revision>,
+    /// The changes that are known ahead of `applied`.
+    pub(crate) history: History,
+    /// The revision from which `history` is complete.
+    pub(crate) history_from: Cell<Revision>,
     pub(crate) recency: Recency,
     pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
     pub(crate) eras: Eras,
@@ -119,6 +106,8 @@
             deletions: RefCell::default(),
             deletions_from: Cell::default(),
             applied: Cell::default(),
+            history: History::default(),
+            history_from: Cell::default(),
             recency: Recency::default(),
             relay: RefCell::default(),
             eras: Eras::default(),
@@ -300,8 +289,7 @@
 
     /// Returns the revision of the record under `key`, if it is in the local copy.
     pub fn revision(&self, key: &str) -> Option<Revision> {
-        let entries = self.shared.entries.borrow();
-        Some(entries.get(key)?.revision)
+        self.shared.revision(key)
     }
 
     /// Returns the records whose keys start with `prefix`, sorted by key.
@@ -329,12 +317,6 @@
         self.shared.put(entry);
     }
 
-    /// Returns the changes after `revision`, or `None` if the store has never been read.
-    pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
-        let age = self.shared.recency.age().filter(|_| self.is_loaded())?;
-        Some(self.shared.changes_since(revision, age))
-    }
-
     /// Sets the relay from which changes are received instead of the store, as long as
     /// it supplies them.
     ///
@@ -362,13 +344,29 @@
 }
 
 impl Shared {
+    /// Returns whether a change of a key is ahead of what is forwarded to peers, or follows
+    /// such a change that is newer.
+    fn is_ahead(&self, key: &str, changed: Revision) -> bool {
+        self.history.needs(key, changed, self.applied.get())
+    }
+
+    fn revision(&self, key: &str) -> Option<Revision> {
+        let entries = self.entries.borrow();
+        Some(entries.get(key)?.revision)
+    }
+
     /// Applies an entry unless a newer one is known.
     pub(crate) fn put(&self, entry: Entry) {
         if !self.enter_era(entry.revision) {
             return;
         }
+        let is_ahead = self.is_ahead(&entry.key, entry.revision);
         let is_known = |known: &Entry| known.revision >= entry.revision;
         if self.entries.borrow().get(&entry.key).is_some_and(is_known) || self.is_deleted(&entry) {
+            if is_ahead {
+                let key = entry.key.clone();
+                self.history.record(&key, Event::Put(entry), None);
+            }
             return;
         }
         if entry.key == self.schema.configuration {
@@ -378,17 +376,32 @@
         } else if let Some(zone) = entry.key.strip_prefix(self.schema.evacuations) {
             self.apply_evacuation(zone, &entry.value);
         }
-        self.entries.borrow_mut().insert(entry.key.clone(), entry);
+        let ahead = is_ahead.then(|| entry.clone());
+        let key = entry.key.clone();
+        let replaced = self.entries.borrow_mut().insert(key.clone(), entry);
+        if let Some(entry) = ahead {
+            self.history.record(&key, Event::Put(entry), replaced);
+        }
         self.changed.notify();
     }
 
     /// Removes a key that was deleted at `revision`.
     pub(crate) fn delete(&self, key: &str, revision: Revision) {
-        let is_older = |known: &Entry| known.revision < revision;
-        if !self.enter_era(revision) || !self.entries.borrow().get(key).is_some_and(is_older) {
+        if !self.enter_era(revision) {
+            return;
+        }
+        let Some(known) = self.revision(key) else {
+            return;
+        };
+        let deleted = (known < revision).then(|| self.entries.borrow_mut().remove(key));
+        let is_newest = deleted.is_some();
+        if self.is_ahead(key, revision) {
+            let change = Event::Delete(key.to_owned(), revision);
+            self.history.record(key, change, deleted.flatten());
+        }
+        if !is_newest {
             return;
         }
-        self.entries.borrow_mut().remove(key);
         if let Some(name) = key.strip_prefix(self.schema.members) {
             self.mark_missing(name);
         } else if let Some(zone) = key.strip_prefix(self.schema.evacuations) {
@@ -407,6 +420,11 @@
         if !self.enter_era(revision) {
             return;
         }
+        self.set_applied(revision);
+        // The pages of a read are not a snapshot, and the versions at `revision` of records
+        // that changed meanwhile are unknown.
+        let newest = entries.iter().map(|entry| entry.revision).max();
+        self.history_from.set(newest.unwrap_or(revision));
         let keys: Vec<_> = entries.iter().map(|entry| entry.key.clone()).collect();
         self.retain(&keys, revision);
         for entry in entries {
@@ -418,29 +436,6 @@
         self.advance(revision);
     }
 
-    /// Applies the changes that a peer has forwarded.
-    ///
-    /// Returns whether they are from the current era. Those of an earlier one are ignored,
-    /// and those of a newer one have to include all keys.
-    pub(crate) fn apply_changes(&self, changes: Changes) -> bool {
-        if !self.enter_era(changes.revision) || !self.is_loaded() && changes.keys.is_none() {
-            return false;
-        }
-        if let Some(keys) = &changes.keys {
-            self.retain(keys, changes.revision);
-        }
-        for event in changes.events {
-            self.apply_event(event);
-        }
-        if changes.keys.is_some() {
-            self.record_loaded(changes.revision);
-        }
-        self.applied.set(self.applied.get().max(changes.revision));
-        self.recency.record_received(changes.revision);
-        self.recency.record_newest(now() - changes.age);
-        true
-    }
-
     /// Applies one change.
     pub(crate) fn apply_event(&self, event: Event) {
         match event {
@@ -451,7 +446,7 @@
     }
 
     /// Removes the keys that are not among `keys`, all that existed at `revision`.
-    fn retain(&self, keys: &[String], revision: Revision) {
+    pub(crate) fn retain(&self, keys: &[String], revision: Revision) {
         let existing: HashSet<&str> = keys.iter().map(String::as_str).collect();
         let known: Vec<String> = self.entries.borrow().keys().cloned().collect();
         for key in known.iter().filter(|key| !existing.contains(key.as_str())) {
@@ -459,9 +454,18 @@
         }
     }
 
+    /// Sets the revision up to which all changes have been applied, unless it is older than
+    /// the known one.
+    pub(crate) fn set_applied(&self, revision: Revision) {
+        if revision > self.applied.get() {
+            self.applied.set(revision);
+            self.history.advance(revision);
+        }
+    }
+
     /// Records that all changes up to `revision` have been applied.
     pub(crate) fn advance(&self, revision: Revision) {
-        self.applied.set(self.applied.get().max(revision));
+        self.set_applied(revision);
         self.recency.record_received(revision);
         self.changed.notify();
     }
@@ -486,32 +490,6 @@
         }
     }
 
-    fn changes_since(&self, revision: Revision, age: Duration) -> Changes {
-        let entries = self.entries.borrow();
-        let applied = self.applied.get();
-        // A record applied ahead of the watch is forwarded only once the watch has
-        // reached its revision. Otherwise the peer, which continues from `applied`,
-        // would receive it again with each request.
-        let is_due = |changed: Revision| changed > revision && changed <= applied;
-        let puts = entries.values().filter(|entry| is_due(entry.revision));
-        let mut events: Vec<_> = puts.cloned().map(Event::Put).collect();
-        let is_complete = revision >= self.deletions_from.get();
-        if is_complete {
-            let deletions = self.deletions.borrow();
-            let deleted = deletions
-                .iter()
-                .filter(|(changed, key)| is_due(*changed) && !entries.contains_key(key));
-            events.extend(deleted.map(|(changed, key)| Event::Delete(key.clone(), *changed)));
-        }
-        events.sort_by_key(Event::revision);
-        Changes {
-            events,
-            keys: (!is_complete).then(|| entries.keys().cloned().collect()),
-            revision: applied,
-            age,
-        }
-    }
-
     /// Records that the configuration was the newest one at `moment`.
     ///
     /// It is ignored while the store's copy of the configuration is older than one that
