failover: read the fence together with the records before it

Cause: after a write that conflicts, the coordinator read that record alone. If it was the fence, the host knew the lease without the records of groups that an earlier coordinator had written before it.

Change: all records of the hosts are read instead, in one call as before.

Result: permission::fence_is_read_with_the_records_before_it failed on the code before and passes. Two first forms of the test passed before the change as well: the host had reopened its watch, as only a coordinator keeps a silent one.

--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -246,7 +246,7 @@
         if !is_applied {
             // This write or another one may have been applied without an event of
             // the watch so far; the next attempt needs the current revision.
-            with_timeout(STORE_TIMEOUT, self.directory.refresh(key)).await?;
+            with_timeout(STORE_TIMEOUT, self.directory.refresh(keys::ROOT)).await?;
         }
         let reply = reply?;
         ensure!(is_applied, ErrorKind::Conflict);
--- a/crates/burdockslip_failover/tests/permission.rs
+++ b/crates/burdockslip_failover/tests/permission.rs
@@ -1,16 +1,19 @@
 //! Tests when a host may use a primary.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use burdockslip_directory::{
     Configuration, Directory, GroupConfig, Member, MemberRecord, Role, Schema,
 };
-use burdockslip_failover::{GroupRecord, Permission, Stamp};
+use burdockslip_failover::{
+    Duty, GroupRecord, Permission, PromoteFn, PromotionReply, Stamp, Supervisor, keys,
+};
 use burdockslip_runtime::{now, paused, sleep};
 use burdockslip_statement::Codec;
-use burdockslip_store::{Faults, MemoryStore};
+use burdockslip_store::{Faults, LeaseId, MemoryStore};
 use burdockslip_telemetry::Metrics;
-use burdockslip_types::{ErrorKind, GroupName, MemberName, Revision, Term};
+use burdockslip_types::{ErrorKind, GroupName, HostId, MemberName, Revision, Term};
 use burdockslip_upstream::Pools;
 use error_stack::Report;
 use serde::Serialize;
@@ -261,3 +264,44 @@
         assert!(knowledge.records.is_empty());
     });
 }
+
+/// Guards against a coordinator that reads another fence without the records before it: it
+/// would take its proofs for the primary that an earlier coordinator is replacing.
+#[test]
+fn fence_is_read_with_the_records_before_it() {
+    paused::run(1, async {
+        let store = store().await;
+        let client = store.client("test");
+        // Without configured groups, no member is contacted.
+        let schema = Schema {
+            read_configuration: |_| Ok(Configuration::default()),
+            ..SCHEMA
+        };
+        let directory = Directory::spawn(store.client("host"), schema);
+        directory.set_coordinator(true);
+        let pools = Pools::spawn(CODEC, directory.clone());
+        let duty = Duty::spawn(HostId::from("host"), 100, directory.clone());
+        let refuse: PromoteFn = Rc::new(|_, _, _| Box::pin(async { Ok(PromotionReply::Refused) }));
+        let _supervisor = Supervisor::spawn(directory.clone(), pools, duty, refuse);
+        sleep(Duration::from_secs(3)).await;
+        store.silence_watches();
+        let entry = directory.record(keys::FENCE).expect("there is a fence");
+        let (lease, _): (LeaseId, _) =
+            bincode::serde::decode_from_slice(&entry.value, bincode::config::standard())
+                .expect("it is a lease");
+        let changing = GroupRecord {
+            held: Some(Term(2)),
+            ..group_record()
+        };
+        store.put("burdockslip/groups/ledger", &encode(&changing));
+        client.revoke_lease(lease).await.expect("it exists");
+        let lease = client.grant_lease(Duration::from_mins(10)).await;
+        store.put(keys::FENCE, &encode(&lease.expect("the store answers")));
+        while directory.revision(keys::FENCE) == Some(entry.revision) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let record = directory.record("burdockslip/groups/ledger");
+        let record = GroupRecord::read(&record.expect("it exists").value);
+        assert_eq!(record.expect("it is a record").held, Some(Term(2)));
+    });
+}
