session: set the session's values before BEGIN and COMMIT

Cause: values are set on a connection before a statement. Reads and writes did this; COMMIT and the eager BEGIN were sent without it.

Change: one function sets the values, prepares the statement and takes the permit, and every command of a client goes through it. If it fails, COMMIT is not sent and the connection is closed, which rolls back.

Why it works: the values are compared immediately before the command, and the host answers SET only between statements of the session.

--- a/crates/burdockslip_session/src/begin.rs
+++ b/crates/burdockslip_session/src/begin.rs
@@ -145,7 +145,7 @@
     let mut connection = outcome::acquire(cx, &target.pool, job)
         .await
         .map_err(kind)?;
-    pacing::take_permits(cx, connection.member(), job, 1)
+    outcome::set_up(cx, &mut connection, job)
         .await
         .map_err(kind)?;
     if target.floor.is_none() && !outcome::is_confirmed_primary(cx, job, &connection) {
--- a/crates/burdockslip_session/src/outcome.rs
+++ b/crates/burdockslip_session/src/outcome.rs
@@ -179,8 +179,7 @@
     job: &Job,
     floor: Option<LogPosition>,
 ) -> Result<MemberReply, SendError> {
-    let name = apply_session(cx, connection, job).await?;
-    pacing::take_permits(cx, connection.member(), job, 1).await?;
+    let name = set_up(cx, connection, job).await?;
     // The permission may have expired while the connection was set up.
     if floor.is_none() && !is_confirmed_primary(cx, job, connection) {
         return Err(SendError::NotSent(ErrorKind::NoPrimary));
@@ -197,29 +196,31 @@
     connection: &mut PooledConnection,
     job: &Job,
 ) -> Result<MemberReply, SendError> {
-    let name = apply_session(cx, connection, job).await?;
-    pacing::take_permits(cx, connection.member(), job, 1).await?;
+    let name = set_up(cx, connection, job).await?;
     let command = job.command(name, None);
     send(cx, connection, job, command, false).await
 }
 
-/// Applies the session variables and prepares the statement on the connection.
-async fn apply_session(
+/// Prepares a connection for a command of the job: sets the session variables to those that
+/// were acknowledged to the client, prepares the statement, whose name is returned, and takes
+/// the permit for the command.
+///
+/// Every command of a client needs this, also one without data such as `COMMIT`: the client
+/// may have set variables since its last statement, and pooled connections have those of
+/// other sessions.
+pub(crate) async fn set_up(
     cx: &Context,
     connection: &mut PooledConnection,
     job: &Job,
 ) -> Result<Option<Bytes>, SendError> {
     let commands = connection.setup_commands(&job.state, job.prepared());
     pacing::take_permits(cx, connection.member(), job, commands).await?;
-    match timeout_at(
-        job.setup_deadline(),
-        connection.apply_session(&job.state, job.prepared()),
-    )
-    .await
-    {
-        Ok(Ok(name)) => Ok(name),
-        Ok(Err(_)) | Err(_) => Err(SendError::NotSent(ErrorKind::ConnectionLost)),
-    }
+    let applied = connection.apply_session(&job.state, job.prepared());
+    let Ok(Ok(name)) = timeout_at(job.setup_deadline(), applied).await else {
+        return Err(SendError::NotSent(ErrorKind::ConnectionLost));
+    };
+    pacing::take_permits(cx, connection.member(), job, 1).await?;
+    Ok(name)
 }
 
 /// Returns whether the member is the primary of the group and this host has the
--- a/crates/burdockslip_session/src/transaction.rs
+++ b/crates/burdockslip_session/src/transaction.rs
@@ -162,9 +162,7 @@
             floor: None,
         };
         // Nothing is kept without the command: dropping the connection rolls back.
-        if let Err(SendError::NotSent(kind)) =
-            pacing::take_permits(cx, connection.member(), job, 1).await
-        {
+        if let Err(SendError::NotSent(kind)) = outcome::set_up(cx, &mut connection, job).await {
             return Err(kind);
         }
         let position = connection.pool().health.position();
