proxy: record commits in the group of their transaction

Callers saw: after a transaction that had outlasted a change of its route, the session's token named the new group at a position of the old one; a later read in the old group could lack the session's own commit.

Cause: units of an open transaction were authorised with the group of the route of the moment; only the member was that of the transaction.

Change: a conversation carries its group, and units of a transaction take group and member from it.

--- a/crates/burdockslip_proxy/src/endpoint/dispatch.rs
+++ b/crates/burdockslip_proxy/src/endpoint/dispatch.rs
@@ -277,12 +277,13 @@
         run.proof = self.permission_proof(&holder, request).await?;
         let bound = self.idle_conversation.take();
         if let Some(mut bound) = bound
-            && (&bound.holder, &bound.member) == (&holder, &run.member)
+            && (&bound.holder, &bound.group) == (&holder, &run.group)
+            && bound.member == run.member
             && bound.conversation.send(run.clone()).await.is_ok()
         {
             return Ok(bound);
         }
-        let member = run.member.clone();
+        let (group, member) = (run.group.clone(), run.member.clone());
         let opened = if holder == self.host.options.host {
             self.open_local(run).await
         } else {
@@ -291,6 +292,7 @@
         let conversation = opened.inspect_err(|_| self.mark_unreachable(&holder))?;
         Ok(BoundConversation {
             holder,
+            group,
             member,
             conversation,
         })
@@ -338,10 +340,6 @@
     mut bound: BoundConversation,
     request: &Request,
 ) -> Result<BoundConversation> {
-    let run = RunUnit {
-        member: bound.member.clone(),
-        ..request.run.clone()
-    };
-    bound.conversation.send(run).await?;
+    bound.conversation.send(request.run.clone()).await?;
     Ok(bound)
 }
--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use error_stack::bail;
 
+use super::session::BoundConversation;
 use super::startup::SessionState;
 use crate::exchange::{Access, RunUnit};
 use crate::host::Host;
@@ -34,7 +35,8 @@
     pub(super) is_renewed: bool,
 }
 
-/// Checks a unit against the configuration in force.
+/// Checks a unit against the configuration in force. A unit of an open transaction runs at
+/// the member of its conversation, to which the route may no longer lead.
 ///
 /// # Errors
 ///
@@ -43,6 +45,7 @@
     host: &Host,
     state: &SessionState,
     prepared: PreparedUnit,
+    open: Option<&BoundConversation>,
 ) -> Result<Request> {
     let config = host.active_config();
     check_key(&config, state)?;
@@ -51,7 +54,9 @@
     let tag = prepared.statement.tags.class.as_deref();
     let (name, class) = catalogue.class_for(route, tag.or(state.class.as_deref()))?;
     let access = access(&prepared.statement, class)?;
-    let Some(member) = choose_member(host, state, &route.group, access) else {
+    let group = open.map_or(&route.group, |bound| &bound.group);
+    let chosen = || choose_member(host, state, group, access);
+    let Some(member) = open.map(|bound| bound.member.clone()).or_else(chosen) else {
         bail!(ErrorKind::NoPrimary);
     };
     let may_stream = access == Access::Read && !prepared.statement.has_control;
@@ -59,13 +64,13 @@
     let run = RunUnit {
         organisation: state.organisation.clone(),
         class: name.clone(),
-        group: route.group.clone(),
+        group: group.clone(),
         access,
         proof: None,
         priority: u8::try_from(class.priority).unwrap_or(u8::MAX),
-        floor: state.floors.get(&route.group).copied(),
+        floor: state.floors.get(group).copied(),
         zone: host
-            .member_zone(&route.group, &member)
+            .member_zone(group, &member)
             .unwrap_or_else(|| host.options.zone.clone()),
         member,
         max_age: class.max_age,
--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -52,6 +52,8 @@
 /// A conversation, and the holder and member that it is bound to.
 pub(super) struct BoundConversation {
     pub(super) holder: HostId,
+    /// The group of the member. The route may lead to another one meanwhile.
+    pub(super) group: GroupName,
     pub(super) member: MemberName,
     pub(super) conversation: Conversation,
 }
@@ -222,10 +224,13 @@
         match local {
             Some(Ok(answer)) => self.finish(answer).await,
             Some(Err(report)) => self.refuse_report(&report).await,
-            None => match request::authorize(&self.host, &self.state, prepared) {
-                Ok(request) => self.serve_request(request).await,
-                Err(report) => self.refuse_report(&report).await,
-            },
+            None => {
+                let open = self.transaction.conversation.as_ref();
+                match request::authorize(&self.host, &self.state, prepared, open) {
+                    Ok(request) => self.serve_request(request).await,
+                    Err(report) => self.refuse_report(&report).await,
+                }
+            }
         }
     }
 
--- a/crates/burdockslip_proxy/tests/path.rs
+++ b/crates/burdockslip_proxy/tests/path.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use burdockslip_keys::{Token, TokenSecrets};
 use postgres::NoTls;
 use support::{sqlstate, start, value};
 
@@ -64,6 +65,34 @@
     assert_eq!(read.as_deref(), Some("2"));
 }
 
+/// Guards against a session that does not read its own commit, because its transaction has
+/// outlasted a change of its route and the commit counts for the new group.
+#[test]
+fn commit_counts_for_the_group_of_its_transaction() {
+    let site = start();
+    let mut client = site.connect(0);
+    let mut transaction = client.transaction().expect("begin");
+    transaction
+        .execute("INSERT INTO records (key, value) VALUES ('t', '1')", &[])
+        .expect("insert");
+    site.with(|site| {
+        let archive = r#""groups": { "archive": {
+            "owner": "test", "user": "burdockslip", "database": "records",
+            "members": { "ar-a": {
+                "zone": "a", "address": "127.0.0.1:1", "connections": 20, "slots": 3,
+            } },
+        },"#;
+        site.edit_catalogue(r#""groups": {"#, archive);
+        site.edit_catalogue(r#""group": "records""#, r#""group": "archive""#);
+    });
+    transaction.commit().expect("commit");
+    let token = value(&mut client, "SHOW burdockslip.token").expect("token");
+    let secrets = TokenSecrets::new(&[7; 32], None).expect("the secret is long enough");
+    let token = Token::verify(&token, "airline", &secrets).expect("the host has signed it");
+    let groups: Vec<_> = token.floors.keys().map(|group| group.as_str()).collect();
+    assert_eq!(groups, ["records"]);
+}
+
 /// Guards against access with an invalid key, with another organisation's key or to
 /// a route that the organisation may not use, and against keys that reach a database.
 #[test]
--- a/crates/burdockslip_proxy/tests/support/mod.rs
+++ b/crates/burdockslip_proxy/tests/support/mod.rs
@@ -30,6 +30,8 @@
     pub(crate) group: DatabaseGroup,
     pub(crate) hosts: Vec<Option<Proxy>>,
     pub(crate) config: ActiveConfig,
+    /// The text of the catalogue.
+    catalogue: String,
     pub(crate) records: Vec<(String, KeyRecord)>,
 }
 
@@ -60,7 +62,7 @@
     SocketAddr::from(([127, high, low, last], port))
 }
 
-fn catalogue(members: &[MemberOptions]) -> Catalogue {
+fn catalogue(members: &[MemberOptions]) -> String {
     let members: Vec<String> = members
         .iter()
         .map(|member| {
@@ -70,8 +72,12 @@
             )
         })
         .collect();
-    let text = include_str!("catalogue.jsonc").replace("\"MEMBERS\"", &members.join(","));
-    Catalogue::parse(&text).unwrap_or_else(|faults| panic!("catalogue: {faults}"))
+    include_str!("catalogue.jsonc").replace("\"MEMBERS\"", &members.join(","))
+}
+
+fn parse(text: &str) -> Rc<Catalogue> {
+    let parsed = Catalogue::parse(text);
+    Rc::new(parsed.unwrap_or_else(|faults| panic!("catalogue: {faults}")))
 }
 
 /// Starts three hosts and a group of three members, with one of each per zone.
@@ -164,8 +170,9 @@
             address: address(prefix, index, 7432),
         })
         .collect();
+    let catalogue = catalogue(&members);
     let config = ActiveConfig {
-        catalogue: Rc::new(catalogue(&members)),
+        catalogue: parse(&catalogue),
         keys: Rc::new(ring),
     };
     let group = DatabaseGroup::bind(members).expect("members start");
@@ -188,10 +195,23 @@
         group,
         hosts: proxies,
         config,
+        catalogue,
         records: records.to_vec(),
     }
 }
 
+impl Site {
+    /// Puts a catalogue in force in which a text is replaced.
+    pub(crate) fn edit_catalogue(&mut self, old: &str, new: &str) {
+        assert!(self.catalogue.contains(old), "{old} is in the catalogue");
+        self.catalogue = self.catalogue.replacen(old, new, 1);
+        self.config.catalogue = parse(&self.catalogue);
+        for host in self.hosts.iter().flatten() {
+            host.set_active_config(self.config.clone());
+        }
+    }
+}
+
 impl Running {
     /// Runs a command in the thread of the site and returns its result.
     pub(crate) fn with<T: Send + 'static>(
