directory: record changes ahead in one place

Cause: put and delete each decided, in two branches, whether a change is kept for peers, and the function that builds the forwarded changes mixed records, deletions and keys.

Change: record_ahead decides for both; no change of behaviour. The test of random orders also lets a peer without any state ask, which is told the keys.

--- a/crates/burdockslip_directory/src/changes.rs
+++ b/crates/burdockslip_directory/src/changes.rs
@@ -45,6 +45,23 @@
 }
 
 impl Shared {
+    /// Keeps a change that is ahead of the applied revision, or older than one that is, for
+    /// peers to which the later one is not forwarded yet.
+    pub(crate) fn record_ahead(
+        &self,
+        key: &str,
+        revision: Revision,
+        change: impl FnOnce() -> Event,
+    ) {
+        let is_tracked = self.history.contains(key);
+        if !is_tracked && revision <= self.applied.get() {
+            return;
+        }
+        let known = self.entries.borrow().get(key).cloned();
+        let replaced = known.filter(|_| !is_tracked);
+        self.history.record(key, change(), replaced);
+    }
+
     /// Applies the changes that a peer has forwarded.
     ///
     /// Returns whether they are from the current era. Those of an earlier one are ignored,
@@ -76,40 +93,37 @@
     /// of a revision at which they were outdated.
     fn changes_since(&self, revision: Revision, age: Duration) -> Changes {
         let entries = self.entries.borrow();
-        let applied = self.applied.get();
         let history = self.history.changes();
-        let replaced: BTreeMap<&String, &Event> = history
+        let applied = self.applied.get();
+        let is_due = |changed: Revision| changed > revision && changed <= applied;
+        // The newest version is that of the applied revision, or there is an earlier one.
+        let current = entries.values().filter(|entry| entry.revision <= applied);
+        let earlier: BTreeMap<&String, &Event> = history
             .iter()
             .filter_map(|(key, known)| Some((key, last_due(known, applied)?)))
             .collect();
-        let is_due = |changed: Revision| changed > revision && changed <= applied;
-        let settled = entries.values().filter(|entry| entry.revision <= applied);
-        let changed = settled.clone().filter(|entry| is_due(entry.revision));
-        let mut events: Vec<_> = changed.cloned().map(Event::Put).collect();
+
+        let puts = current.clone().filter(|entry| is_due(entry.revision));
+        let mut events: Vec<_> = puts.cloned().map(Event::Put).collect();
+        let others = earlier.values().filter(|event| is_due(event.revision()));
+        events.extend(others.map(|event| Event::clone(event)));
         let is_complete = revision >= self.deletions_from.get();
-        let mut keys = None;
         if is_complete {
-            let is_present = |key: &String| {
+            let is_current = |key: &String| {
                 let entry = entries.get(key);
-                replaced.contains_key(key) || entry.is_some_and(|entry| entry.revision <= applied)
+                entry.is_some_and(|entry| entry.revision <= applied)
             };
             let deletions = self.deletions.borrow();
-            let deleted = deletions.iter().filter(|(changed, _)| is_due(*changed));
-            let deleted = deleted.filter(|(_, key)| !is_present(key));
+            let deleted = deletions.iter().filter(|(changed, key)| {
+                is_due(*changed) && !is_current(key) && !earlier.contains_key(key)
+            });
             events.extend(deleted.map(|(changed, key)| Event::Delete(key.clone(), *changed)));
-        } else {
-            let is_put = |event: &Event| matches!(event, Event::Put(_));
-            let existing = replaced.iter().filter(|(_, event)| is_put(event));
-            let existing = existing.map(|(key, _)| (*key).clone());
-            keys = Some(
-                settled
-                    .map(|entry| entry.key.clone())
-                    .chain(existing)
-                    .collect(),
-            );
         }
-        let replaced = replaced.into_values();
-        events.extend(replaced.filter(|event| is_due(event.revision())).cloned());
+        let is_put = |event: &Event| matches!(event, Event::Put(_));
+        let existing = earlier.iter().filter(|(_, event)| is_put(event));
+        let keys = current.map(|entry| &entry.key);
+        let keys = keys.chain(existing.map(|(key, _)| *key)).cloned();
+        let keys = (!is_complete).then(|| keys.collect());
         events.sort_by_key(Event::revision);
         Changes {
             events,
--- a/crates/burdockslip_directory/src/directory.rs
+++ b/crates/burdockslip_directory/src/directory.rs
@@ -69,9 +69,9 @@
     pub(crate) deletions_from: Cell<Revision>,
     /// The revision up to which all changes have been applied.
     pub(crate) applied: Cell<Revision>,
-    /// The changes that are known ahead of `applied`.
+    /// The changes ahead of `applied`.
     pub(crate) history: History,
-    /// The revision from which `history` is complete.
+    /// The applied revision from which `history` has all versions that peers need.
     pub(crate) history_from: Cell<Revision>,
     pub(crate) recency: Recency,
     pub(crate) relay: RefCell<Option<(Relay, &'static str)>>,
@@ -344,12 +344,6 @@
 }
 
 impl Shared {
-    /// Returns whether a change of a key is ahead of what is forwarded to peers, or follows
-    /// such a change that is newer.
-    fn is_ahead(&self, key: &str, changed: Revision) -> bool {
-        self.history.needs(key, changed, self.applied.get())
-    }
-
     fn revision(&self, key: &str) -> Option<Revision> {
         let entries = self.entries.borrow();
         Some(entries.get(key)?.revision)
@@ -360,13 +354,9 @@
         if !self.enter_era(entry.revision) {
             return;
         }
-        let is_ahead = self.is_ahead(&entry.key, entry.revision);
+        self.record_ahead(&entry.key, entry.revision, || Event::Put(entry.clone()));
         let is_known = |known: &Entry| known.revision >= entry.revision;
         if self.entries.borrow().get(&entry.key).is_some_and(is_known) || self.is_deleted(&entry) {
-            if is_ahead {
-                let key = entry.key.clone();
-                self.history.record(&key, Event::Put(entry), None);
-            }
             return;
         }
         if entry.key == self.schema.configuration {
@@ -376,12 +366,7 @@
         } else if let Some(zone) = entry.key.strip_prefix(self.schema.evacuations) {
             self.apply_evacuation(zone, &entry.value);
         }
-        let ahead = is_ahead.then(|| entry.clone());
-        let key = entry.key.clone();
-        let replaced = self.entries.borrow_mut().insert(key.clone(), entry);
-        if let Some(entry) = ahead {
-            self.history.record(&key, Event::Put(entry), replaced);
-        }
+        self.entries.borrow_mut().insert(entry.key.clone(), entry);
         self.changed.notify();
     }
 
@@ -393,15 +378,11 @@
         let Some(known) = self.revision(key) else {
             return;
         };
-        let deleted = (known < revision).then(|| self.entries.borrow_mut().remove(key));
-        let is_newest = deleted.is_some();
-        if self.is_ahead(key, revision) {
-            let change = Event::Delete(key.to_owned(), revision);
-            self.history.record(key, change, deleted.flatten());
-        }
-        if !is_newest {
+        self.record_ahead(key, revision, || Event::Delete(key.to_owned(), revision));
+        if known >= revision {
             return;
         }
+        self.entries.borrow_mut().remove(key);
         if let Some(name) = key.strip_prefix(self.schema.members) {
             self.mark_missing(name);
         } else if let Some(zone) = key.strip_prefix(self.schema.evacuations) {
--- a/crates/burdockslip_directory/src/history.rs
+++ b/crates/burdockslip_directory/src/history.rs
@@ -1,4 +1,4 @@
-//! The versions of records that are newer than what is forwarded to peers.
+//! The changes of records that are not forwarded to peers yet, and the versions before them.
 
 use std::cell::{Ref, RefCell};
 use std::collections::BTreeMap;
@@ -6,12 +6,11 @@
 use burdockslip_store::{Entry, Event};
 use burdockslip_types::Revision;
 
-/// The changes of records that are known ahead of the revision up to which all changes have
-/// been applied, each with the version that it has replaced.
+/// The changes of records that are ahead of the applied revision, each with the version that
+/// it has replaced.
 ///
 /// A host knows its own writes and the results of single reads before its watch has reached
-/// them. What it forwards to peers is the state at the applied revision; without the versions
-/// replaced since, a peer would miss changes before the revision that it is told. See
+/// them. It forwards the state at the applied revision, which has the replaced versions. See
 /// `docs/platform.md`, "State".
 #[derive(Debug, Default)]
 pub(crate) struct History {
@@ -20,14 +19,13 @@
 }
 
 impl History {
-    /// Returns whether a change of a key has to be recorded: it is newer than `applied`, or the
-    /// key has changes that are.
-    pub(crate) fn needs(&self, key: &str, changed: Revision, applied: Revision) -> bool {
-        changed > applied || self.changes.borrow().contains_key(key)
+    /// Returns whether a key has changes that are ahead.
+    pub(crate) fn contains(&self, key: &str) -> bool {
+        self.changes.borrow().contains_key(key)
     }
 
-    /// Records a change. `replaced` is the version of the record that was known before, if
-    /// the change is the newest one.
+    /// Records a change of a key. `replaced` is the version of the record that was known
+    /// before; it is kept if the key had no changes that are ahead.
     pub(crate) fn record(&self, key: &str, change: Event, replaced: Option<Entry>) {
         let mut changes = self.changes.borrow_mut();
         let known = changes.entry(key.to_owned()).or_default();
@@ -41,7 +39,8 @@
         }
     }
 
-    /// Forgets what is not needed once all changes up to `applied` have been applied.
+    /// Forgets the changes that have been followed by another one up to `applied`, and the
+    /// keys without changes after it.
     pub(crate) fn advance(&self, applied: Revision) {
         self.changes.borrow_mut().retain(|_, known| {
             let due = known.partition_point(|change| change.revision() <= applied);
--- a/crates/burdockslip_directory/tests/changes.rs
+++ b/crates/burdockslip_directory/tests/changes.rs
@@ -147,6 +147,12 @@
                 let mut expected = Content::new();
                 apply(&mut expected, model.borrow().changes(start, known));
                 assert_eq!(peer, expected, "seed {seed}, step {step}");
+                // A peer that has missed deletions is told which keys exist.
+                let mut other = Content::from([("key-0".to_owned(), b"old".to_vec())]);
+                let changes = directory.changes_since(Revision(0));
+                apply(&mut other, changes.expect("the store was read"));
+                other.remove("config");
+                assert_eq!(other, expected, "seed {seed}, step {step}");
             }
             assert!(known > start);
         });
