session, proxy, failover: clearer names and comments

Cause: a reading of the diff as a newcomer: the route that a statement of a transaction runs on had no telling name, the member of a unit was chosen in two places of one function, and the read of all records after a conflict had no reason beside it.

Change: names, comments, one match instead of two; no change of behaviour.

--- a/crates/burdockslip_failover/src/permission.rs
+++ b/crates/burdockslip_failover/src/permission.rs
@@ -399,7 +399,7 @@
             .directory
             .records(keys::GROUPS)
             .iter()
-            .map(text)
+            .map(describe)
             .collect();
         info!(
             lease = lease.map(|lease| lease.0),
@@ -529,7 +529,7 @@
 }
 
 /// Returns the group, the revision and the state of a group's record for log lines.
-fn text(entry: &Entry) -> String {
+fn describe(entry: &Entry) -> String {
     let group = entry.key.strip_prefix(keys::GROUPS).unwrap_or_default();
     let state = match GroupRecord::read(&entry.value) {
         Ok(record) if record.is_stable() => "stable",
--- a/crates/burdockslip_failover/src/promotion.rs
+++ b/crates/burdockslip_failover/src/promotion.rs
@@ -245,7 +245,8 @@
         let is_applied = matches!(&reply, Ok(reply) if reply.is_applied);
         if !is_applied {
             // This write or another one may have been applied without an event of
-            // the watch so far; the next attempt needs the current revision.
+            // the watch so far; the next attempt needs the current revision. All records
+            // are read: whoever knows the fence must know those of groups before it.
             with_timeout(STORE_TIMEOUT, self.directory.refresh(keys::ROOT)).await?;
         }
         let reply = reply?;
--- a/crates/burdockslip_proxy/src/endpoint/request.rs
+++ b/crates/burdockslip_proxy/src/endpoint/request.rs
@@ -54,9 +54,14 @@
     let tag = prepared.statement.tags.class.as_deref();
     let (name, class) = catalogue.class_for(route, tag.or(state.class.as_deref()))?;
     let access = access(&prepared.statement, class)?;
-    let group = open.map_or(&route.group, |bound| &bound.group);
-    let chosen = || choose_member(host, state, group, access);
-    let Some(member) = open.map(|bound| bound.member.clone()).or_else(chosen) else {
+    let (group, member) = match open {
+        Some(bound) => (&bound.group, Some(bound.member.clone())),
+        None => (
+            &route.group,
+            choose_member(host, state, &route.group, access),
+        ),
+    };
+    let Some(member) = member else {
         bail!(ErrorKind::NoPrimary);
     };
     let may_stream = access == Access::Read && !prepared.statement.has_control;
--- a/crates/burdockslip_proxy/tests/path.rs
+++ b/crates/burdockslip_proxy/tests/path.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use burdockslip_keys::{Token, TokenSecrets};
+use burdockslip_types::GroupName;
 use postgres::NoTls;
 use support::{sqlstate, start, value};
 
@@ -89,7 +90,7 @@
     let token = value(&mut client, "SHOW burdockslip.token").expect("token");
     let secrets = TokenSecrets::new(&[7; 32], None).expect("the secret is long enough");
     let token = Token::verify(&token, "airline", &secrets).expect("the host has signed it");
-    let groups: Vec<_> = token.floors.keys().map(|group| group.as_str()).collect();
+    let groups: Vec<_> = token.floors.keys().map(GroupName::as_str).collect();
     assert_eq!(groups, ["records"]);
 }
 
--- a/crates/burdockslip_session/src/own_commits.rs
+++ b/crates/burdockslip_session/src/own_commits.rs
@@ -4,16 +4,15 @@
 
 /// The last commit of a session in each group.
 ///
-/// A session commits in several groups when its route changes, or when its transaction
-/// outlasts a change. The route may come back, so a commit in one group must not replace
-/// that in another. A session uses few groups: a list is smaller than a map.
+/// A session commits in several groups if its route moves, and the route may come back: see
+/// `docs/incidents/own-commits.md`. There are few of them, so a list is smaller than a map.
 #[derive(Debug, Default)]
 pub(crate) struct OwnCommits {
     positions: Vec<(GroupName, LogPosition)>,
 }
 
 impl OwnCommits {
-    /// Records a commit that the session may be told of.
+    /// Records a commit that is acknowledged to the session.
     pub(crate) fn record(&mut self, group: &GroupName, position: LogPosition) {
         let mut positions = self.positions.iter_mut();
         match positions.find(|(known, _)| known == group) {
--- a/crates/burdockslip_session/src/session.rs
+++ b/crates/burdockslip_session/src/session.rs
@@ -186,15 +186,16 @@
                 | Statement::Deallocate(_)
         );
         let id = query.id.clone();
+        // The statements of a transaction run on the route at `BEGIN`.
         let open = self.transaction.as_ref();
-        let used = Rc::clone(open.map_or(&route, |transaction| &transaction.route));
+        let route_used = Rc::clone(open.map_or(&route, |transaction| &transaction.route));
         let response = if self.has_failed {
             self.handle_failed(&statement)
         } else {
             self.dispatch(&route, query, statement).await
         };
         if is_upstream || response.result.is_err() {
-            self.record(&id, &used, &response);
+            self.record(&id, &route_used, &response);
         }
         Handled::continues(response)
     }
