proxy: take back a token that cannot be replaced

Callers saw: nothing. A session that has used more groups than a token can name got no new token after a commit; its client went on with the earlier one, and on another host a read could lack that commit.

Cause: a token that cannot be signed was logged, and the earlier one stayed valid.

Change: the host reports an empty token, which hosts refuse.

--- a/crates/burdockslip_proxy/src/endpoint/session.rs
+++ b/crates/burdockslip_proxy/src/endpoint/session.rs
@@ -284,14 +284,14 @@
         if let Some(position) = done.position
             && self.raise_floor(group, position)
         {
-            match parameter::sign_token(&self.host, &self.state) {
-                Ok(token) => {
-                    buf.extend_from_slice(&parameter_status("burdockslip.token", &token));
-                }
-                Err(report) => {
-                    warn!(session = self.state.entry.process, error = ?report.current_context(), "session token not signed");
-                }
-            }
+            let signed = parameter::sign_token(&self.host, &self.state);
+            // The client's earlier token lacks this position. An empty one takes it back:
+            // hosts refuse it.
+            let token = signed.unwrap_or_else(|report| {
+                warn!(session = self.state.entry.process, error = ?report.current_context(), "session token taken back");
+                String::new()
+            });
+            buf.extend_from_slice(&parameter_status("burdockslip.token", &token));
         }
         buf.extend_from_slice(&ready(self.transaction.state()));
         self.write(buf.freeze()).await
--- a/crates/burdockslip_proxy/tests/path.rs
+++ b/crates/burdockslip_proxy/tests/path.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use burdockslip_keys::{Token, TokenSecrets};
-use burdockslip_types::GroupName;
+use burdockslip_types::{GroupName, LogPosition};
 use postgres::NoTls;
+use support::raw::{Raw, tagged};
 use support::{sqlstate, start, value};
 
 /// Guards read-your-writes when a client moves to another host with its session token.
@@ -94,6 +95,46 @@
     assert_eq!(groups, ["records"]);
 }
 
+/// Guards against a client that goes on with a token which lacks its last commit, because the
+/// session has used more groups than a token can name.
+#[test]
+fn token_that_cannot_be_replaced_is_taken_back() {
+    let site = start();
+    let (mut client, _) = Raw::sign_in(&site, 0);
+    let secrets = TokenSecrets::new(&[7; 32], None).expect("the secret is long enough");
+    let sign = |numbers: std::ops::Range<u64>| {
+        let floor = |number| {
+            let group = GroupName::from(format!("group-{number}").as_str());
+            (group, LogPosition::default())
+        };
+        let token = Token {
+            organisation: "airline".into(),
+            floors: numbers.map(floor).collect(),
+        };
+        token.sign(&secrets).expect("it is small")
+    };
+    let mut run = |text: &str| {
+        client.send(&tagged(b'Q', format!("{text}\0").as_bytes()));
+        let mut statuses = Vec::new();
+        loop {
+            let frame = client.frame();
+            match frame.tag() {
+                b'S' => statuses.push(frame.body().to_vec()),
+                b'Z' => return statuses,
+                b'C' => {}
+                tag => panic!("unexpected message {}", char::from(tag)),
+            }
+        }
+    };
+    let taken_back = [b"burdockslip.token\0\0"];
+    let first = run("INSERT INTO records (key, value) VALUES ('a', '1')");
+    assert!(first.len() == 1 && first != taken_back);
+    run(&format!("SET burdockslip.token = '{}'", sign(0..20)));
+    run(&format!("SET burdockslip.token = '{}'", sign(20..40)));
+    let second = run("INSERT INTO records (key, value) VALUES ('b', '1')");
+    assert_eq!(second, taken_back);
+}
+
 /// Guards against access with an invalid key, with another organisation's key or to
 /// a route that the organisation may not use, and against keys that reach a database.
 #[test]
